Add peer messages and the first part of the entry process

Cause: processes need authenticated messages before they can be wired together. Before: no transport between processes.

--- /dev/null
+++ b/crates/peer/src/key_ring.rs
@@ -0,0 +1,74 @@
+//! Keys that authenticate messages between processes.
+
+use std::fmt;
+use std::sync::Arc;
+
+use smallvec::SmallVec;
+
+/// Length of a key in bytes.
+pub const KEY_BYTES: usize = 32;
+
+/// One shared key.
+#[derive(Clone)]
+pub struct PeerKey {
+    /// Public name of the key, sent with each message.
+    pub id: Arc<str>,
+    /// Secret bytes.
+    pub secret: [u8; KEY_BYTES],
+}
+
+impl fmt::Debug for PeerKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("PeerKey").field("id", &self.id).finish_non_exhaustive()
+    }
+}
+
+/// Keys in use: the first signs, all verify. A rotation adds the new key last, moves it first, then drops the old.
+#[derive(Clone, Debug)]
+pub struct KeyRing {
+    keys: SmallVec<[PeerKey; 2]>,
+}
+
+impl KeyRing {
+    /// Parses lines of `id:hex`. Empty lines and lines that start with `#` are skipped.
+    pub fn parse(text: &str) -> Result<Self, String> {
+        let mut keys = SmallVec::new();
+        for (index, line) in text.lines().enumerate() {
+            let line = line.trim();
+            if line.is_empty() || line.starts_with('#') {
+                continue;
+            }
+            keys.push(parse_line(line).map_err(|cause| format!("line {}: {cause}", index + 1))?);
+        }
+        if keys.is_empty() {
+            return Err("no key in the file".to_owned());
+        }
+        Ok(Self { keys })
+    }
+
+    /// Key that signs outgoing messages.
+    pub fn signing_key(&self) -> &PeerKey {
+        &self.keys[0]
+    }
+
+    /// Key with the given id.
+    pub fn find(&self, id: &str) -> Option<&PeerKey> {
+        self.keys.iter().find(|key| &*key.id == id)
+    }
+}
+
+fn parse_line(line: &str) -> Result<PeerKey, String> {
+    let (id, digits) = line.split_once(':').ok_or("expected `id:hex`")?;
+    if id.is_empty() || !id.bytes().all(|byte| byte.is_ascii_alphanumeric() || byte == b'-') {
+        return Err("the id must consist of letters, digits and hyphens".to_owned());
+    }
+    if digits.len() != KEY_BYTES * 2 || !digits.is_ascii() {
+        return Err(format!("expected {} hexadecimal digits", KEY_BYTES * 2));
+    }
+    let mut secret = [0_u8; KEY_BYTES];
+    for (position, byte) in secret.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&digits[2 * position..2 * position + 2], 16)
+            .map_err(|_| "the key is not hexadecimal".to_owned())?;
+    }
+    Ok(PeerKey { id: id.into(), secret })
+}
--- /dev/null
+++ b/crates/peer/src/peer_gate.rs
@@ -0,0 +1,207 @@
+//! Receiving side of peer messages.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::StatusCode;
+use http::request::Parts;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use volo_http::body::Body;
+use volo_http::request::Request;
+use volo_http::response::Response;
+use volo_http::server::IntoResponse;
+use zinniahinge_types::MonotonicTime;
+
+use crate::KeyRingFile;
+use crate::PeerCounters;
+use crate::ReplayFilter;
+use crate::seal::SealedParts;
+use crate::wire::CONTENT_TYPE;
+use crate::wire::KEY_HEADER;
+use crate::wire::MAC_HEADER;
+use crate::wire::MAX_CLOCK_SKEW;
+use crate::wire::MAX_MESSAGE_BYTES;
+use crate::wire::NONCE_HEADER;
+use crate::wire::PROTOCOL_VERSION;
+use crate::wire::TIME_HEADER;
+use crate::wire::VERSION_HEADER;
+
+/// Time for a message body to arrive once its headers have.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Why a message was rejected. A rejected message changes nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RejectReason {
+    /// A header is missing or malformed.
+    Malformed,
+    /// The protocol version is not ours.
+    UnknownVersion,
+    /// The signing key is not in the ring.
+    UnknownKey,
+    /// The code does not match.
+    BadCode,
+    /// The sender's clock is too far from ours, or the message is old.
+    OutOfTime,
+    /// The nonce was seen before.
+    Repeated,
+    /// The body is over [`MAX_MESSAGE_BYTES`], cut short, or too slow.
+    BadBody,
+    /// The body is not the message that the path expects.
+    Undecodable,
+}
+
+impl RejectReason {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Malformed => "malformed",
+            Self::UnknownVersion => "unknown_version",
+            Self::UnknownKey => "unknown_key",
+            Self::BadCode => "bad_code",
+            Self::OutOfTime => "out_of_time",
+            Self::Repeated => "repeated",
+            Self::BadBody => "bad_body",
+            Self::Undecodable => "undecodable",
+        }
+    }
+}
+
+/// Checks and decodes incoming messages and seals the replies.
+#[derive(Clone)]
+pub struct PeerGate {
+    keys: KeyRingFile,
+    counters: PeerCounters,
+    filter: Arc<ReplayFilter>,
+    origin: Instant,
+}
+
+struct MessageHeader {
+    key_id: String,
+    time_ms: u64,
+    nonce: u64,
+    code: String,
+}
+
+impl PeerGate {
+    /// Creates a gate.
+    pub fn new(keys: KeyRingFile, counters: PeerCounters) -> Self {
+        Self { keys, counters, filter: Arc::default(), origin: Instant::now() }
+    }
+
+    /// Opens a request, calls `handler` with the message, and seals its reply.
+    pub async fn serve<Req, Rep, Fut>(
+        &self,
+        request: Request,
+        handler: impl FnOnce(Req) -> Fut,
+    ) -> Response
+    where
+        Req: DeserializeOwned,
+        Rep: Serialize,
+        Fut: Future<Output = Rep>,
+    {
+        let (parts, body) = request.into_parts();
+        let path = parts.uri.path().to_owned();
+        match self.open(&parts, body).await {
+            Ok((message, nonce)) => {
+                self.counters.received.with_label_values(&[&path]).inc();
+                self.seal_reply(&path, nonce, &handler(message).await)
+            }
+            Err(reason) => {
+                self.counters.rejected.with_label_values(&[reason.label()]).inc();
+                StatusCode::BAD_REQUEST.into_response()
+            }
+        }
+    }
+
+    async fn open<Req: DeserializeOwned>(
+        &self,
+        parts: &Parts,
+        body: Body,
+    ) -> Result<(Req, u64), RejectReason> {
+        let header = MessageHeader::read(&parts.headers)?;
+        let bytes = collect(body).await?;
+        self.verify(parts.uri.path(), &header, &bytes)?;
+        self.counters.bytes.inc_by(bytes.len() as u64);
+        let message = rmp_serde::from_slice(&bytes).map_err(|_| RejectReason::Undecodable)?;
+        Ok((message, header.nonce))
+    }
+
+    fn verify(&self, path: &str, header: &MessageHeader, body: &[u8]) -> Result<(), RejectReason> {
+        let MessageHeader { key_id, time_ms, nonce, code } = header;
+        let ring = self.keys.ring();
+        let key = ring.find(key_id).ok_or(RejectReason::UnknownKey)?;
+        let parts =
+            SealedParts { direction: "request", path, time_ms: *time_ms, nonce: *nonce, body };
+        if !parts.verify(key, code) {
+            return Err(RejectReason::BadCode);
+        }
+        if wall_clock_ms().abs_diff(*time_ms) > MAX_CLOCK_SKEW.as_millis() as u64 {
+            return Err(RejectReason::OutOfTime);
+        }
+        let now = MonotonicTime::from_origin(self.origin.elapsed());
+        if !self.filter.admit(*nonce, now) {
+            return Err(RejectReason::Repeated);
+        }
+        Ok(())
+    }
+
+    fn seal_reply<Rep: Serialize>(&self, path: &str, nonce: u64, reply: &Rep) -> Response {
+        let Ok(body) = rmp_serde::to_vec_named(reply) else {
+            return StatusCode::INTERNAL_SERVER_ERROR.into_response();
+        };
+        self.counters.bytes.inc_by(body.len() as u64);
+        let ring = self.keys.ring();
+        let key = ring.signing_key();
+        let time_ms = wall_clock_ms();
+        let code =
+            SealedParts { direction: "reply", path, time_ms, nonce, body: &body }.sign(key);
+        let response = http::Response::builder()
+            .header(http::header::CONTENT_TYPE, CONTENT_TYPE)
+            .header(KEY_HEADER, &*key.id)
+            .header(TIME_HEADER, time_ms)
+            .header(MAC_HEADER, code)
+            .body(Body::from(Bytes::from(body)));
+        response.unwrap_or_else(|_| StatusCode::INTERNAL_SERVER_ERROR.into_response())
+    }
+}
+
+impl MessageHeader {
+    fn read(headers: &HeaderMap) -> Result<Self, RejectReason> {
+        if text(headers, VERSION_HEADER)? != PROTOCOL_VERSION {
+            return Err(RejectReason::UnknownVersion);
+        }
+        let time_ms = text(headers, TIME_HEADER)?.parse();
+        let nonce = u64::from_str_radix(text(headers, NONCE_HEADER)?, 16);
+        Ok(Self {
+            key_id: text(headers, KEY_HEADER)?.to_owned(),
+            time_ms: time_ms.map_err(|_| RejectReason::Malformed)?,
+            nonce: nonce.map_err(|_| RejectReason::Malformed)?,
+            code: text(headers, MAC_HEADER)?.to_owned(),
+        })
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<&'a str, RejectReason> {
+    let value = headers.get(name).ok_or(RejectReason::Malformed)?;
+    value.to_str().map_err(|_| RejectReason::Malformed)
+}
+
+async fn collect(body: Body) -> Result<Bytes, RejectReason> {
+    let limited = Limited::new(body, MAX_MESSAGE_BYTES).collect();
+    match tokio::time::timeout(BODY_TIMEOUT, limited).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        _ => Err(RejectReason::BadBody),
+    }
+}
+
+/// Milliseconds since the Unix epoch.
+pub(crate) fn wall_clock_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
--- a/crates/types/src/limit_message.rs
+++ b/crates/types/src/limit_message.rs
@@ -10,6 +10,7 @@
 
 use crate::GrantId;
 use crate::Name;
+use crate::RequestId;
 
 /// Asks the owner of an account's bucket for tokens.
 #[serde_as]
@@ -79,6 +80,8 @@
     /// SHA-256 over method, route and body; a repeat must match it.
     #[serde_as(as = "Hex")]
     pub fingerprint: [u8; 32],
+    /// Request that claims the key; a repeat of this message with the same id is answered the same.
+    pub request_id: RequestId,
 }
 
 /// Answer to a [`BeginRequest`].
@@ -123,6 +126,8 @@
     /// Fingerprint given in the [`BeginRequest`].
     #[serde_as(as = "Hex")]
     pub fingerprint: [u8; 32],
+    /// Request that claimed the key.
+    pub request_id: RequestId,
     /// `Some`: answer to store. `None` with `ran` false: the request was never sent.
     pub answer: Option<StoredAnswer>,
     /// False only when no byte of the request was written to a backend server.
