Add client of the key-value service

Cause: control processes need compare-and-swap, batches, listings and watches over the JSON gateway of etcd v3, with lost answers told apart from failures.

A failed connect is recognised by an I/O error as the direct source of the HTTP client's error; any other failure after sending is reported as unknown. Ruled out: repeating a sent write, because its first copy may have taken effect.

--- /dev/null
+++ b/crates/kv/src/gateway_transport.rs
@@ -0,0 +1,223 @@
+use std::error::Error;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time::timeout;
+use volo_http::body::Body;
+use volo_http::body::BodyConversion;
+use volo_http::client::Client;
+use volo_http::error::ClientError;
+use volo_http::error::client::ErrorKind;
+use volo_http::response::Response;
+
+use crate::CallCounter;
+use crate::CallKind;
+use crate::KvError;
+use crate::KvSettings;
+use crate::Result;
+use crate::gateway_message::GatewayError;
+
+/// Status codes of gRPC after which a write may still have taken effect: cancelled, unknown,
+/// deadline exceeded, aborted, internal, unavailable, data loss.
+const UNDECIDED_CODES: [u32; 7] = [1, 2, 4, 10, 13, 14, 15];
+
+/// Sends requests to one of the endpoints.
+pub(crate) struct GatewayTransport {
+    client: Client,
+    settings: KvSettings,
+    preferred: AtomicUsize,
+    last_heard: Mutex<Option<Instant>>,
+    counter: CallCounter,
+}
+
+impl GatewayTransport {
+    pub fn new(settings: KvSettings) -> Result<Self> {
+        if settings.endpoints.is_empty() {
+            return Err(KvError::BadSettings {
+                reason: "no endpoint is given".to_owned(),
+            });
+        }
+        let mut builder = Client::builder();
+        builder.disable_tls(true);
+        // Below the request timeout, so that an unreachable endpoint counts as "not sent".
+        builder.set_connect_timeout(settings.request_timeout / 2);
+        let client = builder.build().map_err(|e| KvError::BadSettings {
+            reason: e.to_string(),
+        })?;
+        Ok(Self {
+            client,
+            settings,
+            preferred: AtomicUsize::new(0),
+            last_heard: Mutex::new(None),
+            counter: CallCounter::default(),
+        })
+    }
+
+    pub fn counter(&self) -> &CallCounter {
+        &self.counter
+    }
+
+    pub fn watch_idle_timeout(&self) -> Option<Duration> {
+        self.settings.watch_idle_timeout
+    }
+
+    pub fn last_heard(&self) -> Option<Instant> {
+        *self.last_heard.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Records that the service answered a request sent at `sent`, or sent a message then.
+    pub fn note_heard(&self, sent: Instant) {
+        let mut last_heard = self.last_heard.lock().unwrap_or_else(|e| e.into_inner());
+        *last_heard = (*last_heard).max(Some(sent));
+    }
+
+    /// Sends `request` and decodes the answer.
+    pub async fn call<Q, A>(&self, kind: CallKind, path: &str, request: &Q) -> Result<A>
+    where
+        Q: Serialize,
+        A: DeserializeOwned,
+    {
+        let body = encode_request(request)?;
+        let sent = Instant::now();
+        let answer = self.try_endpoints(kind, path, body, read_answer).await?;
+        let decoded = serde_json::from_slice(&answer).map_err(|e| self.unknown_outcome(e))?;
+        self.note_heard(sent);
+        Ok(decoded)
+    }
+
+    /// Sends `request` and returns the answer's body unread.
+    pub async fn open_stream<Q: Serialize>(
+        &self,
+        kind: CallKind,
+        path: &str,
+        request: &Q,
+    ) -> Result<Body> {
+        let body = encode_request(request)?;
+        self.try_endpoints(kind, path, body, read_stream).await
+    }
+
+    /// Counts a sent request without a usable answer.
+    pub fn unknown_outcome(&self, reason: impl ToString) -> KvError {
+        self.counter.count_unknown();
+        KvError::unknown(reason)
+    }
+
+    /// Tries the endpoints in turn for as long as the connect fails.
+    async fn try_endpoints<T, F>(
+        &self,
+        kind: CallKind,
+        path: &str,
+        body: Bytes,
+        read: impl Fn(Response) -> F,
+    ) -> Result<T>
+    where
+        F: Future<Output = Result<T>>,
+    {
+        let endpoints = &self.settings.endpoints;
+        let first = self.preferred.load(Ordering::Relaxed);
+        let mut last_error = None;
+        for index in (first..first + endpoints.len()).map(|i| i % endpoints.len()) {
+            self.counter.count_call(kind);
+            let attempt = async {
+                let response = self.send(endpoints[index], path, body.clone()).await?;
+                read(response).await
+            };
+            let result = timeout(self.settings.request_timeout, attempt).await;
+            let result = result.unwrap_or_else(|_| Err(KvError::unknown("request timed out")));
+            match result {
+                Err(error @ KvError::NotSent { .. }) => {
+                    self.counter.count_not_sent();
+                    last_error = Some(error);
+                }
+                Err(error @ KvError::OutcomeUnknown { .. }) => {
+                    self.counter.count_unknown();
+                    self.preferred.store(index + 1, Ordering::Relaxed);
+                    return Err(error);
+                }
+                result => {
+                    self.preferred.store(index, Ordering::Relaxed);
+                    return result;
+                }
+            }
+        }
+        Err(last_error.unwrap_or_else(|| KvError::unknown("no endpoint")))
+    }
+
+    async fn send(&self, endpoint: SocketAddr, path: &str, body: Bytes) -> Result<Response> {
+        self.client
+            .post(format!("http://{endpoint}{path}"))
+            .header(CONTENT_TYPE, "application/json")
+            .data(body)
+            .send()
+            .await
+            .map_err(classify_failure)
+    }
+}
+
+// ----------------------------------------------------------------------------------------------
+
+fn encode_request<Q: Serialize>(request: &Q) -> Result<Bytes> {
+    let body = serde_json::to_vec(request).map_err(|e| KvError::BadRequest {
+        reason: e.to_string(),
+    })?;
+    Ok(Bytes::from(body))
+}
+
+/// Tells a failed connect, after which nothing was sent, from every other failure.
+///
+/// The HTTP client reports a failed connect as a request error whose direct source is an I/O
+/// error; failures on an open connection have a source of another type.
+fn classify_failure(error: ClientError) -> KvError {
+    let refused = error
+        .source()
+        .is_some_and(|source| source.is::<io::Error>());
+    match error.kind() {
+        ErrorKind::Builder | ErrorKind::Context | ErrorKind::LoadBalance | ErrorKind::Connect => {
+            KvError::NotSent {
+                reason: error.to_string(),
+            }
+        }
+        ErrorKind::Request if refused => KvError::NotSent {
+            reason: error.to_string(),
+        },
+        _ => KvError::unknown(error),
+    }
+}
+
+async fn read_answer(response: Response) -> Result<Bytes> {
+    let body = read_stream(response).await?;
+    body.into_bytes().await.map_err(KvError::unknown)
+}
+
+async fn read_stream(response: Response) -> Result<Body> {
+    let status = response.status();
+    let body = response.into_body();
+    if status == StatusCode::OK {
+        return Ok(body);
+    }
+    let body = body.into_bytes().await.map_err(KvError::unknown)?;
+    Err(classify_status(status, &body))
+}
+
+/// An error answer is a refusal only if it is the service's own and its code rules an effect out.
+fn classify_status(status: StatusCode, body: &[u8]) -> KvError {
+    match serde_json::from_slice::<GatewayError>(body) {
+        Ok(error) if error.code > 0 && !UNDECIDED_CODES.contains(&error.code) => {
+            KvError::Rejected {
+                code: error.code,
+                message: error.message,
+            }
+        }
+        _ => KvError::unknown(format!("answer with status {status}")),
+    }
+}
