Add authority crate: host authority, guardian watch, assignment planner

Decisions: - A guardian acknowledges only heartbeats whose record was written after its own incarnation joined. Otherwise a restarted guardian could acknowledge a host that its own guardian is just taking over. - A renewal without a change of guardian comes first (age T/2); another guardian is asked for only after T of silence and a recent answer of the key-value service. Ruled out: asking at the first lost heartbeat, because heartbeats stop counting from then on, also in an outage of the service. - An attempt to declare a death ends only when the record is seen beyond the revision it was bound to. Ruled out: ending it on a conflict, which does not say whether an earlier send of the same attempt took effect. - An incarnation joins over a live record of an earlier one only if both have the same control address, which the new process has bound. - Staged state is used only if the shard came by the handover that staged it; a given-up handover is repeated only under a newer assignment revision.

--- /dev/null
+++ b/crates/authority/src/authority_timer.rs
@@ -0,0 +1,54 @@
+//! How long a host may act.
+
+use zinniahinge_types::MonotonicTime;
+
+use crate::AuthoritySettings;
+
+/// Holds the time until which a host has authority. Cheap to copy, so that a request path can keep
+/// it in an atomic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AuthorityTimer {
+    settings: AuthoritySettings,
+    until: MonotonicTime,
+    newest_send: Option<MonotonicTime>,
+    revoked: bool,
+}
+
+impl AuthorityTimer {
+    /// A timer without authority.
+    pub fn new(settings: AuthoritySettings) -> Self {
+        Self {
+            settings,
+            until: MonotonicTime::ZERO,
+            newest_send: None,
+            revoked: false,
+        }
+    }
+
+    /// Extends the authority: a renewal or heartbeat sent at `sent_at` was acknowledged. The time of
+    /// the answer does not count, because the other side's wait started before it.
+    pub fn acknowledged(&mut self, sent_at: MonotonicTime) {
+        self.until = self.until.max(sent_at + self.settings.host_term());
+        self.newest_send = self.newest_send.max(Some(sent_at));
+    }
+
+    /// Ends the authority for good.
+    pub fn revoke(&mut self) {
+        self.revoked = true;
+    }
+
+    /// Whether the host may act at `now`.
+    pub fn holds(&self, now: MonotonicTime) -> bool {
+        !self.revoked && now < self.until
+    }
+
+    /// First time without authority; `None` if it was revoked.
+    pub fn until(&self) -> Option<MonotonicTime> {
+        (!self.revoked).then_some(self.until)
+    }
+
+    /// Send time of the newest acknowledged renewal or heartbeat.
+    pub fn newest_send(&self) -> Option<MonotonicTime> {
+        self.newest_send
+    }
+}
--- a/crates/authority/src/lib.rs
+++ b/crates/authority/src/lib.rs
@@ -1,1 +1,46 @@
-//! Placeholder for the crate's modules.
+//! Pure state machines that decide which host may act, which host is dead and who owns a shard.
+//!
+//! No type here does I/O or reads a clock. The caller passes [`MonotonicTime`] and what it learned,
+//! and carries out the actions that are returned. See the crate's README for the protocol.
+//!
+//! [`MonotonicTime`]: zinniahinge_types::MonotonicTime
+
+mod assignment_action;
+mod assignment_planner;
+mod authority_error;
+mod authority_settings;
+mod authority_timer;
+mod guardian_action;
+mod guardian_choice;
+mod guardian_watch;
+mod host_action;
+mod host_authority;
+mod member_table;
+mod own_standing;
+mod rendezvous_order;
+mod staged_shards;
+mod write_outcome;
+
+pub use assignment_action::AssignmentAction;
+pub use assignment_planner::AssignmentPlanner;
+pub use assignment_planner::ShardGain;
+pub use authority_error::AuthorityError;
+pub use authority_error::Result;
+pub use authority_settings::AuthoritySettings;
+pub use authority_timer::AuthorityTimer;
+pub use guardian_action::GuardianAction;
+pub use guardian_action::HeartbeatRefusal;
+pub use guardian_action::HeartbeatVerdict;
+pub use guardian_choice::choose_guardian;
+pub use guardian_watch::GuardianWatch;
+pub use guardian_watch::ReceivedHeartbeat;
+pub use host_action::HostAction;
+pub use host_action::HostPhase;
+pub use host_authority::HostAuthority;
+pub use member_table::MemberEntry;
+pub use member_table::MemberTable;
+pub use own_standing::OwnStanding;
+pub use rendezvous_order::preferred_host;
+pub use staged_shards::StagedShard;
+pub use staged_shards::StagedShards;
+pub use write_outcome::WriteOutcome;
--- /dev/null
+++ b/crates/authority/src/member_table.rs
@@ -0,0 +1,154 @@
+//! Host records as last observed.
+
+use std::collections::BTreeMap;
+
+use zinniahinge_types::HostId;
+use zinniahinge_types::HostRecord;
+use zinniahinge_types::HostState;
+use zinniahinge_types::Incarnation;
+use zinniahinge_types::Revision;
+
+use crate::AuthorityError;
+use crate::Result;
+
+/// Host record and the revision at which it was written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemberEntry {
+    /// Revision of the record.
+    pub revision: Revision,
+    /// The record.
+    pub record: HostRecord,
+}
+
+/// All records under `hosts/`, kept by one list followed by one watch in revision order.
+///
+/// The order matters: a host that is missing or dead in the table was so at every revision up to
+/// [`revision`](Self::revision), and the guardian relies on that when it takes hosts over.
+#[derive(Clone, Debug, Default)]
+pub struct MemberTable {
+    entries: BTreeMap<HostId, MemberEntry>,
+    revision: Revision,
+    loaded: bool,
+}
+
+impl MemberTable {
+    /// Largest number of hosts, ten times the planned fleet. Bounds memory.
+    pub const LIMIT: usize = 4096;
+
+    /// A table that nothing was loaded into.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Replaces the content by a complete list that was read at store revision `revision`. A list
+    /// that is older than the table changes nothing.
+    ///
+    /// # Errors
+    /// [`AuthorityError::TableFull`] if the list is too long.
+    pub fn load(
+        &mut self,
+        revision: Revision,
+        list: impl IntoIterator<Item = (HostId, MemberEntry)>,
+    ) -> Result<()> {
+        if self.loaded && revision < self.revision {
+            return Ok(());
+        }
+        let entries: BTreeMap<_, _> = list.into_iter().take(Self::LIMIT + 1).collect();
+        if entries.len() > Self::LIMIT {
+            return Err(AuthorityError::TableFull { limit: Self::LIMIT });
+        }
+        *self = Self {
+            entries,
+            revision,
+            loaded: true,
+        };
+        Ok(())
+    }
+
+    /// Applies one change; `None` is a deletion. A change older than the host's entry changes
+    /// nothing.
+    ///
+    /// # Errors
+    /// [`AuthorityError::TableFull`] if a new host does not fit.
+    pub fn observe(
+        &mut self,
+        host: HostId,
+        revision: Revision,
+        record: Option<HostRecord>,
+    ) -> Result<()> {
+        if self
+            .get(&host)
+            .is_some_and(|entry| entry.revision >= revision)
+        {
+            return Ok(());
+        }
+        match record {
+            Some(_) if self.is_full_for(&host) => {
+                return Err(AuthorityError::TableFull { limit: Self::LIMIT });
+            }
+            Some(record) => {
+                self.entries.insert(host, MemberEntry { revision, record });
+            }
+            None => {
+                self.entries.remove(&host);
+            }
+        }
+        self.revision = self.revision.max(revision);
+        Ok(())
+    }
+
+    /// Notes that the table is complete up to `revision` (a watch progress notification).
+    pub fn advance(&mut self, revision: Revision) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Whether a complete list was loaded.
+    pub fn is_loaded(&self) -> bool {
+        self.loaded
+    }
+
+    /// Store revision up to which the table is complete.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Entry of `host`.
+    pub fn get(&self, host: &str) -> Option<&MemberEntry> {
+        self.entries.get(host)
+    }
+
+    /// All entries in the order of host ids.
+    pub fn iter(&self) -> impl Iterator<Item = (&HostId, &MemberEntry)> {
+        self.entries.iter()
+    }
+
+    /// Hosts that may own shards.
+    pub fn live(&self) -> impl Iterator<Item = (&HostId, &MemberEntry)> {
+        self.iter()
+            .filter(|(_, entry)| entry.record.state == HostState::Live)
+    }
+
+    /// Whether `host` is known to be dead or deleted; false before the table is loaded.
+    pub fn is_dead(&self, host: &str) -> bool {
+        match self.get(host) {
+            Some(entry) => entry.record.state == HostState::Dead,
+            None => self.loaded,
+        }
+    }
+
+    /// Whether `incarnation` of `host` is known never to act again. `named_at` is the revision of
+    /// the record that names it; a missing host counts as gone only if the table is as new as that.
+    pub fn is_gone(&self, host: &str, incarnation: Incarnation, named_at: Revision) -> bool {
+        match self.get(host) {
+            Some(MemberEntry { record, .. }) if record.incarnation == incarnation => {
+                record.state == HostState::Dead
+            }
+            Some(MemberEntry { record, .. }) => record.incarnation > incarnation,
+            None => self.loaded && self.revision >= named_at,
+        }
+    }
+
+    fn is_full_for(&self, host: &str) -> bool {
+        self.entries.len() >= Self::LIMIT && !self.entries.contains_key(host)
+    }
+}
