--- a/crates/entry/src/filters/idempotency.rs
+++ b/crates/entry/src/filters/idempotency.rs
@@ -25,6 +25,7 @@
 use crate::request_context::IdempotencyUse;
 use crate::request_context::RequestContext;
 use crate::request_context::RequestTarget;
+use crate::settlement::ClaimGuard;
 use crate::settlement::abandon_key;
 
 /// Header of the key.
@@ -35,6 +36,10 @@
 
 /// Claims the key, or answers from its record.
 pub(super) async fn apply(state: &EntryState, context: &mut RequestContext) -> FilterVerdict {
+    if matches!(&context.target, Some(RequestTarget::Model { .. })) {
+        // Generation is idempotent and nothing is booked by it, so a repeat is simply run again.
+        return Ok(FilterStep::Continue);
+    }
     let Some(key) = read_key(context)? else {
         return Ok(FilterStep::Continue);
     };
@@ -42,10 +47,6 @@
         let detail = "idempotency keys need a client account; this route is open to all";
         return Err(RequestProblem::not_run(ProblemKind::InvalidIdempotencyKey, detail));
     };
-    if matches!(&context.target, Some(RequestTarget::Model { call, .. }) if call.stream) {
-        let detail = "streamed answers are not stored; ask without `stream` or without a key";
-        return Err(RequestProblem::not_run(ProblemKind::InvalidIdempotencyKey, detail));
-    }
     let claim = IdempotencyUse {
         key,
         fingerprint: fingerprint(context),
@@ -86,7 +87,7 @@
 ) -> FilterVerdict {
     match reply {
         Ok(BeginReply::Run) => {
-            context.idempotency = Some(claim);
+            context.idempotency = Some(ClaimGuard::new(state.owners.clone(), claim));
             Ok(FilterStep::Continue)
         }
         Ok(BeginReply::Stored(answer)) => Ok(FilterStep::Answer(replay(answer))),
--- a/crates/entry/src/model_forward.rs
+++ b/crates/entry/src/model_forward.rs
@@ -74,7 +74,7 @@
                 Ok(response) => return Ok(response),
                 Err(failed) => {
                     self.note_failure(&failed);
-                    let may_retry = self.state.retries.try_spend();
+                    let may_retry = self.state.retries.try_retry();
                     if !may_retry || self.context.time_left().is_zero() {
                         return Err(failed.failure.into_problem(&failed.server));
                     }
--- a/crates/entry/src/plain_forward.rs
+++ b/crates/entry/src/plain_forward.rs
@@ -110,7 +110,7 @@
         is_safe
             && attempts < MAX_ATTEMPTS
             && !self.context.time_left().is_zero()
-            && self.state.retries.try_spend()
+            && self.state.retries.try_retry()
     }
 
     async fn attempt(
--- a/crates/entry/src/request_context.rs
+++ b/crates/entry/src/request_context.rs
@@ -15,6 +15,7 @@
 
 use crate::caller_key::CallerKey;
 use crate::chat_call::ChatCall;
+use crate::settlement::ClaimGuard;
 
 /// Path of chat completions.
 pub const CHAT_PATH: &str = "/v1/chat/completions";
@@ -47,8 +48,8 @@
     pub deadline: Instant,
     /// Class; set by the deadline filter.
     pub class: PriorityClass,
-    /// Use of an idempotency key; set by the idempotency filter.
-    pub idempotency: Option<IdempotencyUse>,
+    /// Claimed idempotency key; set by the idempotency filter.
+    pub idempotency: Option<ClaimGuard>,
     /// Tokens taken from the account's bucket; set by the charge filter.
     pub charge: Option<ChargeGrant>,
 }
@@ -116,6 +117,27 @@
         }
     }
 
+    /// A copy for the task that forwards the request. Claims stay behind, because each has one guard.
+    pub fn detach(&self) -> Self {
+        Self {
+            request_id: self.request_id,
+            trace_id: self.trace_id,
+            arrived: self.arrived,
+            method: self.method.clone(),
+            path: self.path.clone(),
+            query: self.query.clone(),
+            headers: self.headers.clone(),
+            body: self.body.clone(),
+            key: self.key.clone(),
+            target: self.target.clone(),
+            account: self.account.clone(),
+            deadline: self.deadline,
+            class: self.class,
+            idempotency: None,
+            charge: None,
+        }
+    }
+
     /// Time left until the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/entry/src/settlement.rs
+++ b/crates/entry/src/settlement.rs
@@ -28,7 +28,33 @@
 /// Frees a key whose request was not sent.
 pub fn abandon_key(owners: &OwnerClient, claim: IdempotencyUse) {
     let owners = owners.clone();
-    tokio::spawn(async move { finish_key(&owners, claim, None, false).await });
+    spawn_settlement(async move { finish_key(&owners, claim, None, false).await });
+}
+
+/// Frees an idempotency key when dropped, unless the request went on to be sent.
+pub struct ClaimGuard {
+    owners: OwnerClient,
+    claim: Option<IdempotencyUse>,
+}
+
+impl ClaimGuard {
+    /// Guards `claim`.
+    pub fn new(owners: OwnerClient, claim: IdempotencyUse) -> Self {
+        Self { owners, claim: Some(claim) }
+    }
+
+    /// Hands the claim to the code that sends the request and finishes the key.
+    pub fn into_claim(mut self) -> Option<IdempotencyUse> {
+        self.claim.take()
+    }
+}
+
+impl Drop for ClaimGuard {
+    fn drop(&mut self) {
+        if let Some(claim) = self.claim.take() {
+            abandon_key(&self.owners, claim);
+        }
+    }
 }
 
 /// Records the result of a request that was sent under a key. Returns once the owner has it, so that an answer
