--- /dev/null
+++ b/crates/scheduling/src/cache_level.rs
@@ -0,0 +1,17 @@
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Where a backend server finds a checkpoint; nearer levels load faster.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum CacheLevel {
+    /// In the server's main memory.
+    Memory,
+    /// On the server's disk.
+    Disk,
+    /// Only in the weight store.
+    #[default]
+    Remote,
+}
--- /dev/null
+++ b/crates/scheduling/src/ejection_record.rs
@@ -0,0 +1,48 @@
+use std::time::Duration;
+
+use zinniahinge_types::MonotonicTime;
+
+use crate::DispatcherSettings;
+
+/// Failure history of one replica.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct EjectionRecord {
+    failures: u32,
+    ejections: u32,
+    until: Option<MonotonicTime>,
+}
+
+impl EjectionRecord {
+    /// End of the time out of service, if the replica has been ejected and has not succeeded since.
+    pub(crate) fn until(&self) -> Option<MonotonicTime> {
+        self.until
+    }
+
+    /// True if the replica may get a request. After an ejection it gets one at a time until one
+    /// succeeds.
+    pub(crate) fn admits(&self, now: MonotonicTime, in_flight: u32) -> bool {
+        self.until
+            .is_none_or(|until| now >= until && in_flight == 0)
+    }
+
+    pub(crate) fn record_success(&mut self) {
+        *self = Self::default();
+    }
+
+    pub(crate) fn record_failure(&mut self, settings: &DispatcherSettings, now: MonotonicTime) {
+        self.failures += 1;
+        let on_probation = self.until.is_some_and(|until| now >= until);
+        if !on_probation && self.failures < settings.ejection_failures {
+            return;
+        }
+        self.until = Some(now + self.time_out(settings));
+        self.ejections = self.ejections.saturating_add(1);
+        self.failures = 0;
+    }
+
+    fn time_out(&self, settings: &DispatcherSettings) -> Duration {
+        let factor = 1_u32 << self.ejections.min(10);
+        let doubled = settings.probation.saturating_mul(factor);
+        doubled.min(settings.max_probation)
+    }
+}
--- /dev/null
+++ b/crates/scheduling/src/fair_queue.rs
@@ -0,0 +1,174 @@
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use zinniahinge_types::DispatchRequest;
+use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::Name;
+use zinniahinge_types::PriorityClass;
+use zinniahinge_types::RequestId;
+
+use crate::DispatcherSettings;
+use crate::QueueOrder;
+use crate::class_queue::ClassQueue;
+use crate::queue_entry::QueueEntry;
+
+const CLASSES: [PriorityClass; 3] = [
+    PriorityClass::Urgent,
+    PriorityClass::Normal,
+    PriorityClass::Batch,
+];
+
+/// Waiting requests of one model, by class, account and adapter.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FairQueue {
+    classes: [ClassQueue; 3],
+    locations: BTreeMap<RequestId, Location>,
+    deadlines: BTreeSet<(MonotonicTime, RequestId)>,
+    weights: BTreeMap<Name, u32>,
+    grants_since_aged: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Location {
+    class: PriorityClass,
+    account: Name,
+    adapter: Option<Name>,
+    deadline: MonotonicTime,
+}
+
+impl FairQueue {
+    pub(crate) fn set_weights(&mut self, weights: BTreeMap<Name, u32>) {
+        self.weights = weights;
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.locations.len()
+    }
+
+    pub(crate) fn contains(&self, request_id: RequestId) -> bool {
+        self.locations.contains_key(&request_id)
+    }
+
+    pub(crate) fn class(&self, class: PriorityClass) -> &ClassQueue {
+        &self.classes[class as usize]
+    }
+
+    pub(crate) fn entries(&self) -> impl Iterator<Item = &QueueEntry> {
+        self.classes.iter().flat_map(ClassQueue::entries)
+    }
+
+    pub(crate) fn push(&mut self, entry: QueueEntry) {
+        let request = &entry.request;
+        let location = Location {
+            class: request.class,
+            account: request.account.clone(),
+            adapter: request.adapter.clone(),
+            deadline: entry.deadline,
+        };
+        self.deadlines.insert((entry.deadline, request.request_id));
+        self.locations.insert(request.request_id, location);
+        self.classes[request.class as usize].push(entry);
+    }
+
+    pub(crate) fn remove(&mut self, request_id: RequestId) -> Option<QueueEntry> {
+        let location = self.locations.remove(&request_id)?;
+        self.deadlines.remove(&(location.deadline, request_id));
+        let class = &mut self.classes[location.class as usize];
+        class.remove(&location.account, &location.adapter, request_id)
+    }
+
+    /// Counts a served request's tokens for its account.
+    pub(crate) fn charge(&mut self, request: &DispatchRequest) {
+        let weight = self.weight(&request.account);
+        self.classes[request.class as usize].charge(&request.account, request.tokens, weight);
+    }
+
+    /// Gives back tokens that were charged and not used.
+    pub(crate) fn refund(&mut self, class: PriorityClass, account: &Name, tokens: u64) {
+        let weight = self.weight(account);
+        self.classes[class as usize].refund(account, tokens, weight);
+    }
+
+    pub(crate) fn next_deadline(&self) -> Option<MonotonicTime> {
+        self.deadlines.first().map(|key| key.0)
+    }
+
+    /// Removes one request whose deadline is not after `now`.
+    pub(crate) fn pop_expired(&mut self, now: MonotonicTime) -> Option<QueueEntry> {
+        let (deadline, request_id) = *self.deadlines.first()?;
+        if deadline > now {
+            return None;
+        }
+        self.remove(request_id)
+    }
+
+    /// Next request to serve among those that `placeable` accepts.
+    pub(crate) fn select(
+        &mut self,
+        settings: &DispatcherSettings,
+        now: MonotonicTime,
+        placeable: &dyn Fn(&QueueEntry) -> bool,
+    ) -> Option<RequestId> {
+        match settings.queue_order {
+            QueueOrder::FirstInFirstOut => self.select_oldest(placeable),
+            QueueOrder::Fair => self.select_fair(settings, now, placeable),
+        }
+    }
+
+    fn select_oldest(&self, placeable: &dyn Fn(&QueueEntry) -> bool) -> Option<RequestId> {
+        let candidates = self.entries().filter(|entry| placeable(entry));
+        let oldest = candidates.min_by_key(|entry| entry.sequence)?;
+        Some(oldest.request.request_id)
+    }
+
+    fn select_fair(
+        &mut self,
+        settings: &DispatcherSettings,
+        now: MonotonicTime,
+        placeable: &dyn Fn(&QueueEntry) -> bool,
+    ) -> Option<RequestId> {
+        let ordinary = self.first_class(placeable)?;
+        let aged = self.aged_class(settings.ageing, now, ordinary.0, placeable);
+        let Some(aged) = aged else {
+            self.grants_since_aged = 0;
+            return Some(ordinary.1);
+        };
+        self.grants_since_aged += 1;
+        if self.grants_since_aged < settings.aged_interval {
+            return Some(ordinary.1);
+        }
+        self.grants_since_aged = 0;
+        Some(aged)
+    }
+
+    fn first_class(
+        &self,
+        placeable: &dyn Fn(&QueueEntry) -> bool,
+    ) -> Option<(PriorityClass, RequestId)> {
+        CLASSES.iter().find_map(|class| {
+            let request_id = self.class(*class).select(placeable)?;
+            Some((*class, request_id))
+        })
+    }
+
+    /// The longest waiting aged request of a class below `served`.
+    fn aged_class(
+        &self,
+        ageing: Duration,
+        now: MonotonicTime,
+        served: PriorityClass,
+        placeable: &dyn Fn(&QueueEntry) -> bool,
+    ) -> Option<RequestId> {
+        let lower = CLASSES.iter().filter(|class| **class > served);
+        let oldest = lower
+            .filter_map(|class| self.class(*class).oldest(placeable))
+            .min_by_key(|entry| entry.arrived)?;
+        let waited = now.since(oldest.arrived);
+        (waited >= ageing).then_some(oldest.request.request_id)
+    }
+
+    fn weight(&self, account: &Name) -> u32 {
+        self.weights.get(account).copied().unwrap_or(1).max(1)
+    }
+}
--- /dev/null
+++ b/crates/scheduling/src/model_dispatcher.rs
@@ -0,0 +1,529 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use zinniahinge_types::DispatchRequest;
+use zinniahinge_types::DispatchTicket;
+use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::Name;
+use zinniahinge_types::PriorityClass;
+use zinniahinge_types::RefusalReason;
+use zinniahinge_types::ReleaseOutcome;
+use zinniahinge_types::ReleaseRequest;
+use zinniahinge_types::ReplicaEntry;
+use zinniahinge_types::RequestId;
+use zinniahinge_types::TicketId;
+
+use crate::DispatchDecision;
+use crate::DispatcherIdentity;
+use crate::DispatcherSettings;
+use crate::EnqueueOutcome;
+use crate::cold_refusals::ColdRefusals;
+use crate::fair_queue::FairQueue;
+use crate::queue_entry::QueueEntry;
+use crate::replica_book::ReplicaBook;
+use crate::run_estimate::RunEstimate;
+use crate::ticket_book::TicketBook;
+use crate::ticket_record::TicketRecord;
+
+/// Retry-After when nothing better is known.
+const DEFAULT_RETRY: Duration = Duration::from_secs(1);
+
+/// Decides which waiting request of one base model runs next, and on which replica.
+///
+/// Pure: the caller passes the time in, delivers the decisions of [`Self::poll`] and calls it again
+/// after every change and at [`Self::next_wakeup`].
+#[derive(Debug)]
+pub struct ModelDispatcher {
+    pub(crate) identity: DispatcherIdentity,
+    pub(crate) settings: DispatcherSettings,
+    pub(crate) queue: FairQueue,
+    pub(crate) tickets: TicketBook,
+    pub(crate) replicas: ReplicaBook,
+    pub(crate) estimate: RunEstimate,
+    pub(crate) cold_refusals: ColdRefusals,
+    pub(crate) arrivals: u64,
+    pub(crate) next_sequence: u64,
+    recent_accounts: BTreeMap<Name, MonotonicTime>,
+    load_estimate: Option<Duration>,
+    pending: Vec<DispatchDecision>,
+    next_ticket: u64,
+    rng: StdRng,
+}
+
+impl ModelDispatcher {
+    /// A dispatcher without requests and replicas.
+    pub fn new(identity: DispatcherIdentity, settings: DispatcherSettings, seed: u64) -> Self {
+        Self {
+            identity,
+            queue: FairQueue::default(),
+            tickets: TicketBook::default(),
+            replicas: ReplicaBook::new(settings.prefix_limit),
+            settings,
+            estimate: RunEstimate::default(),
+            cold_refusals: ColdRefusals::default(),
+            arrivals: 0,
+            next_sequence: 0,
+            recent_accounts: BTreeMap::new(),
+            load_estimate: None,
+            pending: Vec::new(),
+            next_ticket: 0,
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Sets the accounts' weights; an account without one has weight 1.
+    pub fn set_weights(&mut self, weights: BTreeMap<Name, u32>) {
+        self.queue.set_weights(weights);
+    }
+
+    /// Sets the region of each place. Places without one count as one region.
+    pub fn set_regions(&mut self, regions: BTreeMap<Name, Name>) {
+        self.replicas.set_regions(regions);
+    }
+
+    /// Sets the shortest time in which a cold model can become ready. Requests that cannot wait
+    /// that long are refused early; `None` never refuses for that reason.
+    pub fn set_load_estimate(&mut self, estimate: Option<Duration>) {
+        self.load_estimate = estimate;
+    }
+
+    /// After a takeover without state: lets load reports count as load until `until`, the latest
+    /// deadline that a ticket of the predecessor can have.
+    pub fn set_recovery(&mut self, until: MonotonicTime) {
+        self.replicas.count_reports_until(until);
+    }
+
+    /// Requests that wait.
+    pub fn queue_len(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Tickets that are out.
+    pub fn in_flight(&self) -> usize {
+        self.tickets.len()
+    }
+
+    /// Version of the newest replica list.
+    pub fn replica_version(&self) -> u64 {
+        self.replicas.version()
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Arrival
+
+    /// Takes a request in, or answers a repeat with what was decided before.
+    pub fn enqueue(&mut self, request: DispatchRequest, now: MonotonicTime) -> EnqueueOutcome {
+        if self.queue.contains(request.request_id) {
+            return EnqueueOutcome::AlreadyQueued;
+        }
+        if let Some(ticket) = self.repeated_ticket(&request, now) {
+            return EnqueueOutcome::Granted(ticket);
+        }
+        self.arrivals += 1;
+        self.recent_accounts.insert(request.account.clone(), now);
+        let refusal = self.refuse_on_arrival(&request, now);
+        if let Some(reason) = refusal {
+            let retry_after = self.retry_after();
+            return EnqueueOutcome::Refused {
+                reason,
+                retry_after,
+            };
+        }
+        let waited = Duration::ZERO;
+        let cold = !self.replicas.serves(request.adapter.as_ref());
+        self.push(request, waited, cold, now);
+        EnqueueOutcome::Queued
+    }
+
+    /// Ticket of an earlier grant. A repeat that excludes the ticket's server has given it up, so
+    /// the ticket ends and the request is queued again.
+    fn repeated_ticket(
+        &mut self,
+        request: &DispatchRequest,
+        now: MonotonicTime,
+    ) -> Option<DispatchTicket> {
+        let record = self.tickets.by_request(request.request_id)?;
+        let ticket = record.ticket.clone();
+        if record.deadline > now && !request.excluded.contains(&ticket.server) {
+            return Some(ticket);
+        }
+        self.tickets.remove(ticket.ticket_id);
+        None
+    }
+
+    fn refuse_on_arrival(
+        &mut self,
+        request: &DispatchRequest,
+        now: MonotonicTime,
+    ) -> Option<RefusalReason> {
+        if request.deadline_in.is_zero() {
+            return Some(RefusalReason::DeadlinePassed);
+        }
+        if self.refuses_early(request, now) {
+            return Some(RefusalReason::DeadlineUnreachable);
+        }
+        let admitted = match request.class {
+            PriorityClass::Batch => self.admit_batch(request),
+            PriorityClass::Urgent | PriorityClass::Normal => self.make_room(request),
+        };
+        (!admitted).then_some(RefusalReason::QueueFull)
+    }
+
+    fn refuses_early(&mut self, request: &DispatchRequest, now: MonotonicTime) -> bool {
+        if !self.settings.early_refusal || request.class == PriorityClass::Batch {
+            return false;
+        }
+        if self.replicas.serves(request.adapter.as_ref()) {
+            return self.expected_wait(request) > request.deadline_in;
+        }
+        let base_is_ready = self.replicas.serves(None);
+        let load = self.load_estimate.filter(|_| !base_is_ready);
+        let unreachable = load.is_some_and(|load| load > request.deadline_in);
+        if unreachable {
+            let until = now + load.unwrap_or_default();
+            self.cold_refusals.record(request, until);
+        }
+        unreachable
+    }
+
+    /// Wait behind the requests that are served before this one, plus the time to a first token.
+    fn expected_wait(&self, request: &DispatchRequest) -> Duration {
+        let Some(hold) = self.estimate.hold() else {
+            return Duration::ZERO;
+        };
+        let slots = self.replicas.ready_slots().max(1);
+        let in_flight = u32::try_from(self.tickets.len()).unwrap_or(u32::MAX);
+        let free = slots.saturating_sub(in_flight);
+        let ahead = u32::try_from(self.served_before(request)).unwrap_or(u32::MAX);
+        let behind = ahead.saturating_sub(free);
+        hold * behind / slots + self.estimate.first_token()
+    }
+
+    /// Requests of higher classes, and of this class as far as fair queueing serves them first: an
+    /// account's own backlog once per account that competes.
+    fn served_before(&self, request: &DispatchRequest) -> usize {
+        let class = self.queue.class(request.class);
+        let own = class.account_len(&request.account) + 1;
+        let competing = class.backlogged().max(1);
+        let same = class.len().min(own * competing);
+        let urgent = match request.class {
+            PriorityClass::Urgent => 0,
+            _ => self.queue.class(PriorityClass::Urgent).len(),
+        };
+        urgent + same
+    }
+
+    /// One account may fill at most half of the batch queue; nothing that waits is displaced.
+    fn admit_batch(&self, request: &DispatchRequest) -> bool {
+        let class = self.queue.class(PriorityClass::Batch);
+        let limit = self.settings.batch_limit;
+        let own = class.account_len(&request.account);
+        class.len() < limit && own < limit.div_ceil(2)
+    }
+
+    /// Makes room in a full queue at the expense of the account with most waiting requests in the
+    /// lowest class.
+    fn make_room(&mut self, request: &DispatchRequest) -> bool {
+        let urgent = self.queue.class(PriorityClass::Urgent).len();
+        let normal = self.queue.class(PriorityClass::Normal).len();
+        if urgent + normal < self.settings.queue_limit {
+            return true;
+        }
+        let Some(displaced) = self.displaced_by(request) else {
+            return false;
+        };
+        self.queue.remove(displaced);
+        self.refuse(displaced, RefusalReason::QueueFull);
+        true
+    }
+
+    fn displaced_by(&self, request: &DispatchRequest) -> Option<RequestId> {
+        let normal = self.queue.class(PriorityClass::Normal);
+        let urgent = self.queue.class(PriorityClass::Urgent);
+        let lower = normal.longest_tail();
+        if let (PriorityClass::Urgent, Some((entry, _))) = (request.class, lower) {
+            return Some(entry.request.request_id);
+        }
+        let class = match request.class {
+            PriorityClass::Urgent => urgent,
+            _ => normal,
+        };
+        let (entry, longest) = class.longest_tail()?;
+        let own = class.account_len(&request.account);
+        (own + 1 < longest).then_some(entry.request.request_id)
+    }
+
+    pub(crate) fn push(
+        &mut self,
+        request: DispatchRequest,
+        waited: Duration,
+        cold: bool,
+        now: MonotonicTime,
+    ) {
+        let arrived = now.since_origin().saturating_sub(waited);
+        let entry = QueueEntry {
+            deadline: now + request.deadline_in,
+            arrived: MonotonicTime::from_origin(arrived),
+            sequence: self.next_sequence,
+            cold,
+            request,
+        };
+        self.next_sequence += 1;
+        self.queue.push(entry);
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Decisions
+
+    /// Decides everything that can be decided at `now`.
+    pub fn poll(&mut self, now: MonotonicTime) -> Vec<DispatchDecision> {
+        self.tickets.expire(now);
+        self.cold_refusals.expire(now);
+        self.refuse_expired(now);
+        self.forget_accounts(now);
+        while self.grant_one(now) {}
+        std::mem::take(&mut self.pending)
+    }
+
+    /// When to call [`Self::poll`] although nothing else happened.
+    pub fn next_wakeup(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+        if !self.pending.is_empty() {
+            return Some(now);
+        }
+        let queued = self.queue.next_deadline();
+        let ticket = self.tickets.next_deadline();
+        let probation = self.replicas.next_probation_end(now);
+        [queued, ticket, probation].into_iter().flatten().min()
+    }
+
+    fn refuse_expired(&mut self, now: MonotonicTime) {
+        while let Some(entry) = self.queue.pop_expired(now) {
+            self.refuse(entry.request.request_id, RefusalReason::DeadlinePassed);
+        }
+    }
+
+    fn forget_accounts(&mut self, now: MonotonicTime) {
+        let memory = self.settings.account_memory;
+        self.recent_accounts
+            .retain(|_, seen| now.since(*seen) < memory);
+    }
+
+    /// Serves or refuses one request; false if nothing can be decided.
+    fn grant_one(&mut self, now: MonotonicTime) -> bool {
+        let Some(request_id) = self.select(now) else {
+            return false;
+        };
+        let Some(entry) = self.queue.remove(request_id) else {
+            return false;
+        };
+        if self.misses_deadline(&entry, now) {
+            self.refuse(request_id, RefusalReason::DeadlineUnreachable);
+            return true;
+        }
+        let request = &entry.request;
+        let chosen =
+            self.replicas
+                .choose(request, &self.tickets, &self.settings, now, &mut self.rng);
+        match chosen {
+            Some(replica) => self.grant(entry, &replica, now),
+            None => {
+                self.queue.push(entry);
+                return false;
+            }
+        }
+        true
+    }
+
+    fn select(&mut self, now: MonotonicTime) -> Option<RequestId> {
+        let limits = self.slot_limits();
+        let tickets = &self.tickets;
+        let replicas = &self.replicas;
+        let placeable = |entry: &QueueEntry| {
+            limits.admits(&entry.request, tickets)
+                && replicas.can_place(&entry.request, tickets, now)
+        };
+        self.queue.select(&self.settings, now, &placeable)
+    }
+
+    fn slot_limits(&self) -> SlotLimits {
+        let slots = self.replicas.ready_slots();
+        let in_flight = u32::try_from(self.tickets.len()).unwrap_or(u32::MAX);
+        let held = self.tickets.accounts();
+        let unseen = held.filter(|account| !self.recent_accounts.contains_key(*account));
+        let accounts = unseen.count() + self.recent_accounts.len();
+        let accounts = u32::try_from(accounts).unwrap_or(u32::MAX).max(1);
+        let fair = self.settings.queue_order == crate::QueueOrder::Fair;
+        let percent = if fair {
+            self.settings.reserve_percent
+        } else {
+            0
+        };
+        SlotLimits {
+            free: slots.saturating_sub(in_flight),
+            reserved: slots * percent / 100,
+            batch_limit: slots - slots * percent / 100,
+            even_share: slots.div_ceil(accounts),
+        }
+    }
+
+    /// A batch request is served until its deadline; for others the first token must come in time.
+    fn misses_deadline(&self, entry: &QueueEntry, now: MonotonicTime) -> bool {
+        let left = entry.deadline.since(now);
+        let batch = entry.request.class == PriorityClass::Batch;
+        !batch && self.settings.early_refusal && left < self.estimate.first_token()
+    }
+
+    fn grant(&mut self, entry: QueueEntry, replica: &ReplicaEntry, now: MonotonicTime) {
+        let request = &entry.request;
+        let ticket = DispatchTicket {
+            ticket_id: self.issue_ticket_id(),
+            server: replica.server.clone(),
+            address: replica.address.clone(),
+            incarnation: self.identity.incarnation,
+            cold: entry.cold,
+        };
+        self.queue.charge(request);
+        self.tickets.insert(TicketRecord {
+            ticket: ticket.clone(),
+            request_id: request.request_id,
+            host: request.host.clone(),
+            account: request.account.clone(),
+            class: request.class,
+            tokens: request.tokens,
+            granted: now,
+            deadline: entry.deadline,
+        });
+        self.pending.push(DispatchDecision::Granted {
+            request_id: request.request_id,
+            ticket,
+        });
+    }
+
+    fn issue_ticket_id(&mut self) -> TicketId {
+        self.next_ticket += 1;
+        TicketId(u128::from(self.identity.incarnation) << 64 | u128::from(self.next_ticket))
+    }
+
+    fn refuse(&mut self, request_id: RequestId, reason: RefusalReason) {
+        let retry_after = self.retry_after();
+        self.pending.push(DispatchDecision::Refused {
+            request_id,
+            reason,
+            retry_after,
+        });
+    }
+
+    fn retry_after(&self) -> Duration {
+        if self.replicas.ready_slots() == 0 {
+            return self.load_estimate.unwrap_or(DEFAULT_RETRY);
+        }
+        let slots = self.replicas.ready_slots().max(1);
+        let waiting = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
+        let hold = self.estimate.hold().unwrap_or(DEFAULT_RETRY);
+        let drained = hold.saturating_mul(waiting.min(10_000)) / slots;
+        drained.clamp(Duration::from_millis(100), Duration::from_secs(60))
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Ends
+
+    /// Takes a ticket back; false if the ticket is not out any more.
+    pub fn release(&mut self, release: &ReleaseRequest, now: MonotonicTime) -> bool {
+        let Some(record) = self.tickets.remove(release.ticket_id) else {
+            return false;
+        };
+        let unused = record.tokens.saturating_sub(release.tokens);
+        self.queue.refund(record.class, &record.account, unused);
+        let server = &record.ticket.server;
+        match release.outcome {
+            ReleaseOutcome::Finished => {
+                self.replicas.record_success(server);
+                let hold = now.since(record.granted);
+                self.estimate.record(hold, release.first_token);
+            }
+            ReleaseOutcome::Cancelled => {}
+            ReleaseOutcome::ConnectFailed | ReleaseOutcome::ServerFailed => {
+                self.replicas.record_failure(server, &self.settings, now);
+            }
+        }
+        true
+    }
+
+    /// Forgets a waiting request whose caller left; false if it does not wait.
+    pub fn cancel(&mut self, request_id: RequestId) -> bool {
+        self.queue.remove(request_id).is_some()
+    }
+
+    /// Refuses all waiting requests of an account whose keys were withdrawn; the refusals come from
+    /// the next [`Self::poll`]. Returns their number.
+    pub fn withdraw_account(&mut self, account: &str) -> usize {
+        let of_account = |entry: &QueueEntry| &*entry.request.account == account;
+        self.refuse_where(of_account, RefusalReason::AccountWithdrawn)
+    }
+
+    /// Refuses all waiting requests whose adapter is not in `adapters`, the document's present list.
+    pub fn retain_adapters(&mut self, adapters: &[Name]) -> usize {
+        let removed = |entry: &QueueEntry| {
+            let adapter = entry.request.adapter.as_ref();
+            adapter.is_some_and(|adapter| !adapters.contains(adapter))
+        };
+        self.refuse_where(removed, RefusalReason::UnknownModel)
+    }
+
+    /// Refuses all waiting requests, because the model left the document.
+    pub fn withdraw_model(&mut self) -> usize {
+        self.refuse_where(|_| true, RefusalReason::UnknownModel)
+    }
+
+    /// Takes back the tickets of a host that was declared dead, and forgets its waiting requests.
+    pub fn reclaim_host(&mut self, host: &str) -> usize {
+        let waiting = self.queue.entries();
+        let lost: Vec<_> = waiting
+            .filter(|entry| &*entry.request.host == host)
+            .map(|entry| entry.request.request_id)
+            .collect();
+        for request_id in lost {
+            self.queue.remove(request_id);
+        }
+        self.tickets.reclaim_host(host)
+    }
+
+    /// Replaces the replica list; false if `version` is not newer than the present one.
+    pub fn apply_replicas(&mut self, version: u64, replicas: Vec<ReplicaEntry>) -> bool {
+        self.replicas.apply(version, replicas)
+    }
+
+    fn refuse_where(
+        &mut self,
+        matches: impl Fn(&QueueEntry) -> bool,
+        reason: RefusalReason,
+    ) -> usize {
+        let entries = self.queue.entries().filter(|entry| matches(entry));
+        let refused: Vec<_> = entries.map(|entry| entry.request.request_id).collect();
+        for request_id in &refused {
+            self.queue.remove(*request_id);
+            self.refuse(*request_id, reason);
+        }
+        refused.len()
+    }
+}
+
+/// Slots that one account and the batch class may use.
+struct SlotLimits {
+    free: u32,
+    reserved: u32,
+    batch_limit: u32,
+    even_share: u32,
+}
+
+impl SlotLimits {
+    fn admits(&self, request: &DispatchRequest, tickets: &TicketBook) -> bool {
+        let batch = request.class == PriorityClass::Batch;
+        if batch && tickets.batch() >= self.batch_limit {
+            return false;
+        }
+        self.free > self.reserved || tickets.of_account(&request.account) < self.even_share
+    }
+}
--- /dev/null
+++ b/crates/scheduling/src/open_order.rs
@@ -0,0 +1,38 @@
+use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::Name;
+
+use crate::MemoryReservation;
+use crate::OrderAction;
+use crate::OrderId;
+
+/// An order whose result is not known.
+#[derive(Clone, Debug)]
+pub(crate) struct OpenOrder {
+    pub(crate) action: OrderAction,
+    pub(crate) server: Name,
+    pub(crate) boot_id: u64,
+    pub(crate) model: Name,
+    pub(crate) adapter: Option<Name>,
+    pub(crate) bytes: u64,
+    pub(crate) issued_at: MonotonicTime,
+    pub(crate) resend_at: MonotonicTime,
+    /// True if the load takes a weight store permit.
+    pub(crate) permit: bool,
+    /// Client account whose request caused it; for fairness of loads.
+    pub(crate) account: Option<Name>,
+}
+
+impl OpenOrder {
+    /// Record for the key-value service.
+    pub(crate) fn reservation(&self, order_id: OrderId) -> MemoryReservation {
+        MemoryReservation {
+            order_id,
+            action: self.action,
+            server: self.server.clone(),
+            boot_id: self.boot_id,
+            model: self.model.clone(),
+            adapter: self.adapter.clone(),
+            bytes: self.bytes,
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduling/src/pool_demand.rs
@@ -0,0 +1,145 @@
+//! Demand reports to a [`PoolPlanner`] and the replica lists that answer them.
+
+use zinniahinge_types::AdapterDemand;
+use zinniahinge_types::DemandReply;
+use zinniahinge_types::DemandRequest;
+use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::Name;
+use zinniahinge_types::ReplicaEntry;
+use zinniahinge_types::ReplicaPhase;
+
+use crate::PoolPlanner;
+use crate::replica_record::LifecycleStage;
+use crate::replica_record::ReplicaRecord;
+use crate::server_record::ServerRecord;
+
+impl PoolPlanner {
+    /// Takes a dispatcher's report in and answers with the model's replica list. During a recovery
+    /// the answer has version 0, which dispatchers ignore.
+    pub fn apply_demand(&mut self, request: DemandRequest, now: MonotonicTime) -> DemandReply {
+        let DemandRequest {
+            service,
+            model,
+            applied_version,
+            waiting,
+            in_flight,
+            arrivals,
+        } = request;
+        if service != self.service {
+            return DemandReply::NotOwner;
+        }
+        let restarted = self.record_version(&model, applied_version);
+        for (server, record) in &mut self.servers {
+            let Some(replica) = record.replicas.get_mut(&model) else {
+                continue;
+            };
+            let counted = in_flight.iter().find(|count| count.server == *server);
+            let count = counted.map_or(0, |count| count.count);
+            apply_report(replica, count, applied_version, restarted, now);
+        }
+        let running = in_flight.iter().any(|count| count.count > 0);
+        let demand = self.demands.entry(model.clone()).or_default();
+        if arrivals > 0 || running || !waiting.is_empty() {
+            demand.record_activity(arrivals > 0, now);
+        }
+        self.mark_adapters_used(&model, &waiting, now);
+        let demand = self.demands.entry(model.clone()).or_default();
+        demand.waiting = waiting;
+        demand.reported_at = now;
+        self.replica_list(&model, now)
+    }
+
+    /// Records the applied version; true if the dispatcher lost its state since its last report.
+    fn record_version(&mut self, model: &Name, applied_version: u64) -> bool {
+        if !self.demands.contains_key(model) {
+            self.touch(model);
+        }
+        let demand = self.demands.entry(model.clone()).or_default();
+        let restarted = applied_version < demand.applied_version;
+        demand.applied_version = applied_version;
+        restarted
+    }
+
+    fn mark_adapters_used(&mut self, model: &Name, waiting: &[AdapterDemand], now: MonotonicTime) {
+        let replicas = self.servers.values_mut();
+        for replica in replicas.filter_map(|record| record.replicas.get_mut(model)) {
+            for adapter in waiting.iter().filter_map(|demand| demand.adapter.as_ref()) {
+                if let Some(record) = replica.adapters.get_mut(adapter) {
+                    record.last_used = now;
+                }
+            }
+        }
+    }
+
+    fn replica_list(&self, model: &Name, now: MonotonicTime) -> DemandReply {
+        if self.recovering_until.is_some_and(|until| now < until) {
+            return DemandReply::Replicas {
+                version: 0,
+                replicas: Vec::new(),
+            };
+        }
+        let version = self
+            .demands
+            .get(model)
+            .map_or(0, |demand| demand.list_version);
+        let entries = self.servers.iter().filter_map(|(server, record)| {
+            let replica = record.replicas.get(model)?;
+            replica_entry(server, record, replica)
+        });
+        DemandReply::Replicas {
+            version,
+            replicas: entries.collect(),
+        }
+    }
+}
+
+/// Updates a replica by its dispatcher's report.
+fn apply_report(
+    replica: &mut ReplicaRecord,
+    count: u32,
+    applied_version: u64,
+    restarted: bool,
+    now: MonotonicTime,
+) {
+    replica.in_flight = count;
+    if restarted {
+        replica.unsure = true;
+        replica.unsure_since = now;
+    }
+    if count > 0 {
+        replica.last_busy = now;
+        replica.used = true;
+    }
+    if let Some(drain) = &mut replica.drain {
+        drain.acknowledged = count == 0 && applied_version >= drain.version;
+    }
+    for adapter in replica.adapters.values_mut() {
+        if let Some(drain) = &mut adapter.drain {
+            drain.acknowledged = count == 0 && applied_version >= drain.version;
+        }
+    }
+}
+
+fn replica_entry(
+    server: &Name,
+    record: &ServerRecord,
+    replica: &ReplicaRecord,
+) -> Option<ReplicaEntry> {
+    let phase = match replica.stage {
+        LifecycleStage::Ready if record.leaving => ReplicaPhase::Draining,
+        LifecycleStage::Ready => ReplicaPhase::Ready,
+        LifecycleStage::Draining => ReplicaPhase::Draining,
+        LifecycleStage::Loading | LifecycleStage::Unloading => return None,
+    };
+    let adapters = replica.adapters.iter();
+    let ready = adapters.filter(|(_, adapter)| adapter.stage == LifecycleStage::Ready);
+    Some(ReplicaEntry {
+        server: server.clone(),
+        address: record.address.clone(),
+        place: record.place.clone(),
+        slots: replica.slots,
+        adapters: ready.map(|(name, _)| name.clone()).collect(),
+        phase,
+        reported_load: replica.running,
+    })
+}
--- /dev/null
+++ b/crates/scheduling/src/pool_load.rs
@@ -0,0 +1,420 @@
+//! Load orders of a [`PoolPlanner`]: queue, permits, placement and eviction.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::Name;
+use zinniahinge_types::PriorityClass;
+
+use crate::CacheLevel;
+use crate::EvictionRule;
+use crate::LoadOrder;
+use crate::ModelSpec;
+use crate::OrderAction;
+use crate::PermitScope;
+use crate::PlacementRule;
+use crate::PoolOrder;
+use crate::PoolPlanner;
+use crate::demand_record::DemandRecord;
+use crate::open_order::OpenOrder;
+use crate::pool_drain::ReplicaKey;
+use crate::pool_planner::MemoryClaim;
+use crate::replica_record::DrainReason;
+use crate::replica_record::LifecycleStage;
+use crate::replica_record::ReplicaRecord;
+use crate::server_record::ServerRecord;
+
+/// Deadlines within the same step count as equal, so that age and fairness have a say.
+const DEADLINE_STEP: Duration = Duration::from_secs(5);
+
+/// Time ahead for which the probability of the next request counts in an eviction.
+const RETURN_HORIZON: Duration = Duration::from_secs(60);
+
+/// A model that wants a replica.
+#[derive(Clone, Debug)]
+pub(crate) struct LoadWish {
+    pub(crate) model: Name,
+    account: Option<Name>,
+    class: PriorityClass,
+    deadline_in: Duration,
+    waited: Duration,
+    expected: Duration,
+}
+
+/// Where a load can go.
+#[derive(Clone, Debug)]
+struct Placement {
+    server: Name,
+    victims: Vec<ReplicaKey>,
+    cost: f64,
+    free_bytes: u64,
+}
+
+impl PoolPlanner {
+    /// Load orders for cold and overloaded models, most urgent first.
+    pub(crate) fn load_models(&mut self, now: MonotonicTime) -> Vec<PoolOrder> {
+        let wishes = self.load_queue(now);
+        let wanted = |model: &Name| wishes.iter().any(|wish| wish.model == *model);
+        self.claims.retain(|model, _| wanted(model));
+        let mut orders = Vec::new();
+        for wish in &wishes {
+            orders.extend(self.load_model(wish, now));
+        }
+        orders
+    }
+
+    fn load_model(&mut self, wish: &LoadWish, now: MonotonicTime) -> Option<PoolOrder> {
+        let spec = self.catalog.models.get(&wish.model)?.clone();
+        let placement = self.place(wish, &spec, now)?;
+        let level = self.servers[&placement.server].cache_level(&wish.model);
+        if !placement.victims.is_empty() || placement.free_bytes < spec.bytes {
+            self.claim(wish, &spec, &placement, now);
+            return None;
+        }
+        if !self.permit_is_due(level, now) {
+            return None;
+        }
+        let order = self.load_order(wish, &spec, &placement, level, now);
+        let sent = self.open_order(order, now)?;
+        self.claims.remove(&wish.model);
+        if self.needs_permit(level) {
+            self.permits.take(now, self.settings.loads_per_second);
+        }
+        Some(sent)
+    }
+
+    fn load_order(
+        &self,
+        wish: &LoadWish,
+        spec: &ModelSpec,
+        placement: &Placement,
+        level: CacheLevel,
+        now: MonotonicTime,
+    ) -> OpenOrder {
+        let expected = spec.load_times.at(level);
+        OpenOrder {
+            action: OrderAction::LoadModel,
+            server: placement.server.clone(),
+            boot_id: self.servers[&placement.server].boot_id,
+            model: wish.model.clone(),
+            adapter: None,
+            bytes: spec.bytes,
+            issued_at: now,
+            resend_at: now + self.settings.resend_after.max(expected * 3),
+            permit: self.needs_permit(level),
+            account: wish.account.clone(),
+        }
+    }
+
+    /// Promises memory on a server to the model and drains what is in its way.
+    fn claim(
+        &mut self,
+        wish: &LoadWish,
+        spec: &ModelSpec,
+        placement: &Placement,
+        now: MonotonicTime,
+    ) {
+        for victim in &placement.victims {
+            self.start_drain(victim, DrainReason::Evicted, now);
+        }
+        let claim = MemoryClaim {
+            server: placement.server.clone(),
+            bytes: spec.bytes,
+        };
+        self.claims.insert(wish.model.clone(), claim);
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Permits
+
+    fn needs_permit(&self, level: CacheLevel) -> bool {
+        match self.settings.permit_scope {
+            PermitScope::AllLoads => true,
+            PermitScope::RemoteLoads => level == CacheLevel::Remote,
+        }
+    }
+
+    fn permit_is_due(&self, level: CacheLevel, now: MonotonicTime) -> bool {
+        if !self.needs_permit(level) {
+            return true;
+        }
+        let open = self.orders.values().filter(|order| order.permit).count();
+        open < self.settings.load_limit as usize && self.permits.is_due(now)
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Queue
+
+    fn load_queue(&self, now: MonotonicTime) -> Vec<LoadWish> {
+        let demands = self.demands.iter();
+        let mut wishes: Vec<_> = demands
+            .filter_map(|(model, demand)| self.load_wish(model, demand, now))
+            .collect();
+        match self.settings.load_order {
+            LoadOrder::FirstInFirstOut => wishes.sort_by_key(|wish| Reverse(wish.waited)),
+            LoadOrder::Weighted => wishes.sort_by_cached_key(|wish| self.load_rank(wish)),
+        }
+        wishes
+    }
+
+    fn load_wish(
+        &self,
+        model: &Name,
+        demand: &DemandRecord,
+        now: MonotonicTime,
+    ) -> Option<LoadWish> {
+        let spec = self.catalog.models.get(model)?;
+        let foremost = demand.foremost()?;
+        if !self.wants_replica(model, demand, spec, now) {
+            return None;
+        }
+        let servers = self.servers.values();
+        let levels = servers.filter(|record| record.may_load(model, now));
+        let nearest = levels.map(|record| record.cache_level(model)).min();
+        Some(LoadWish {
+            model: model.clone(),
+            account: Some(foremost.account.clone()),
+            class: foremost.class,
+            deadline_in: demand.deadline_in(now),
+            waited: demand.waited(now),
+            expected: spec.load_times.at(nearest.unwrap_or_default()),
+        })
+    }
+
+    /// A cold model wants exactly one replica, however many requests wait; a model whose replicas
+    /// cannot keep up wants one more at a time.
+    fn wants_replica(
+        &self,
+        model: &Name,
+        demand: &DemandRecord,
+        spec: &ModelSpec,
+        now: MonotonicTime,
+    ) -> bool {
+        let replicas = self.servers.values().filter_map(|r| r.replicas.get(model));
+        let (mut loading, mut ready, mut slots) = (0_u32, 0_u32, 0_u32);
+        for replica in replicas {
+            match replica.stage {
+                LifecycleStage::Loading => loading += 1,
+                LifecycleStage::Ready => {
+                    ready += 1;
+                    slots += replica.slots;
+                }
+                LifecycleStage::Draining | LifecycleStage::Unloading => {}
+            }
+        }
+        if loading > 0 || demand.waiting_count() == 0 {
+            return false;
+        }
+        if ready == 0 {
+            return true;
+        }
+        let backlog = f64::from(self.servable_count(model, demand));
+        let limit = f64::from(slots) * self.settings.scale_out_backlog;
+        let waited = demand.waited(now) >= self.settings.scale_out_wait;
+        ready < spec.max_replicas && backlog > limit && waited
+    }
+
+    /// Waiting requests that a ready replica could serve if it had a free slot.
+    fn servable_count(&self, model: &Name, demand: &DemandRecord) -> u32 {
+        let servable = demand.waiting.iter().filter(|waiting| {
+            let records = self.servers.values();
+            let mut replicas = records.filter_map(|record| record.replicas.get(model));
+            replicas.any(|replica| {
+                replica.stage == LifecycleStage::Ready
+                    && replica.has_adapter(waiting.adapter.as_ref())
+            })
+        });
+        servable.map(|waiting| waiting.count).sum()
+    }
+
+    /// Smaller is loaded earlier.
+    fn load_rank(&self, wish: &LoadWish) -> (u32, u64, usize, Duration) {
+        let step = self.settings.ageing.as_millis().max(1);
+        let aged = u32::try_from(wish.waited.as_millis() / step).unwrap_or(u32::MAX);
+        let class = (wish.class as u32).saturating_sub(aged);
+        let slack = wish.deadline_in.checked_sub(wish.expected);
+        // A load that comes too late for every waiting request gives way to those that do not.
+        let urgency = slack.map_or(u64::MAX, |slack| slack.as_secs() / DEADLINE_STEP.as_secs());
+        let open = self.orders.values().filter(|order| {
+            order.action == OrderAction::LoadModel && order.account == wish.account
+        });
+        let left = wish.expected.saturating_sub(wish.waited);
+        (class, urgency, open.count(), left)
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Placement
+
+    fn place(
+        &mut self,
+        wish: &LoadWish,
+        spec: &ModelSpec,
+        now: MonotonicTime,
+    ) -> Option<Placement> {
+        if let Some(placement) = self.claimed_placement(wish, now) {
+            return Some(placement);
+        }
+        let servers = self.servers.iter();
+        let placements: Vec<_> = servers
+            .filter(|(_, record)| record.may_load(&wish.model, now))
+            .filter_map(|(server, record)| self.placement(server, record, wish, spec, now))
+            .collect();
+        match self.settings.placement {
+            PlacementRule::Random => placements.choose(&mut self.rng).cloned(),
+            PlacementRule::LeastLoaded => placements.into_iter().max_by_key(|p| p.free_bytes),
+            PlacementRule::CacheAware => placements
+                .into_iter()
+                .min_by(|a, b| a.cost.total_cmp(&b.cost)),
+        }
+    }
+
+    /// The server on which memory is being freed for the model.
+    fn claimed_placement(&self, wish: &LoadWish, now: MonotonicTime) -> Option<Placement> {
+        let claim = self.claims.get(&wish.model)?;
+        let record = self.servers.get(&claim.server)?;
+        let promised = self.promised_bytes(&claim.server, &wish.model);
+        let coming = record.free_bytes() + record.freeing_bytes();
+        if !record.may_load(&wish.model, now) || coming < promised + claim.bytes {
+            return None;
+        }
+        Some(Placement {
+            server: claim.server.clone(),
+            victims: Vec::new(),
+            cost: 0.0,
+            free_bytes: record.free_bytes(),
+        })
+    }
+
+    /// Bytes on a server that are promised to other models.
+    fn promised_bytes(&self, server: &Name, model: &Name) -> u64 {
+        let claims = self.claims.iter();
+        let others = claims.filter(|(name, claim)| *name != model && claim.server == *server);
+        others.map(|(_, claim)| claim.bytes).sum()
+    }
+
+    fn placement(
+        &self,
+        server: &Name,
+        record: &ServerRecord,
+        wish: &LoadWish,
+        spec: &ModelSpec,
+        now: MonotonicTime,
+    ) -> Option<Placement> {
+        let promised = self.promised_bytes(server, &wish.model);
+        let coming = record.free_bytes() + record.freeing_bytes();
+        let needed = (spec.bytes + promised).saturating_sub(coming);
+        let victims = self.victims(server, record, wish, needed, now)?;
+        let evicted: f64 = victims
+            .iter()
+            .filter_map(|victim| Some(self.value(record, victim, self.replica(victim)?, now)))
+            .sum();
+        let load = spec.load_times.at(record.cache_level(&wish.model));
+        Some(Placement {
+            server: server.clone(),
+            victims,
+            cost: load.as_secs_f64() + evicted,
+            free_bytes: record.free_bytes().saturating_sub(promised),
+        })
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Eviction
+
+    /// Replicas to drain so that `needed` bytes become free; `None` if that is impossible.
+    fn victims(
+        &self,
+        server: &Name,
+        record: &ServerRecord,
+        wish: &LoadWish,
+        needed: u64,
+        now: MonotonicTime,
+    ) -> Option<Vec<ReplicaKey>> {
+        if needed == 0 {
+            return Some(Vec::new());
+        }
+        let drain_busy = wish.waited >= self.settings.drain_busy_after;
+        let replicas = record.replicas.iter();
+        let mut candidates: Vec<_> = replicas
+            .filter(|(model, replica)| self.is_evictable(model, replica, drain_busy, now))
+            .collect();
+        candidates.sort_by(|a, b| {
+            let left = self.eviction_rank(server, record, a.0, a.1, now);
+            let right = self.eviction_rank(server, record, b.0, b.1, now);
+            left.total_cmp(&right)
+        });
+        let mut freed = 0;
+        let mut victims = Vec::new();
+        for (model, replica) in candidates {
+            if freed >= needed {
+                break;
+            }
+            freed += replica.total_bytes();
+            victims.push(ReplicaKey {
+                server: server.clone(),
+                model: model.clone(),
+            });
+        }
+        (freed >= needed).then_some(victims)
+    }
+
+    fn is_evictable(
+        &self,
+        model: &Name,
+        replica: &ReplicaRecord,
+        drain_busy: bool,
+        now: MonotonicTime,
+    ) -> bool {
+        if replica.stage != LifecycleStage::Ready {
+            return false;
+        }
+        let residency = now.since(replica.ready_at);
+        let waiting = self.demands.get(model).map_or(0, |d| d.waiting_count());
+        let fresh = !replica.used && residency < self.settings.min_residency;
+        let idle = replica.is_idle() && waiting == 0 && !fresh;
+        // A busy replica keeps its memory for a while, or two models would displace each other.
+        let long_resident = residency >= self.settings.min_residency * 5;
+        idle || (drain_busy && long_resident)
+    }
+
+    fn eviction_rank(
+        &self,
+        server: &Name,
+        record: &ServerRecord,
+        model: &Name,
+        replica: &ReplicaRecord,
+        now: MonotonicTime,
+    ) -> f64 {
+        let key = ReplicaKey {
+            server: server.clone(),
+            model: model.clone(),
+        };
+        match self.settings.eviction {
+            EvictionRule::LeastRecentlyUsed => replica.last_busy.since_origin().as_secs_f64(),
+            EvictionRule::Value => self.value(record, &key, replica, now),
+        }
+    }
+
+    /// Expected cost of unloading the replica, in seconds: probability of use soon × reload time.
+    fn value(
+        &self,
+        record: &ServerRecord,
+        key: &ReplicaKey,
+        replica: &ReplicaRecord,
+        now: MonotonicTime,
+    ) -> f64 {
+        let level = record.cache_level(&key.model);
+        let spec = self.catalog.models.get(&key.model);
+        let reload = spec.map_or(Duration::ZERO, |spec| spec.load_times.at(level));
+        let idle = now.since(replica.last_busy);
+        let demand = self.demands.get(&key.model);
+        let history = demand.filter(|demand| demand.gaps.is_informed());
+        let probability = match history {
+            _ if !replica.is_idle() => 1.0,
+            Some(demand) => demand.gaps.return_probability(idle, RETURN_HORIZON),
+            None => 1.0 / (1.0 + idle.as_secs_f64() / 10.0),
+        };
+        reload.as_secs_f64() * probability
+    }
+}
--- /dev/null
+++ b/crates/scheduling/src/pool_observation.rs
@@ -0,0 +1,175 @@
+//! How a [`PoolPlanner`] takes in what backend servers report.
+
+use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::Name;
+
+use crate::LoadedModel;
+use crate::OrderAction;
+use crate::OrderId;
+use crate::OrderResult;
+use crate::PoolPlanner;
+use crate::ServerObservation;
+use crate::open_order::OpenOrder;
+use crate::replica_record::AdapterRecord;
+use crate::replica_record::LifecycleStage;
+use crate::replica_record::ReplicaRecord;
+use crate::server_record::ServerRecord;
+
+impl PoolPlanner {
+    /// Takes a backend server's state in: a new server, a restart, results of orders whose answers
+    /// were lost, and loads by a predecessor.
+    pub fn observe_server(&mut self, observation: ServerObservation, now: MonotonicTime) {
+        let server = observation.server.clone();
+        self.forget_earlier_boot(&observation);
+        self.update_record(&observation);
+        let confirmed_at = self.servers.get(&server).map(|record| record.confirmed_at);
+        if confirmed_at.is_some_and(|confirmed| observation.asked_at < confirmed) {
+            return;
+        }
+        self.settle_orders(&observation, now);
+        self.remove_vanished(&observation);
+        for (model, loaded) in &observation.loaded {
+            self.adopt(&observation, model, loaded, now);
+        }
+    }
+
+    fn forget_earlier_boot(&mut self, observation: &ServerObservation) {
+        let known = self.servers.get(&observation.server);
+        if known.is_some_and(|record| record.boot_id != observation.boot_id) {
+            self.server_gone(&observation.server);
+        }
+    }
+
+    fn update_record(&mut self, observation: &ServerObservation) {
+        let server = observation.server.clone();
+        let record = self.servers.entry(server).or_default();
+        let listed = record.address != observation.address || record.leaving != observation.leaving;
+        record.address = observation.address.clone();
+        record.place = observation.place.clone();
+        record.boot_id = observation.boot_id;
+        record.fencing = observation.fencing;
+        record.leaving = observation.leaving;
+        record.observed = true;
+        record.memory_bytes = observation.memory_bytes;
+        record.accelerators = observation.accelerators;
+        record.cached = observation.cached.clone();
+        if listed {
+            let models: Vec<_> = record.replicas.keys().cloned().collect();
+            for model in models {
+                self.touch(&model);
+            }
+        }
+    }
+
+    /// Confirms open orders whose effect the observation shows.
+    fn settle_orders(&mut self, observation: &ServerObservation, now: MonotonicTime) {
+        let open = self.orders.iter();
+        let shown: Vec<OrderId> = open
+            .filter(|(_, order)| order.server == observation.server)
+            .filter(|(_, order)| shows_effect(observation, order))
+            .map(|(order_id, _)| *order_id)
+            .collect();
+        for order_id in shown {
+            self.confirm(order_id, OrderResult::Done, now);
+        }
+    }
+
+    /// Removes replicas and adapters that the server no longer has. Those with an open order stay:
+    /// their order may not have arrived yet.
+    fn remove_vanished(&mut self, observation: &ServerObservation) {
+        let Some(record) = self.servers.get_mut(&observation.server) else {
+            return;
+        };
+        let mut changed = Vec::new();
+        record.replicas.retain(|model, replica| {
+            let loaded = observation.loaded.get(model);
+            let kept = loaded.is_some() || has_open_order(replica.stage);
+            let adapters = replica.adapters.len();
+            replica.adapters.retain(|adapter, record| {
+                let present = loaded.is_none_or(|loaded| loaded.adapters.contains_key(adapter));
+                present || record.has_open_order()
+            });
+            if !kept || replica.adapters.len() != adapters {
+                changed.push(model.clone());
+            }
+            kept
+        });
+        for model in changed {
+            self.touch(&model);
+        }
+    }
+
+    /// Brings the record of a loaded model up to date, or adds one that a predecessor loaded.
+    fn adopt(
+        &mut self,
+        observation: &ServerObservation,
+        model: &Name,
+        loaded: &LoadedModel,
+        now: MonotonicTime,
+    ) {
+        let slots = self.catalog.models.get(model).map_or(1, |spec| spec.slots);
+        let Some(record) = self.servers.get_mut(&observation.server) else {
+            return;
+        };
+        let known = record.replicas.contains_key(model);
+        let replica = adopted_replica(record, model, loaded, slots, now);
+        let changed = adopt_adapters(replica, loaded, now);
+        let load_changed = replica.running != loaded.running;
+        replica.running = loaded.running;
+        if loaded.running == 0 && observation.asked_at >= replica.unsure_since {
+            replica.unsure = false;
+        }
+        if !known || changed || load_changed {
+            self.touch(model);
+        }
+    }
+}
+
+fn adopted_replica<'a>(
+    record: &'a mut ServerRecord,
+    model: &Name,
+    loaded: &LoadedModel,
+    slots: u32,
+    now: MonotonicTime,
+) -> &'a mut ReplicaRecord {
+    let replica = record.replicas.entry(model.clone()).or_insert_with(|| {
+        let mut replica = ReplicaRecord::new(LifecycleStage::Ready, loaded.bytes, slots, now);
+        // Its requests may belong to tickets that no dispatcher has reported yet.
+        replica.unsure = loaded.running > 0;
+        replica.unsure_since = now;
+        replica
+    });
+    replica.bytes = replica.bytes.max(loaded.bytes);
+    replica
+}
+
+fn adopt_adapters(replica: &mut ReplicaRecord, loaded: &LoadedModel, now: MonotonicTime) -> bool {
+    let known = replica.adapters.len();
+    for (adapter, bytes) in &loaded.adapters {
+        let record = replica
+            .adapters
+            .entry(adapter.clone())
+            .or_insert_with(|| AdapterRecord::new(LifecycleStage::Ready, *bytes, now));
+        record.bytes = record.bytes.max(*bytes);
+    }
+    replica.adapters.len() != known
+}
+
+fn has_open_order(stage: LifecycleStage) -> bool {
+    matches!(stage, LifecycleStage::Loading | LifecycleStage::Unloading)
+}
+
+/// True if the observation was asked for after the order and shows its effect.
+fn shows_effect(observation: &ServerObservation, order: &OpenOrder) -> bool {
+    let loaded = observation.loaded.get(&order.model);
+    let adapter = order.adapter.as_ref();
+    let has_adapter = adapter
+        .is_some_and(|adapter| loaded.is_some_and(|loaded| loaded.adapters.contains_key(adapter)));
+    let later = observation.asked_at >= order.issued_at;
+    match order.action {
+        OrderAction::LoadModel => loaded.is_some(),
+        OrderAction::UnloadModel => later && loaded.is_none(),
+        OrderAction::LoadAdapter => has_adapter,
+        OrderAction::UnloadAdapter => later && !has_adapter,
+    }
+}
--- /dev/null
+++ b/crates/scheduling/src/pool_plan.rs
@@ -0,0 +1,54 @@
+//! One planning step of a [`PoolPlanner`].
+
+use zinniahinge_types::MonotonicTime;
+
+use crate::OrderId;
+use crate::PoolOrder;
+use crate::PoolPlanner;
+
+impl PoolPlanner {
+    /// Orders that can be given at `now`. Each must be sent, recorded first if its server ignores
+    /// fencing, and confirmed with [`Self::confirm`] when its result is known.
+    pub fn plan(&mut self, now: MonotonicTime) -> Vec<PoolOrder> {
+        for demand in self.demands.values_mut() {
+            demand.expire(now);
+        }
+        self.take_drains_back();
+        self.start_drains(now);
+        let mut orders = self.repeat_orders(now);
+        orders.extend(self.unload_drained(now));
+        orders.extend(self.load_models(now));
+        orders.extend(self.load_adapters(now));
+        orders
+    }
+
+    /// When to call [`Self::plan`] although nothing else happened.
+    pub fn next_wakeup(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+        let resend = self.orders.values().map(|order| order.resend_at).min();
+        let waiting = self
+            .demands
+            .values()
+            .any(|demand| demand.waiting_count() > 0);
+        let permit = waiting.then(|| self.permits.next_start());
+        let permit = permit.filter(|start| *start > now);
+        [resend, permit].into_iter().flatten().min()
+    }
+
+    /// Gives orders again whose result has been unknown for long.
+    fn repeat_orders(&mut self, now: MonotonicTime) -> Vec<PoolOrder> {
+        let resend_after = self.settings.resend_after;
+        let mut due: Vec<OrderId> = Vec::new();
+        for (order_id, order) in &mut self.orders {
+            if order.resend_at <= now {
+                order.resend_at = now + resend_after;
+                due.push(*order_id);
+            }
+        }
+        let messages = due.iter().filter_map(|order_id| {
+            let order = self.orders.get(order_id)?;
+            let observed = self.servers.get(&order.server)?.observed;
+            observed.then(|| self.order_message(*order_id, order, true))?
+        });
+        messages.collect()
+    }
+}
--- /dev/null
+++ b/crates/scheduling/src/pool_planner.rs
@@ -0,0 +1,361 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::Name;
+
+use crate::MemoryReservation;
+use crate::OrderAction;
+use crate::OrderId;
+use crate::OrderResult;
+use crate::PoolCatalog;
+use crate::PoolOrder;
+use crate::PoolSettings;
+use crate::demand_record::DemandRecord;
+use crate::open_order::OpenOrder;
+use crate::permit_window::PermitWindow;
+use crate::replica_record::AdapterRecord;
+use crate::replica_record::LifecycleStage;
+use crate::replica_record::ReplicaRecord;
+use crate::server_record::ServerRecord;
+
+/// Bits of version and order numbers below the fence: 16 million of each per owner.
+const FENCE_SHIFT: u32 = 24;
+
+/// Decides which models and adapters are loaded on which backend servers of one service.
+///
+/// Pure: the caller passes observations, demand and results in, sends the orders of [`Self::plan`]
+/// and calls it again after every change and at [`Self::next_wakeup`].
+#[derive(Debug)]
+pub struct PoolPlanner {
+    pub(crate) settings: PoolSettings,
+    pub(crate) service: Name,
+    pub(crate) fence: u64,
+    pub(crate) catalog: PoolCatalog,
+    pub(crate) servers: BTreeMap<Name, ServerRecord>,
+    pub(crate) demands: BTreeMap<Name, DemandRecord>,
+    pub(crate) orders: BTreeMap<OrderId, OpenOrder>,
+    pub(crate) permits: PermitWindow,
+    /// Memory that is being freed for a model, by model.
+    pub(crate) claims: BTreeMap<Name, MemoryClaim>,
+    /// Until then, replies carry no list, because servers may be unobserved.
+    pub(crate) recovering_until: Option<MonotonicTime>,
+    pub(crate) version: u64,
+    /// Number of the newest order.
+    pub(crate) last_order: u64,
+    pub(crate) rng: StdRng,
+}
+
+/// Memory on a server that is promised to a model.
+#[derive(Clone, Debug)]
+pub(crate) struct MemoryClaim {
+    pub(crate) server: Name,
+    pub(crate) bytes: u64,
+}
+
+impl PoolPlanner {
+    /// A planner without servers. `fence` is the assignment revision under which it decides; it
+    /// makes list versions and order ids larger than those of any predecessor.
+    pub fn new(service: Name, settings: PoolSettings, fence: u64, seed: u64) -> Self {
+        Self {
+            settings,
+            service,
+            fence,
+            catalog: PoolCatalog::default(),
+            servers: BTreeMap::new(),
+            demands: BTreeMap::new(),
+            orders: BTreeMap::new(),
+            permits: PermitWindow::default(),
+            claims: BTreeMap::new(),
+            recovering_until: None,
+            version: fence << FENCE_SHIFT,
+            last_order: fence << FENCE_SHIFT,
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Replaces the catalog. Replicas of models that left it are drained by the next plan.
+    pub fn set_catalog(&mut self, catalog: PoolCatalog) {
+        self.catalog = catalog;
+        let models = &self.catalog.models;
+        self.claims.retain(|model, _| models.contains_key(model));
+        for record in self.servers.values_mut() {
+            for (model, replica) in &mut record.replicas {
+                let spec = models.get(model);
+                replica.slots = spec.map_or(replica.slots, |spec| spec.slots);
+            }
+        }
+        let known: Vec<_> = self.demands.keys().cloned().collect();
+        for model in known {
+            self.touch(&model);
+        }
+    }
+
+    /// After a takeover without state: holds replica lists back until [`Self::finish_recovery`] or
+    /// `until`, so that dispatchers keep their present lists while servers are asked.
+    pub fn set_recovery(&mut self, until: MonotonicTime) {
+        self.recovering_until = Some(until);
+    }
+
+    /// Ends the recovery because all servers have been observed.
+    pub fn finish_recovery(&mut self) {
+        self.recovering_until = None;
+    }
+
+    /// Counts a predecessor's orders whose results are not known as open.
+    pub fn recover(&mut self, reservations: Vec<MemoryReservation>, now: MonotonicTime) {
+        self.permits.delay_until(now + Duration::from_secs(1));
+        for reservation in reservations {
+            self.recover_order(reservation, now);
+        }
+    }
+
+    fn recover_order(&mut self, reservation: MemoryReservation, now: MonotonicTime) {
+        let MemoryReservation {
+            order_id,
+            action,
+            server,
+            boot_id,
+            model,
+            adapter,
+            bytes,
+        } = reservation;
+        let record = self
+            .servers
+            .entry(server.clone())
+            .or_insert_with(|| ServerRecord {
+                boot_id,
+                ..ServerRecord::default()
+            });
+        if record.boot_id != boot_id {
+            return;
+        }
+        let order = OpenOrder {
+            action,
+            server,
+            boot_id,
+            model,
+            adapter,
+            bytes,
+            issued_at: now,
+            resend_at: now + self.settings.resend_after,
+            permit: action == OrderAction::LoadModel,
+            account: None,
+        };
+        reserve(record, &order, now);
+        self.orders.insert(order_id, order);
+    }
+
+    /// Orders whose results are not known on `server`, as the key-value service must record them.
+    pub fn reservations(&self, server: &str) -> Vec<MemoryReservation> {
+        let open = self.orders.iter();
+        let on_server = open.filter(|(_, order)| &*order.server == server);
+        on_server
+            .map(|(order_id, order)| order.reservation(*order_id))
+            .collect()
+    }
+
+    /// Removes a backend server that has left the host list, with everything on it.
+    pub fn server_gone(&mut self, server: &str) {
+        let Some(record) = self.servers.remove(server) else {
+            return;
+        };
+        self.drop_orders(server);
+        self.claims.retain(|_, claim| &*claim.server != server);
+        for model in record.replicas.keys() {
+            self.touch(model);
+        }
+    }
+
+    pub(crate) fn drop_orders(&mut self, server: &str) {
+        self.orders.retain(|_, order| &*order.server != server);
+    }
+
+    /// Names of the known backend servers.
+    pub fn server_names(&self) -> impl Iterator<Item = &Name> {
+        self.servers.keys()
+    }
+
+    /// Gives the model's list a new version.
+    pub(crate) fn touch(&mut self, model: &Name) -> u64 {
+        self.version += 1;
+        let demand = self.demands.entry(model.clone()).or_default();
+        demand.list_version = self.version;
+        self.version
+    }
+
+    pub(crate) fn replica_mut(&mut self, server: &str, model: &str) -> Option<&mut ReplicaRecord> {
+        self.servers.get_mut(server)?.replicas.get_mut(model)
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Orders
+
+    /// Opens an order and reserves its memory. Memory and replica limits are checked here once
+    /// more, whatever rule chose the order; a violation yields no order.
+    pub(crate) fn open_order(&mut self, order: OpenOrder, now: MonotonicTime) -> Option<PoolOrder> {
+        let record = self.servers.get_mut(&order.server)?;
+        if !is_allowed(record, &order) {
+            return None;
+        }
+        reserve(record, &order, now);
+        self.last_order += 1;
+        let order_id = OrderId(self.last_order);
+        let sent = self.order_message(order_id, &order, false);
+        self.orders.insert(order_id, order);
+        sent
+    }
+
+    pub(crate) fn order_message(
+        &self,
+        order_id: OrderId,
+        order: &OpenOrder,
+        repeated: bool,
+    ) -> Option<PoolOrder> {
+        let record = self.servers.get(&order.server)?;
+        Some(PoolOrder {
+            order_id,
+            fence: self.fence,
+            action: order.action,
+            server: order.server.clone(),
+            address: record.address.clone(),
+            boot_id: order.boot_id,
+            fencing: record.fencing,
+            model: order.model.clone(),
+            adapter: order.adapter.clone(),
+            bytes: order.bytes,
+            repeated,
+        })
+    }
+
+    /// Takes the known result of an order in; false if the order is not open.
+    pub fn confirm(&mut self, order_id: OrderId, result: OrderResult, now: MonotonicTime) -> bool {
+        let Some(order) = self.orders.remove(&order_id) else {
+            return false;
+        };
+        if let Some(record) = self.servers.get_mut(&order.server) {
+            record.confirmed_at = record.confirmed_at.max(now);
+        }
+        match order.action {
+            OrderAction::LoadModel => self.end_model_load(&order, result, now),
+            OrderAction::UnloadModel => self.end_model_unload(&order, result),
+            OrderAction::LoadAdapter => self.end_adapter_load(&order, result, now),
+            OrderAction::UnloadAdapter => self.end_adapter_unload(&order, result),
+        }
+        self.touch(&order.model);
+        true
+    }
+
+    fn end_model_load(&mut self, order: &OpenOrder, result: OrderResult, now: MonotonicTime) {
+        let pause = self.settings.failure_pause;
+        let Some(record) = self.servers.get_mut(&order.server) else {
+            return;
+        };
+        match result {
+            OrderResult::Done => {
+                record.failures.remove(&order.model);
+                if let Some(replica) = record.replicas.get_mut(&order.model) {
+                    replica.stage = LifecycleStage::Ready;
+                    replica.ready_at = now;
+                    replica.last_busy = now;
+                }
+            }
+            OrderResult::Failed => {
+                record.replicas.remove(&order.model);
+                let failure = record.failures.entry(order.model.clone()).or_default();
+                let factor = 1_u32 << failure.count.min(6);
+                failure.retry_at = now + pause * factor;
+                failure.count += 1;
+            }
+            OrderResult::NotSent => {
+                record.replicas.remove(&order.model);
+            }
+        }
+    }
+
+    fn end_model_unload(&mut self, order: &OpenOrder, result: OrderResult) {
+        let Some(record) = self.servers.get_mut(&order.server) else {
+            return;
+        };
+        if result == OrderResult::Done {
+            record.replicas.remove(&order.model);
+        } else if let Some(replica) = record.replicas.get_mut(&order.model) {
+            replica.stage = LifecycleStage::Draining;
+        }
+    }
+
+    fn end_adapter_load(&mut self, order: &OpenOrder, result: OrderResult, now: MonotonicTime) {
+        let Some((replica, adapter)) = self.adapter_target(order) else {
+            return;
+        };
+        if result != OrderResult::Done {
+            replica.adapters.remove(&adapter);
+        } else if let Some(record) = replica.adapters.get_mut(&adapter) {
+            record.stage = LifecycleStage::Ready;
+            record.last_used = now;
+        }
+    }
+
+    fn end_adapter_unload(&mut self, order: &OpenOrder, result: OrderResult) {
+        let Some((replica, adapter)) = self.adapter_target(order) else {
+            return;
+        };
+        if result == OrderResult::Done {
+            replica.adapters.remove(&adapter);
+        } else if let Some(record) = replica.adapters.get_mut(&adapter) {
+            record.stage = LifecycleStage::Draining;
+        }
+    }
+
+    fn adapter_target(&mut self, order: &OpenOrder) -> Option<(&mut ReplicaRecord, Name)> {
+        let adapter = order.adapter.clone()?;
+        let replica = self.replica_mut(&order.server, &order.model)?;
+        Some((replica, adapter))
+    }
+}
+
+/// Last check before an order is given.
+fn is_allowed(record: &ServerRecord, order: &OpenOrder) -> bool {
+    let replica = record.replicas.get(&order.model);
+    match order.action {
+        OrderAction::LoadModel => replica.is_none() && record.free_bytes() >= order.bytes,
+        OrderAction::LoadAdapter => {
+            let ready = replica.is_some_and(|replica| replica.stage == LifecycleStage::Ready);
+            ready && record.free_bytes() >= order.bytes
+        }
+        OrderAction::UnloadModel => replica.is_some_and(ReplicaRecord::may_unload),
+        OrderAction::UnloadAdapter => {
+            let adapter = order.adapter.as_ref();
+            let record = replica.and_then(|replica| replica.adapters.get(adapter?));
+            let drain = record.and_then(|record| record.drain);
+            drain.is_some_and(|drain| drain.acknowledged)
+        }
+    }
+}
+
+/// Applies an order's effect on memory and stages before its result is known.
+fn reserve(record: &mut ServerRecord, order: &OpenOrder, now: MonotonicTime) {
+    let stage = match order.action {
+        OrderAction::LoadModel | OrderAction::LoadAdapter => LifecycleStage::Loading,
+        OrderAction::UnloadModel | OrderAction::UnloadAdapter => LifecycleStage::Unloading,
+    };
+    let model_bytes = if order.adapter.is_none() {
+        order.bytes
+    } else {
+        0
+    };
+    let replica = record
+        .replicas
+        .entry(order.model.clone())
+        .or_insert_with(|| ReplicaRecord::new(stage, model_bytes, 1, now));
+    match &order.adapter {
+        None => replica.stage = stage,
+        Some(adapter) => {
+            let adapter = replica.adapters.entry(adapter.clone());
+            let adapter = adapter.or_insert_with(|| AdapterRecord::new(stage, order.bytes, now));
+            adapter.stage = stage;
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduling/src/prefix_memory.rs
@@ -0,0 +1,37 @@
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use zinniahinge_types::Name;
+
+/// Which backend server last got a prompt prefix; bounded, the oldest prefix is forgotten first.
+#[derive(Clone, Debug)]
+pub(crate) struct PrefixMemory {
+    servers: BTreeMap<u64, Name>,
+    order: VecDeque<u64>,
+    limit: usize,
+}
+
+impl PrefixMemory {
+    pub(crate) fn new(limit: usize) -> Self {
+        Self {
+            servers: BTreeMap::new(),
+            order: VecDeque::new(),
+            limit,
+        }
+    }
+
+    pub(crate) fn server(&self, prefix_hash: u64) -> Option<&Name> {
+        self.servers.get(&prefix_hash)
+    }
+
+    pub(crate) fn record(&mut self, prefix_hash: u64, server: &Name) {
+        if self.servers.insert(prefix_hash, server.clone()).is_none() {
+            self.order.push_back(prefix_hash);
+        }
+        while self.order.len() > self.limit {
+            if let Some(oldest) = self.order.pop_front() {
+                self.servers.remove(&oldest);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduling/src/replica_book.rs
@@ -0,0 +1,265 @@
+use std::collections::BTreeMap;
+
+use rand::Rng;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use zinniahinge_types::DispatchRequest;
+use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::Name;
+use zinniahinge_types::ReplicaEntry;
+use zinniahinge_types::ReplicaPhase;
+
+use crate::DispatcherSettings;
+use crate::ReplicaChoice;
+use crate::ejection_record::EjectionRecord;
+use crate::prefix_memory::PrefixMemory;
+use crate::ticket_book::TicketBook;
+
+/// Replicas sampled from the nearest distance and from the others: the power of two choices keeps
+/// lagging load reports from sending every request to one replica.
+const SAMPLE_SIZE: usize = 2;
+
+/// A dispatcher's view of its model's replicas.
+#[derive(Clone, Debug)]
+pub(crate) struct ReplicaBook {
+    version: u64,
+    entries: Vec<ReplicaEntry>,
+    ejections: BTreeMap<Name, EjectionRecord>,
+    prefixes: PrefixMemory,
+    regions: BTreeMap<Name, Name>,
+    /// Until then, load reports count as well, because a predecessor's tickets may be unknown.
+    reports_count_until: MonotonicTime,
+}
+
+struct Candidate<'a> {
+    entry: &'a ReplicaEntry,
+    distance: f64,
+    score: f64,
+}
+
+impl ReplicaBook {
+    pub(crate) fn new(prefix_limit: usize) -> Self {
+        Self {
+            version: 0,
+            entries: Vec::new(),
+            ejections: BTreeMap::new(),
+            prefixes: PrefixMemory::new(prefix_limit),
+            regions: BTreeMap::new(),
+            reports_count_until: MonotonicTime::ZERO,
+        }
+    }
+
+    pub(crate) fn version(&self) -> u64 {
+        self.version
+    }
+
+    pub(crate) fn entries(&self) -> &[ReplicaEntry] {
+        &self.entries
+    }
+
+    pub(crate) fn set_regions(&mut self, regions: BTreeMap<Name, Name>) {
+        self.regions = regions;
+    }
+
+    pub(crate) fn count_reports_until(&mut self, until: MonotonicTime) {
+        self.reports_count_until = until;
+    }
+
+    /// Replaces the list unless it is older than the present one.
+    pub(crate) fn apply(&mut self, version: u64, entries: Vec<ReplicaEntry>) -> bool {
+        if version <= self.version {
+            return false;
+        }
+        self.version = version;
+        self.entries = entries;
+        let known = &self.entries;
+        self.ejections
+            .retain(|server, _| known.iter().any(|entry| entry.server == *server));
+        true
+    }
+
+    /// Slots of all replicas that take requests.
+    pub(crate) fn ready_slots(&self) -> u32 {
+        self.ready().map(|entry| entry.slots).sum()
+    }
+
+    /// True if a replica has the adapter loaded, whether or not a slot is free.
+    pub(crate) fn serves(&self, adapter: Option<&Name>) -> bool {
+        self.ready().any(|entry| has_adapter(entry, adapter))
+    }
+
+    pub(crate) fn record_success(&mut self, server: &str) {
+        if let Some(record) = self.ejections.get_mut(server) {
+            record.record_success();
+        }
+    }
+
+    pub(crate) fn record_failure(
+        &mut self,
+        server: &Name,
+        settings: &DispatcherSettings,
+        now: MonotonicTime,
+    ) {
+        let record = self.ejections.entry(server.clone()).or_default();
+        record.record_failure(settings, now);
+    }
+
+    /// Earliest end of an ejection after `now`.
+    pub(crate) fn next_probation_end(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+        let ends = self.ejections.values().filter_map(EjectionRecord::until);
+        ends.filter(|until| *until > now).min()
+    }
+
+    /// True if some replica could start the request now.
+    pub(crate) fn can_place(
+        &self,
+        request: &DispatchRequest,
+        tickets: &TicketBook,
+        now: MonotonicTime,
+    ) -> bool {
+        self.available(request, tickets, now).next().is_some()
+    }
+
+    /// Chooses a replica for the request and remembers its prefix.
+    pub(crate) fn choose(
+        &mut self,
+        request: &DispatchRequest,
+        tickets: &TicketBook,
+        settings: &DispatcherSettings,
+        now: MonotonicTime,
+        rng: &mut StdRng,
+    ) -> Option<ReplicaEntry> {
+        let available: Vec<_> = self.available(request, tickets, now).collect();
+        let chosen = match settings.replica_choice {
+            ReplicaChoice::Random => available.choose(rng).copied(),
+            ReplicaChoice::LeastLoaded => available
+                .iter()
+                .min_by_key(|entry| tickets.on_server(&entry.server))
+                .copied(),
+            ReplicaChoice::Weighed => self.weighed(&available, request, tickets, settings, rng),
+        };
+        let chosen = chosen?.clone();
+        self.prefixes.record(request.prefix_hash, &chosen.server);
+        Some(chosen)
+    }
+
+    fn ready(&self) -> impl Iterator<Item = &ReplicaEntry> {
+        self.entries
+            .iter()
+            .filter(|entry| entry.phase == ReplicaPhase::Ready)
+    }
+
+    fn available(
+        &self,
+        request: &DispatchRequest,
+        tickets: &TicketBook,
+        now: MonotonicTime,
+    ) -> impl Iterator<Item = &ReplicaEntry> {
+        self.ready().filter(move |entry| {
+            has_adapter(entry, request.adapter.as_ref())
+                && !request.excluded.contains(&entry.server)
+                && self.load(entry, tickets, now) < entry.slots
+                && self.admits(&entry.server, tickets, now)
+        })
+    }
+
+    fn admits(&self, server: &str, tickets: &TicketBook, now: MonotonicTime) -> bool {
+        let in_flight = tickets.on_server(server);
+        self.ejections
+            .get(server)
+            .is_none_or(|record| record.admits(now, in_flight))
+    }
+
+    fn load(&self, entry: &ReplicaEntry, tickets: &TicketBook, now: MonotonicTime) -> u32 {
+        let own = tickets.on_server(&entry.server);
+        if now < self.reports_count_until {
+            own.max(entry.reported_load)
+        } else {
+            own
+        }
+    }
+
+    fn weighed<'a>(
+        &self,
+        available: &[&'a ReplicaEntry],
+        request: &DispatchRequest,
+        tickets: &TicketBook,
+        settings: &DispatcherSettings,
+        rng: &mut StdRng,
+    ) -> Option<&'a ReplicaEntry> {
+        let mut candidates: Vec<_> = available
+            .iter()
+            .map(|entry| self.candidate(entry, request, tickets, settings))
+            .collect();
+        let affine = self.prefixes.server(request.prefix_hash);
+        let sample = sample(&mut candidates, affine, rng);
+        sample
+            .iter()
+            .min_by(|a, b| a.score.total_cmp(&b.score))
+            .map(|candidate| candidate.entry)
+    }
+
+    fn candidate<'a>(
+        &self,
+        entry: &'a ReplicaEntry,
+        request: &DispatchRequest,
+        tickets: &TicketBook,
+        settings: &DispatcherSettings,
+    ) -> Candidate<'a> {
+        let distance = self.distance(entry, &request.place, settings);
+        let utilisation = f64::from(tickets.on_server(&entry.server)) / f64::from(entry.slots);
+        let affine = self.prefixes.server(request.prefix_hash) == Some(&entry.server);
+        let bonus = if affine { settings.prefix_weight } else { 0.0 };
+        Candidate {
+            entry,
+            distance,
+            score: utilisation + distance - bonus,
+        }
+    }
+
+    fn distance(&self, entry: &ReplicaEntry, place: &Name, settings: &DispatcherSettings) -> f64 {
+        if entry.place == *place {
+            return 0.0;
+        }
+        let same_region = match (self.regions.get(&entry.place), self.regions.get(place)) {
+            (Some(left), Some(right)) => left == right,
+            _ => true,
+        };
+        if same_region {
+            settings.place_weight
+        } else {
+            settings.place_weight + settings.region_weight
+        }
+    }
+}
+
+fn has_adapter(entry: &ReplicaEntry, adapter: Option<&Name>) -> bool {
+    adapter.is_none_or(|adapter| entry.adapters.contains(adapter))
+}
+
+/// Keeps the replica with the prefix, two of the nearest and two of the others.
+fn sample<'a>(
+    candidates: &mut Vec<Candidate<'a>>,
+    affine: Option<&Name>,
+    rng: &mut StdRng,
+) -> Vec<Candidate<'a>> {
+    let nearest = candidates
+        .iter()
+        .map(|candidate| candidate.distance)
+        .fold(f64::INFINITY, f64::min);
+    let (mut near, mut far): (Vec<_>, Vec<_>) = candidates
+        .drain(..)
+        .partition(|candidate| candidate.distance <= nearest);
+    let mut chosen = Vec::with_capacity(2 * SAMPLE_SIZE + 1);
+    for group in [&mut near, &mut far] {
+        let preferred = group
+            .iter()
+            .position(|candidate| Some(&candidate.entry.server) == affine);
+        chosen.extend(preferred.map(|index| group.swap_remove(index)));
+        for _ in 0..SAMPLE_SIZE.min(group.len()) {
+            let index = rng.random_range(0..group.len());
+            chosen.push(group.swap_remove(index));
+        }
+    }
+    chosen
+}
--- /dev/null
+++ b/crates/scheduling/src/server_record.rs
@@ -0,0 +1,66 @@
+use std::collections::BTreeMap;
+
+use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::Name;
+
+use crate::CacheLevel;
+use crate::replica_record::LifecycleStage;
+use crate::replica_record::ReplicaRecord;
+
+/// A backend server in the pool.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ServerRecord {
+    pub(crate) address: Name,
+    pub(crate) place: Name,
+    pub(crate) boot_id: u64,
+    pub(crate) fencing: bool,
+    pub(crate) leaving: bool,
+    /// False for a server that is only known from a reservation; it gets no orders.
+    pub(crate) observed: bool,
+    pub(crate) memory_bytes: u64,
+    pub(crate) accelerators: u32,
+    pub(crate) cached: BTreeMap<Name, CacheLevel>,
+    pub(crate) replicas: BTreeMap<Name, ReplicaRecord>,
+    /// Time of the last confirmed change; older observations do not contradict it.
+    pub(crate) confirmed_at: MonotonicTime,
+    pub(crate) failures: BTreeMap<Name, LoadFailure>,
+}
+
+/// Failed loads of one model on one server.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct LoadFailure {
+    pub(crate) count: u32,
+    pub(crate) retry_at: MonotonicTime,
+}
+
+impl ServerRecord {
+    pub(crate) fn used_bytes(&self) -> u64 {
+        let replicas = self.replicas.values();
+        replicas.map(ReplicaRecord::total_bytes).sum()
+    }
+
+    pub(crate) fn free_bytes(&self) -> u64 {
+        self.memory_bytes.saturating_sub(self.used_bytes())
+    }
+
+    /// Bytes that are on their way to being free.
+    pub(crate) fn freeing_bytes(&self) -> u64 {
+        let leaving = self.replicas.values().filter(|replica| {
+            matches!(
+                replica.stage,
+                LifecycleStage::Draining | LifecycleStage::Unloading
+            )
+        });
+        leaving.map(ReplicaRecord::total_bytes).sum()
+    }
+
+    pub(crate) fn cache_level(&self, model: &str) -> CacheLevel {
+        self.cached.get(model).copied().unwrap_or_default()
+    }
+
+    pub(crate) fn may_load(&self, model: &str, now: MonotonicTime) -> bool {
+        let failure = self.failures.get(model);
+        let paused = failure.is_some_and(|failure| failure.retry_at > now);
+        self.observed && !self.leaving && !paused && !self.replicas.contains_key(model)
+    }
+}
