--- a/crates/document/src/memory_size.rs
+++ b/crates/document/src/memory_size.rs
@@ -7,11 +7,12 @@
 use serde_with::SerializeDisplay;
 
 /// Units that a document may use, largest first.
-const UNITS: [(&str, u64); 4] = [
+const UNITS: [(&str, u64); 5] = [
     ("TiB", 1 << 40),
     ("GiB", 1 << 30),
     ("MiB", 1 << 20),
     ("KiB", 1 << 10),
+    ("B", 1),
 ];
 
 /// Amount of memory in bytes, written as for example `14 GiB` or `1.5 GiB`.
@@ -53,14 +54,13 @@
 impl fmt::Display for MemorySize {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let fits = |scale: u64| self.0 >= scale && self.0.is_multiple_of(scale);
-        match UNITS.into_iter().find(|(_, scale)| fits(*scale)) {
-            Some((unit, scale)) => write!(f, "{} {unit}", self.0 / scale),
-            None => write!(f, "{} B", self.0),
-        }
+        let exact = UNITS.into_iter().find(|(_, scale)| fits(*scale));
+        let (unit, scale) = exact.unwrap_or(("B", 1));
+        write!(f, "{} {unit}", self.0 / scale)
     }
 }
 
-/// The text is not a decimal number, one space and one of `KiB`, `MiB`, `GiB`, `TiB`.
+/// The text is not a decimal number, one space and one of `B`, `KiB`, `MiB`, `GiB`, `TiB`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("not a memory size such as \"14 GiB\"")]
 pub struct MemorySizeError;
--- a/crates/document/src/read.rs
+++ b/crates/document/src/read.rs
@@ -287,7 +287,9 @@
     let Some(field) = table.required("methods", expected) else {
         return Vec::new();
     };
-    let items = field.list();
+    let Some(items) = field.list() else {
+        return Vec::new();
+    };
     if items.is_empty() {
         return field
             .invalid("no method is listed", expected)
@@ -349,7 +351,7 @@
     let Some(field) = table.required("key_digests", expected) else {
         return Vec::new();
     };
-    let items = field.list();
+    let items = field.list().unwrap_or_default();
     let digests = items
         .iter()
         .map(|item| read_digest(item).unwrap_or(KeyDigest([0; 32])));
@@ -372,7 +374,8 @@
     table: &mut TableReader<'a>,
     name: &'static str,
 ) -> impl Iterator<Item = &'a str> + use<'a> {
-    let items = table.optional(name).map_or_else(Vec::new, |v| v.list());
+    let items = table.optional(name).and_then(|v| v.list());
+    let items = items.unwrap_or_default();
     items
         .into_iter()
         .map(|item| item.text().unwrap_or_default())
--- a/crates/document/src/table_reader.rs
+++ b/crates/document/src/table_reader.rs
@@ -74,7 +74,8 @@
     /// Tables of a list; an absent list is empty. A list with another kind of item is reported and
     /// left out whole, so that the position of an entry always agrees with its path.
     pub(crate) fn tables(&mut self, name: &'static str) -> Vec<TableReader<'a>> {
-        let items = self.optional(name).map_or_else(Vec::new, |v| v.list());
+        let items = self.optional(name).and_then(|v| v.list());
+        let items = items.unwrap_or_default();
         let count = items.len();
         let tables: Vec<_> = items.iter().filter_map(FieldValue::table).collect();
         match tables.len() == count {
@@ -196,10 +197,8 @@
     }
 
     /// Items of a list.
-    pub(crate) fn list(&self) -> Vec<FieldValue<'a>> {
-        let Some(items) = self.typed(self.value.as_array(), "a list") else {
-            return Vec::new();
-        };
+    pub(crate) fn list(&self) -> Option<Vec<FieldValue<'a>>> {
+        let items = self.typed(self.value.as_array(), "a list")?;
         let numbered = items.iter().enumerate();
         let fields = numbered.map(|(index, item)| FieldValue {
             sink: self.sink,
@@ -207,7 +206,7 @@
             span: item.span(),
             value: item.get_ref(),
         });
-        fields.collect()
+        Some(fields.collect())
     }
 
     /// Table.
