--- a/crates/entry/src/answer_relay.rs
+++ b/crates/entry/src/answer_relay.rs
@@ -6,17 +6,16 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use tokio::sync::watch;
 use volo_http::body::Body;
 use zinniahinge_types::EventKind;
 use zinniahinge_types::ReleaseOutcome;
 
 use crate::backend_client::BackendFailure;
 use crate::entry_state::EntryState;
-use crate::filters::check_account;
 use crate::frame_stream::CutAnswer;
 use crate::frame_stream::FrameSender;
 use crate::frame_stream::channel_body;
+use crate::key_watch::key_withdrawn;
 use crate::problem::ProblemKind;
 use crate::problem::RanState;
 use crate::problem::RequestProblem;
@@ -28,9 +27,6 @@
 /// Longest silence of a backend server within a stream. Tokens are 33 ms apart in 95 of 100 cases.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// How often an open stream checks whether its host still knows what is in force.
-const KEY_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-
 /// A streamed answer.
 pub struct AnswerRelay {
     /// Shared state.
@@ -94,7 +90,6 @@
     ) {
         let _open = self.state.counters.open_stream();
         let mut scanner = StreamScanner::default();
-        let mut changed = self.state.snapshot.subscribe();
         let mut chunk = first;
         let end = loop {
             scanner.push(&chunk);
@@ -102,7 +97,7 @@
             if sender.send(Ok(chunk)).await.is_err() {
                 break StreamEnd::CallerLeft;
             }
-            match self.next(&mut body, &sender, &mut changed).await {
+            match self.next(&mut body, &sender).await {
                 Ok(Some(next)) => chunk = next,
                 Ok(None) if scanner.is_done() => break StreamEnd::Complete,
                 Ok(None) => break StreamEnd::ServerFailed,
@@ -125,27 +120,15 @@
         &self,
         body: &mut Body,
         sender: &FrameSender,
-        changed: &mut watch::Receiver<u64>,
     ) -> Result<Option<Bytes>, StreamEnd> {
-        let idle = tokio::time::sleep(IDLE_TIMEOUT);
-        tokio::pin!(idle);
-        loop {
-            tokio::select! {
-                chunk = next_chunk(body) => {
-                    return chunk.transpose().map_err(|_| StreamEnd::ServerFailed);
-                }
-                () = sender.closed() => return Err(StreamEnd::CallerLeft),
-                () = &mut idle => return Err(StreamEnd::ServerFailed),
-                _ = changed.changed() => self.check_key()?,
-                () = tokio::time::sleep(KEY_CHECK_INTERVAL) => self.check_key()?,
-            }
+        tokio::select! {
+            chunk = next_chunk(body) => chunk.transpose().map_err(|_| StreamEnd::ServerFailed),
+            () = sender.closed() => Err(StreamEnd::CallerLeft),
+            () = tokio::time::sleep(IDLE_TIMEOUT) => Err(StreamEnd::ServerFailed),
+            _ = key_withdrawn(&self.state, &self.context) => Err(StreamEnd::KeyWithdrawn),
         }
     }
 
-    fn check_key(&self) -> Result<(), StreamEnd> {
-        check_account(&self.state, &self.context).map(|_| ()).map_err(|_| StreamEnd::KeyWithdrawn)
-    }
-
     async fn finish(&mut self, end: StreamEnd, scanner: &StreamScanner, sender: &FrameSender) {
         let detail = format!("{} events", scanner.events());
         match end {
--- a/crates/entry/src/entry_counters.rs
+++ b/crates/entry/src/entry_counters.rs
@@ -3,20 +3,16 @@
 use std::time::Duration;
 
 use prometheus::Histogram;
-use prometheus::HistogramOpts;
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
-use prometheus::Opts;
-use prometheus::Registry;
+use zinniahinge_telemetry::LATENCY_BUCKETS_S;
+use zinniahinge_telemetry::MetricError;
+use zinniahinge_telemetry::MetricsRegistry;
 
 use crate::backend_client::BackendFailure;
 use crate::problem::ProblemKind;
 
-/// Buckets of the time to the first token, in seconds. The goal of 0.56 s is one of the bounds.
-const FIRST_TOKEN_BUCKETS: [f64; 12] =
-    [0.01, 0.03, 0.1, 0.2, 0.3, 0.56, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0];
-
 /// Counters of an entry process.
 #[derive(Clone)]
 pub struct EntryCounters {
@@ -49,40 +45,32 @@
 
 impl EntryCounters {
     /// Creates the counters and registers them.
-    pub fn register(registry: &Registry) -> prometheus::Result<Self> {
-        let counters = Self {
-            requests: IntCounter::new("zinniahinge_requests_total", "Requests received.")?,
-            refused: vec("zinniahinge_refused_total", "Requests refused.", &["filter", "problem"])?,
-            dispatched: vec("zinniahinge_dispatched_total", "Requests dispatched.", &["start"])?,
-            backend_failures: vec(
-                "zinniahinge_backend_failures_total",
+    pub fn register(registry: &MetricsRegistry) -> Result<Self, MetricError> {
+        Ok(Self {
+            requests: registry.counter("requests_total", "Requests received.")?,
+            refused: registry.counter_vec(
+                "refused_total",
+                "Requests refused.",
+                &["filter", "problem"],
+            )?,
+            dispatched: registry.counter_vec(
+                "dispatched_total",
+                "Requests dispatched.",
+                &["start"],
+            )?,
+            backend_failures: registry.counter_vec(
+                "backend_failures_total",
                 "Failed attempts at backend servers.",
                 &["failure"],
             )?,
-            first_token: Histogram::with_opts(
-                HistogramOpts::new("zinniahinge_first_token_seconds", "Time to the first token.")
-                    .buckets(FIRST_TOKEN_BUCKETS.to_vec()),
+            first_token: registry.histogram(
+                "first_token_seconds",
+                "Time from sending a request to its first token.",
+                LATENCY_BUCKETS_S,
             )?,
-            open_streams: IntGauge::new("zinniahinge_open_streams", "Streams being relayed.")?,
-            in_flight: IntGauge::new("zinniahinge_requests_in_flight", "Requests in flight.")?,
-        };
-        let Self {
-            requests,
-            refused,
-            dispatched,
-            backend_failures,
-            first_token,
-            open_streams,
-            in_flight,
-        } = counters.clone();
-        registry.register(Box::new(requests))?;
-        registry.register(Box::new(refused))?;
-        registry.register(Box::new(dispatched))?;
-        registry.register(Box::new(backend_failures))?;
-        registry.register(Box::new(first_token))?;
-        registry.register(Box::new(open_streams))?;
-        registry.register(Box::new(in_flight))?;
-        Ok(counters)
+            open_streams: registry.gauge("open_streams", "Streams being relayed.")?,
+            in_flight: registry.gauge("requests_in_flight", "Requests in flight.")?,
+        })
     }
 
     /// Counts a request until the guard is dropped.
@@ -121,7 +109,3 @@
         self.in_flight.get() + self.open_streams.get()
     }
 }
-
-fn vec(name: &str, help: &str, labels: &[&str]) -> prometheus::Result<IntCounterVec> {
-    IntCounterVec::new(Opts::new(name, help), labels)
-}
--- a/crates/entry/src/filters/charge.rs
+++ b/crates/entry/src/filters/charge.rs
@@ -10,6 +10,7 @@
 use crate::filter_chain::FilterStep;
 use crate::filter_chain::FilterVerdict;
 use crate::filters::check_account;
+use crate::key_watch::key_withdrawn;
 use crate::owner_client::OwnerCall;
 use crate::problem::ProblemKind;
 use crate::problem::RequestProblem;
@@ -27,7 +28,10 @@
         return Ok(FilterStep::Continue);
     };
     let tokens = charge_tokens(state, context)?;
-    let grant = charge(state, context, &account, tokens).await?;
+    let grant = tokio::select! {
+        grant = charge(state, context, &account, tokens) => grant?,
+        problem = key_withdrawn(state, context) => return Err(problem),
+    };
     context.charge = Some(grant);
     check_account(state, context)?;
     Ok(FilterStep::Continue)
--- a/crates/entry/src/model_forward.rs
+++ b/crates/entry/src/model_forward.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use http::Method;
+use http::StatusCode;
 use serde::Deserialize;
 use volo_http::body::Body;
 use volo_http::response::Response;
@@ -29,6 +30,7 @@
 use crate::forward_headers::is_own_answer;
 use crate::forward_headers::request_headers;
 use crate::forward_headers::response_headers;
+use crate::key_watch::key_withdrawn;
 use crate::owner_client::OwnerCall;
 use crate::problem::ProblemKind;
 use crate::problem::RanState;
@@ -100,7 +102,11 @@
             deadline: self.context.deadline,
             long_poll: true,
         };
-        match self.state.owners.call(call, |reply| *reply == DispatchReply::NotOwner).await {
+        let reply = tokio::select! {
+            reply = self.state.owners.call(call, |reply| *reply == DispatchReply::NotOwner) => reply,
+            problem = key_withdrawn(&self.state, &self.context) => return Err(problem),
+        };
+        match reply {
             Ok(DispatchReply::Granted(ticket)) => {
                 self.note_dispatch(&ticket);
                 Ok(TicketGuard::new(
@@ -129,7 +135,7 @@
             host: self.state.host.clone(),
             service: self.service.clone(),
             model: self.call.model.clone(),
-            adapter: self.call.adapter.clone(),
+            adapter: self.adapter_id(),
             account: self.context.account.clone().unwrap_or_else(|| "open".into()),
             class: self.context.class,
             deadline_in: self.context.time_left(),
@@ -140,6 +146,12 @@
         }
     }
 
+    /// Adapter names are unique only within their base model.
+    fn adapter_id(&self) -> Option<Name> {
+        let ChatCall { model, adapter, .. } = &self.call;
+        adapter.as_ref().map(|adapter| format!("{model}:{adapter}").into())
+    }
+
     fn model_max_output(&self) -> u64 {
         let snapshot = self.state.snapshot.load();
         let in_force = snapshot.services.get(&self.service);
@@ -204,7 +216,7 @@
         if !is_own_answer(response.headers(), self.context.request_id) {
             return Err(BackendFailure::CrossedAnswer);
         }
-        if response.status().is_server_error() {
+        if is_retryable(response.status()) {
             return Err(BackendFailure::NoAnswer);
         }
         Ok(())
@@ -300,6 +312,13 @@
     Ok(completion.usage.map_or(0, |usage| usage.total_tokens))
 }
 
+/// True for a failure of the server, and for a server that has lost the model, is busy or refuses more work.
+fn is_retryable(status: StatusCode) -> bool {
+    let lost_or_busy =
+        [StatusCode::NOT_FOUND, StatusCode::CONFLICT, StatusCode::TOO_MANY_REQUESTS];
+    status.is_server_error() || lost_or_busy.contains(&status)
+}
+
 fn refusal_problem(reason: RefusalReason, retry_after: Duration) -> RequestProblem {
     let (kind, detail) = match reason {
         RefusalReason::QueueFull => (ProblemKind::Overloaded, "the model's queue is full"),
--- a/crates/entry/src/request_handler.rs
+++ b/crates/entry/src/request_handler.rs
@@ -44,7 +44,7 @@
 pub async fn handle(state: Arc<EntryState>, request: Request) -> Response {
     let _in_flight = state.counters.request();
     let (parts, body) = request.into_parts();
-    let trace = TraceContext::from_headers(&parts.headers);
+    let trace = read_trace(&parts.headers);
     let mut context = match read_request(&state, parts, body, &trace).await {
         Ok(context) => context,
         Err(problem) => {
@@ -121,7 +121,7 @@
     let body = read_body(state, &parts.headers, body).await?;
     Ok(RequestContext {
         request_id: RequestId(rand::random()),
-        trace_id: trace.trace_id(),
+        trace_id: trace.trace_id,
         arrived,
         method: parts.method,
         path: parts.uri.path().into(),
@@ -138,6 +138,11 @@
     })
 }
 
+fn read_trace(headers: &HeaderMap) -> TraceContext {
+    let header = headers.get(TraceContext::HEADER);
+    TraceContext::from_header(header.and_then(|value| value.to_str().ok()))
+}
+
 fn check_headers(state: &EntryState, headers: &HeaderMap) -> Result<()> {
     let size: usize =
         headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
@@ -188,8 +193,8 @@
     if let Ok(value) = HeaderValue::try_from(context.request_id.to_string()) {
         headers.insert("x-request-id", value);
     }
-    if let Ok(value) = HeaderValue::try_from(trace.to_header()) {
-        headers.insert("traceparent", value);
+    if let Ok(value) = HeaderValue::try_from(trace.to_string()) {
+        headers.insert(TraceContext::HEADER, value);
     }
     if let Some(ChargeGrant { remaining, burst, .. }) = context.charge {
         headers.insert("x-ratelimit-limit-tokens", HeaderValue::from(burst));
--- a/crates/peer/src/counters.rs
+++ b/crates/peer/src/counters.rs
@@ -2,8 +2,8 @@
 
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
-use prometheus::Opts;
-use prometheus::Registry;
+use zinniahinge_telemetry::MetricError;
+use zinniahinge_telemetry::MetricsRegistry;
 
 /// Counts messages and bytes by direction, and rejected messages by reason.
 #[derive(Clone)]
@@ -20,21 +20,20 @@
 
 impl PeerCounters {
     /// Creates the counters and registers them.
-    pub fn register(registry: &Registry) -> prometheus::Result<Self> {
-        let counters = Self {
-            sent: vec("zinniahinge_peer_sent_total", "Peer messages sent.", "path")?,
-            received: vec("zinniahinge_peer_received_total", "Peer messages accepted.", "path")?,
-            rejected: vec("zinniahinge_peer_rejected_total", "Peer messages rejected.", "reason")?,
-            bytes: IntCounter::new("zinniahinge_peer_bytes_total", "Peer body bytes, both ways.")?,
-        };
-        registry.register(Box::new(counters.sent.clone()))?;
-        registry.register(Box::new(counters.received.clone()))?;
-        registry.register(Box::new(counters.rejected.clone()))?;
-        registry.register(Box::new(counters.bytes.clone()))?;
-        Ok(counters)
+    pub fn register(registry: &MetricsRegistry) -> Result<Self, MetricError> {
+        Ok(Self {
+            sent: registry.counter_vec("peer_sent_total", "Peer messages sent.", &["path"])?,
+            received: registry.counter_vec(
+                "peer_received_total",
+                "Peer messages accepted.",
+                &["path"],
+            )?,
+            rejected: registry.counter_vec(
+                "peer_rejected_total",
+                "Peer messages rejected.",
+                &["reason"],
+            )?,
+            bytes: registry.counter("peer_bytes_total", "Peer body bytes, both ways.")?,
+        })
     }
 }
-
-fn vec(name: &str, help: &str, label: &str) -> prometheus::Result<IntCounterVec> {
-    IntCounterVec::new(Opts::new(name, help), &[label])
-}
--- a/crates/scheduling/src/pool_planner.rs
+++ b/crates/scheduling/src/pool_planner.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Replaces the settings, for example when the document states other limits of the weight store.
+    pub fn set_settings(&mut self, settings: PoolSettings) {
+        self.settings = settings;
+    }
+
     /// Replaces the catalog. Replicas of models that left it are drained by the next plan.
     pub fn set_catalog(&mut self, catalog: PoolCatalog) {
         self.catalog = catalog;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -1,5 +1,6 @@
 //! Names, identifiers, units and peer messages shared by all zinniahinge crates.
 
+mod copy_message;
 mod dispatch_message;
 mod event_record;
 mod ident;
@@ -9,6 +10,10 @@
 mod pool_message;
 mod resource_key;
 
+pub use copy_message::CopiesReply;
+pub use copy_message::CopiesRequest;
+pub use copy_message::CopyRequest;
+pub use copy_message::RecordBytes;
 pub use dispatch_message::DispatchReply;
 pub use dispatch_message::DispatchRequest;
 pub use dispatch_message::DispatchTicket;
