Test the token bucket and the idempotency table; join recovered records

Cause: two records of one key can be read back after a takeover, because an abandoned attempt's record may have been written before the running attempt's. Found by the property test: (1) the first record hid the second, and a late abandon of the first attempt released the key while the second ran; (2) the first record's expiry was kept, so the key could run again inside the window of the second. Ruled out: keeping only the newer record; record ages come from several sources. Joined records keep the later expiry, and no single attempt can release the key.

--- a/crates/limits/src/idempotency_state.rs
+++ b/crates/limits/src/idempotency_state.rs
@@ -34,8 +34,8 @@
     /// SHA-256 over method, route and body.
     #[serde_as(as = "Hex")]
     pub fingerprint: [u8; 32],
-    /// Attempt that may run the request.
-    pub attempt: RequestId,
+    /// Attempt that may run the request; `None` if records of several attempts were found.
+    pub attempt: Option<RequestId>,
     /// Time since the first use. A reader that does not know it uses zero.
     pub age: Duration,
     /// What is known.
--- a/crates/limits/src/idempotency_table.rs
+++ b/crates/limits/src/idempotency_table.rs
@@ -38,7 +38,9 @@
 #[derive(Clone, Debug)]
 struct TableEntry {
     fingerprint: [u8; 32],
-    attempt: RequestId,
+    /// `None` if records of several attempts were found: no message of one attempt may then
+    /// release the key.
+    attempt: Option<RequestId>,
     expires_at: MonotonicTime,
     phase: RecordPhase,
 }
@@ -99,7 +101,7 @@
         }
         let entry = TableEntry {
             fingerprint: *fingerprint,
-            attempt,
+            attempt: Some(attempt),
             expires_at: now + self.settings.window,
             phase: RecordPhase::Recording,
         };
@@ -117,7 +119,7 @@
         if entry.fingerprint != *fingerprint {
             return BeginDecision::Mismatch;
         }
-        let same = entry.attempt == attempt;
+        let same = entry.attempt == Some(attempt);
         let begun_before = self
             .settings
             .window
@@ -140,7 +142,7 @@
         let Some(entry) = self.entries.get_mut(key) else {
             return RecordedDecision::Withdrawn;
         };
-        if entry.attempt != attempt || entry.phase != RecordPhase::Recording {
+        if entry.attempt != Some(attempt) || entry.phase != RecordPhase::Recording {
             return RecordedDecision::Withdrawn;
         }
         if self.frozen {
@@ -171,7 +173,7 @@
         }
         let entry = self.entries.get(key)?;
         let open = matches!(entry.phase, RecordPhase::Running | RecordPhase::Unknown);
-        if entry.attempt != attempt || entry.fingerprint != *fingerprint || !open {
+        if entry.attempt != Some(attempt) || entry.fingerprint != *fingerprint || !open {
             return None;
         }
         let phase = match outcome {
@@ -193,7 +195,7 @@
             entry.phase,
             RecordPhase::Recording | RecordPhase::Running | RecordPhase::Unknown
         );
-        if self.frozen || entry.attempt != attempt || !open {
+        if self.frozen || entry.attempt != Some(attempt) || !open {
             return false;
         }
         self.remove(key);
@@ -296,24 +298,40 @@
             RecordPhase::Answered(answer) => self.keep_shared(answer),
             phase => phase,
         };
-        if let Some(entry) = self.entries.get_mut(&key) {
-            // Two sources hold the record, and the other one did not see the request finish.
-            if entry.attempt == attempt && entry.phase == RecordPhase::Unknown {
-                entry.phase = phase;
-            } else if let RecordPhase::Answered(answer) = phase {
-                self.answer_bytes -= answer.body.len();
-            }
-            return;
-        }
-        let entry = TableEntry {
+        let mut entry = TableEntry {
             fingerprint,
             attempt,
             expires_at: now + left,
             phase,
         };
+        if let Some(other) = self.entries.remove(&key) {
+            entry = self.join(other, entry);
+        }
         self.insert(key, entry);
     }
 
+    /// Joins two records of a key that different sources held. The later expiry holds, because the
+    /// later of two attempts may be the one that ran.
+    fn join(&mut self, known: TableEntry, found: TableEntry) -> TableEntry {
+        let expires_at = known.expires_at.max(found.expires_at);
+        if known.phase != RecordPhase::Unknown {
+            if let RecordPhase::Answered(answer) = found.phase {
+                self.answer_bytes -= answer.body.len();
+            }
+            return TableEntry {
+                expires_at,
+                ..known
+            };
+        }
+        let same = known.attempt == found.attempt;
+        TableEntry {
+            fingerprint: found.fingerprint,
+            attempt: found.attempt.filter(|_| same),
+            expires_at,
+            phase: found.phase,
+        }
+    }
+
     fn learn(
         &mut self,
         key: &IdempotencyKey,
@@ -326,7 +344,7 @@
         }
         let entry = TableEntry {
             fingerprint: *fingerprint,
-            attempt,
+            attempt: Some(attempt),
             expires_at: now + self.settings.window,
             phase: RecordPhase::Unknown,
         };
--- /dev/null
+++ b/crates/limits/tests/idempotency_table.rs
@@ -0,0 +1,434 @@
+//! Guards invariants I9 and I10 at the idempotency table: a key runs at most one request inside its
+//! window, across repeats, handovers, takeovers and late messages.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::Strategy;
+use proptest::prelude::prop;
+use proptest::prop_oneof;
+use proptest::proptest;
+use zinniahinge_limits::BeginDecision;
+use zinniahinge_limits::FinishOutcome;
+use zinniahinge_limits::IdempotencyKey;
+use zinniahinge_limits::IdempotencyRecord;
+use zinniahinge_limits::IdempotencySettings;
+use zinniahinge_limits::IdempotencyTable;
+use zinniahinge_limits::RecordPhase;
+use zinniahinge_limits::RecordedDecision;
+use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::RequestId;
+use zinniahinge_types::StoredAnswer;
+
+const WINDOW_MS: u64 = 1000;
+
+fn settings() -> IdempotencySettings {
+    IdempotencySettings {
+        window: Duration::from_millis(WINDOW_MS),
+        progress_limit: Duration::from_millis(300),
+        max_entries: 3,
+        max_answer_bytes: 8,
+        max_total_bytes: 12,
+    }
+}
+
+fn key(index: usize) -> IdempotencyKey {
+    IdempotencyKey::new(&"account".into(), &index.to_string().into())
+}
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+fn answer(size: usize) -> StoredAnswer {
+    StoredAnswer {
+        status: 200,
+        content_type: "text/plain".into(),
+        body: vec![7; size],
+    }
+}
+
+// --------------------------------------------------------------------------------------------
+
+#[derive(Clone, Debug)]
+enum Step {
+    Begin {
+        key: usize,
+        mismatch: bool,
+    },
+    BeginAgain {
+        attempt: usize,
+    },
+    Recorded {
+        attempt: usize,
+    },
+    Finish {
+        attempt: usize,
+        size: usize,
+    },
+    /// Delivered any time and repeatedly, but only for attempts that sent nothing.
+    Abandon {
+        attempt: usize,
+    },
+    Pass {
+        millis: u64,
+    },
+    Handover,
+    Takeover {
+        lost: Option<usize>,
+    },
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Progress {
+    Asked,
+    Sent { at: u64 },
+    Abandoned,
+}
+
+struct Attempt {
+    key: usize,
+    fingerprint: [u8; 32],
+    /// Owner that holds the attempt's unanswered `Record`.
+    owner: usize,
+    begun: u64,
+    progress: Progress,
+}
+
+struct Model {
+    /// All owners so far; the last one is in charge.
+    tables: Vec<IdempotencyTable>,
+    now: u64,
+    attempts: Vec<Attempt>,
+    durable: Vec<usize>,
+}
+
+impl Model {
+    fn id(attempt: usize) -> RequestId {
+        RequestId(attempt as u128)
+    }
+
+    fn send(&mut self, attempt: usize) {
+        let now = self.now;
+        if self.attempts[attempt].progress != Progress::Asked {
+            return;
+        }
+        let key = self.attempts[attempt].key;
+        for (index, other) in self.attempts.iter().enumerate() {
+            let Progress::Sent { at } = other.progress else {
+                continue;
+            };
+            let ran_twice = other.key == key && now < at.min(other.begun) + WINDOW_MS;
+            assert!(
+                !ran_twice,
+                "attempts {index} and {attempt} of key {key} both ran"
+            );
+        }
+        self.attempts[attempt].progress = Progress::Sent { at: now };
+    }
+
+    fn begin(&mut self, attempt: usize) {
+        let entry = &self.attempts[attempt];
+        let owner = self.tables.len() - 1;
+        let (id, now) = (Self::id(attempt), at(self.now));
+        let decision = self.tables[owner].begin(&key(entry.key), &entry.fingerprint, id, now);
+        match decision {
+            BeginDecision::Record => {
+                self.attempts[attempt].owner = owner;
+                self.attempts[attempt].begun = self.now;
+            }
+            BeginDecision::Run => self.send(attempt),
+            _ => {}
+        }
+    }
+
+    fn apply(&mut self, step: &Step) {
+        let count = self.attempts.len();
+        let current = self.tables.len() - 1;
+        match *step {
+            Step::Pass { millis } => self.now += millis,
+            Step::Begin { key, mismatch } => {
+                self.attempts.push(Attempt {
+                    key,
+                    fingerprint: [u8::from(mismatch); 32],
+                    owner: usize::MAX,
+                    begun: 0,
+                    progress: Progress::Asked,
+                });
+                self.begin(count);
+            }
+            Step::Handover => {
+                let state = self.tables[current].export(at(self.now));
+                let next = IdempotencyTable::import(settings(), state, at(self.now));
+                self.tables.push(next);
+            }
+            Step::Takeover { lost } => self.take_over(lost),
+            _ if count == 0 => {}
+            Step::BeginAgain { attempt } => {
+                if self.attempts[attempt % count].progress == Progress::Asked {
+                    self.begin(attempt % count);
+                }
+            }
+            Step::Recorded { attempt } => {
+                let attempt = attempt % count;
+                let Some(table) = self.tables.get_mut(self.attempts[attempt].owner) else {
+                    return;
+                };
+                self.durable.push(attempt);
+                let key = key(self.attempts[attempt].key);
+                if table.recorded(&key, Self::id(attempt)) == RecordedDecision::Run {
+                    self.send(attempt);
+                }
+            }
+            Step::Finish { attempt, size } => {
+                let entry = &self.attempts[attempt % count];
+                if matches!(entry.progress, Progress::Sent { .. }) {
+                    let outcome = FinishOutcome::Answer(answer(size));
+                    let (id, now) = (Self::id(attempt % count), at(self.now));
+                    let key = key(entry.key);
+                    self.tables[current].finish(&key, &entry.fingerprint, id, outcome, now);
+                }
+            }
+            Step::Abandon { attempt } => {
+                let attempt = attempt % count;
+                let entry = &mut self.attempts[attempt];
+                if !matches!(entry.progress, Progress::Sent { .. }) {
+                    entry.progress = Progress::Abandoned;
+                    self.tables[current].abandon(&key(entry.key), Self::id(attempt));
+                }
+            }
+        }
+    }
+
+    /// The former owner dies; handlers that waited for its durable writes die with it.
+    fn take_over(&mut self, lost: Option<usize>) {
+        let records = self
+            .durable
+            .iter()
+            .enumerate()
+            .filter_map(|(index, &attempt)| {
+                let entry = &self.attempts[attempt];
+                (lost.map(|lost| lost % self.durable.len()) != Some(index)).then(|| {
+                    IdempotencyRecord {
+                        key: key(entry.key),
+                        fingerprint: entry.fingerprint,
+                        attempt: Some(Self::id(attempt)),
+                        age: Duration::from_millis(self.now - entry.begun),
+                        phase: RecordPhase::Running,
+                    }
+                })
+            });
+        let mut next = IdempotencyTable::new(settings());
+        next.recover(records.collect(), lost.is_none(), at(self.now));
+        self.tables.push(next);
+        self.attempts
+            .iter_mut()
+            .for_each(|entry| entry.owner = usize::MAX);
+    }
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let attempt = || 0_usize..24;
+    prop_oneof![
+        8 => (0_usize..4, prop::bool::weighted(0.1))
+            .prop_map(|(key, mismatch)| Step::Begin { key, mismatch }),
+        3 => attempt().prop_map(|attempt| Step::BeginAgain { attempt }),
+        8 => attempt().prop_map(|attempt| Step::Recorded { attempt }),
+        4 => (attempt(), 0_usize..12).prop_map(|(attempt, size)| Step::Finish { attempt, size }),
+        4 => attempt().prop_map(|attempt| Step::Abandon { attempt }),
+        2 => (0_u64..700).prop_map(|millis| Step::Pass { millis }),
+        1 => proptest::strategy::Just(Step::Handover),
+        1 => prop::option::of(attempt()).prop_map(|lost| Step::Takeover { lost }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(10000))]
+
+    /// Guards against a second run of one key inside the window.
+    #[test]
+    fn a_key_runs_at_most_once_inside_its_window(
+        steps in prop::collection::vec(step(), 1..100),
+    ) {
+        let mut model = Model {
+            tables: vec![IdempotencyTable::new(settings())],
+            now: 0,
+            attempts: Vec::new(),
+            durable: Vec::new(),
+        };
+        for step in &steps {
+            model.apply(step);
+        }
+    }
+}
+
+// --------------------------------------------------------------------------------------------
+
+fn begin(table: &mut IdempotencyTable, index: usize, attempt: u128, now: u64) -> BeginDecision {
+    table.begin(&key(index), &[0; 32], RequestId(attempt), at(now))
+}
+
+/// A table in which attempt 1 of key 0 runs since 0 ms.
+fn running() -> IdempotencyTable {
+    let mut table = IdempotencyTable::new(settings());
+    begin(&mut table, 0, 1, 0);
+    table.recorded(&key(0), RequestId(1));
+    table
+}
+
+fn finish(table: &mut IdempotencyTable, size: usize) -> Option<RecordPhase> {
+    let outcome = FinishOutcome::Answer(answer(size));
+    table.finish(&key(0), &[0; 32], RequestId(1), outcome, at(10))
+}
+
+struct RepeatCase {
+    guards: &'static str,
+    prepare: fn(&mut IdempotencyTable),
+    at_ms: u64,
+    decision: BeginDecision,
+}
+
+#[gtest]
+fn repeats_of_a_key_are_answered_by_its_phase() {
+    let case = |guards, prepare, at_ms, decision| RepeatCase {
+        guards,
+        prepare,
+        at_ms,
+        decision,
+    };
+    let stored = BeginDecision::Stored(answer(8).into());
+    let finish_small: fn(&mut IdempotencyTable) = |table| drop(finish(table, 8));
+    let cases = [
+        case("a second run", |_| (), 299, BeginDecision::InProgress),
+        case(
+            "endless progress",
+            |_| (),
+            300,
+            BeginDecision::OutcomeUnknown,
+        ),
+        case("a lost answer", finish_small, 999, stored),
+        case(
+            "a key kept too long",
+            finish_small,
+            1000,
+            BeginDecision::Record,
+        ),
+        case(
+            "an answer above the size limit in memory",
+            |table| drop(finish(table, 9)),
+            20,
+            BeginDecision::RanAnswerNotKept,
+        ),
+        case(
+            "a key lost although nothing ran",
+            |table| assert!(table.abandon(&key(0), RequestId(1))),
+            20,
+            BeginDecision::Record,
+        ),
+        case(
+            "an abandon of another attempt releasing the key",
+            |table| assert!(!table.abandon(&key(0), RequestId(3))),
+            20,
+            BeginDecision::InProgress,
+        ),
+        case(
+            "decisions by a former owner",
+            |table| drop(table.export(at(20))),
+            20,
+            BeginDecision::Frozen,
+        ),
+    ];
+    for case in cases {
+        let mut table = running();
+        (case.prepare)(&mut table);
+        let decision = begin(&mut table, 0, 2, case.at_ms);
+        expect_that!(
+            decision,
+            eq(&case.decision),
+            "guards against: {}",
+            case.guards
+        );
+    }
+    let other = running().begin(&key(0), &[1; 32], RequestId(2), at(1));
+    expect_that!(other, eq(&BeginDecision::Mismatch));
+    expect_that!(
+        begin(&mut running(), 0, 1, 1),
+        eq(&BeginDecision::Run),
+        "a lost answer"
+    );
+}
+
+/// Guards against forgetting keys inside the window and against unbounded memory.
+#[gtest]
+fn a_full_table_refuses_new_keys_and_keeps_old_ones() {
+    let mut table = running();
+    finish(&mut table, 8);
+    begin(&mut table, 1, 2, 1);
+    begin(&mut table, 2, 3, 2);
+    expect_that!(begin(&mut table, 3, 4, 3), eq(&BeginDecision::Full));
+    expect_that!(begin(&mut table, 0, 5, 3), pat!(BeginDecision::Stored(_)));
+    table.recorded(&key(1), RequestId(2));
+    let outcome = FinishOutcome::Answer(answer(8));
+    let phase = table.finish(&key(1), &[0; 32], RequestId(2), outcome, at(4));
+    expect_that!(
+        phase,
+        some(eq(&RecordPhase::AnswerNotKept)),
+        "bodies beyond the total"
+    );
+    expect_that!(table.answer_bytes(), eq(8));
+    expect_that!(begin(&mut table, 3, 6, 1000), eq(&BeginDecision::Record));
+    expect_that!(table.answer_bytes(), eq(0));
+}
+
+/// Guards against releasing a key by a late abandon of a first attempt, when a second attempt runs
+/// and the records of both were read back.
+#[gtest]
+fn two_recovered_attempts_of_a_key_are_answered_unknown() {
+    let record = |attempt: u64, phase| IdempotencyRecord {
+        key: key(0),
+        fingerprint: [0; 32],
+        attempt: Some(RequestId(u128::from(attempt))),
+        age: Duration::from_millis(900 / attempt),
+        phase,
+    };
+    let mut table = IdempotencyTable::new(settings());
+    let records = vec![
+        record(1, RecordPhase::Running),
+        record(2, RecordPhase::Running),
+    ];
+    table.recover(records, true, at(0));
+    expect_that!(table.abandon(&key(0), RequestId(1)), eq(false));
+    expect_that!(
+        begin(&mut table, 0, 3, 1),
+        eq(&BeginDecision::OutcomeUnknown)
+    );
+    let answered = RecordPhase::Answered(answer(4).into());
+    table.recover(vec![record(2, answered.clone())], true, at(1));
+    expect_that!(begin(&mut table, 0, 3, 1), pat!(BeginDecision::Stored(_)));
+    table.recover(vec![record(2, answered)], true, at(1));
+    expect_that!(table.answer_bytes(), eq(4));
+}
+
+/// Guards against a second run after a takeover that could not read all records.
+#[gtest]
+fn keys_in_doubt_are_answered_unknown_for_a_whole_window() {
+    let mut table = IdempotencyTable::new(settings());
+    table.recover(Vec::new(), false, at(0));
+    expect_that!(
+        begin(&mut table, 0, 2, 999),
+        eq(&BeginDecision::OutcomeUnknown)
+    );
+    finish(&mut table, 4);
+    expect_that!(begin(&mut table, 0, 2, 999), pat!(BeginDecision::Stored(_)));
+    let state = table.export(at(400));
+    let mut moved = IdempotencyTable::import(settings(), state, at(0));
+    expect_that!(
+        begin(&mut moved, 1, 2, 599),
+        eq(&BeginDecision::OutcomeUnknown)
+    );
+    expect_that!(begin(&mut moved, 1, 2, 600), eq(&BeginDecision::Record));
+    table.unfreeze();
+    table.recover(Vec::new(), true, at(500));
+    expect_that!(begin(&mut table, 1, 2, 500), eq(&BeginDecision::Record));
+}
--- /dev/null
+++ b/crates/limits/tests/token_bucket.rs
@@ -0,0 +1,286 @@
+//! Guards single rules of the token bucket, its queue and the retry budget.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use zinniahinge_limits::BaselineStaticSplit;
+use zinniahinge_limits::BucketLimits;
+use zinniahinge_limits::BucketQueue;
+use zinniahinge_limits::ChargeDecision;
+use zinniahinge_limits::RetryBudget;
+use zinniahinge_limits::SubmitDecision;
+use zinniahinge_limits::TokenBucket;
+use zinniahinge_types::GrantId;
+use zinniahinge_types::MonotonicTime;
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+fn granted(remaining: u64) -> ChargeDecision {
+    ChargeDecision::Granted { remaining }
+}
+
+fn full(rate: u64, burst: u64) -> TokenBucket {
+    TokenBucket::new(BucketLimits::new(rate, burst), at(0))
+}
+
+struct ChargeCase {
+    guards: &'static str,
+    grant: u128,
+    tokens: u64,
+    at_ms: u64,
+    decision: ChargeDecision,
+}
+
+#[gtest]
+fn charges_are_answered_in_sequence() {
+    let wait = |ready_ms, remaining| ChargeDecision::Wait {
+        ready_in: Duration::from_millis(ready_ms),
+        remaining,
+    };
+    let case = |guards, grant, tokens, at_ms, decision| ChargeCase {
+        guards,
+        grant,
+        tokens,
+        at_ms,
+        decision,
+    };
+    let cases = [
+        case(
+            "a charge above the burst waits forever",
+            1,
+            101,
+            0,
+            ChargeDecision::TooLarge,
+        ),
+        case("a full bucket refuses", 2, 100, 0, granted(0)),
+        case(
+            "a repeat is counted or answered anew",
+            2,
+            100,
+            5000,
+            granted(0),
+        ),
+        case(
+            "a repeat for more than was granted",
+            2,
+            101,
+            5000,
+            ChargeDecision::IdReused,
+        ),
+        case("the stated wait is too short", 3, 100, 5000, wait(5000, 50)),
+        case(
+            "a waiting id is remembered as granted",
+            3,
+            100,
+            10_000,
+            granted(0),
+        ),
+        case("a clock that goes back earns tokens", 4, 1, 0, wait(100, 0)),
+        case(
+            "time that passed twice is credited twice",
+            4,
+            1,
+            10_000,
+            wait(100, 0),
+        ),
+    ];
+    let mut bucket = full(10, 100);
+    for case in cases {
+        let decision = bucket.charge(GrantId(case.grant), case.tokens, at(case.at_ms));
+        expect_that!(
+            decision,
+            eq(case.decision),
+            "guards against: {}",
+            case.guards
+        );
+    }
+}
+
+/// Guards against new limits that add or lose tokens, and against a full bucket that saves up
+/// fractions.
+#[gtest]
+fn limits_and_fractions_neither_add_nor_lose_tokens() {
+    let mut bucket = full(1, 100);
+    bucket.charge(GrantId(1), 30, at(0));
+    bucket.set_limits(BucketLimits::new(1, 80), at(0));
+    expect_that!(bucket.remaining(at(0)), eq(70));
+    bucket.set_limits(BucketLimits::new(1, 50), at(0));
+    expect_that!(bucket.remaining(at(0)), eq(50));
+    bucket.set_limits(BucketLimits::new(1, 100), at(0));
+    expect_that!(bucket.remaining(at(0)), eq(50));
+    let mut bucket = full(1, 1);
+    let now = at(0) + Duration::from_nanos(1500);
+    bucket.charge(GrantId(1), 1, now);
+    expect_that!(
+        bucket.time_to_cover(1, now),
+        some(eq(Duration::from_secs(1)))
+    );
+}
+
+/// Guards against a delayed or repeated message running a request whose tokens went back.
+#[gtest]
+fn settled_ids_are_not_granted_again() {
+    let mut bucket = full(0, 100);
+    bucket.charge(GrantId(1), 60, at(0));
+    expect_that!(bucket.refund(GrantId(1), 80, at(1)), eq(60));
+    expect_that!(bucket.refund(GrantId(1), 60, at(1)), eq(0));
+    expect_that!(bucket.remaining(at(1)), eq(100));
+    expect_that!(
+        bucket.charge(GrantId(1), 60, at(2)),
+        eq(ChargeDecision::IdReused)
+    );
+    expect_that!(bucket.refund(GrantId(2), 10, at(2)), eq(0));
+    expect_that!(
+        bucket.charge(GrantId(2), 10, at(3)),
+        eq(ChargeDecision::IdReused)
+    );
+    let state = bucket.export(at(3));
+    let mut moved = TokenBucket::import(state, at(0));
+    expect_that!(
+        moved.charge(GrantId(1), 60, at(1)),
+        eq(ChargeDecision::IdReused)
+    );
+}
+
+/// Guards against memory that grows with traffic, and against forgetting an id too early.
+#[gtest]
+fn grant_memory_is_bounded_in_time_and_number() {
+    let ttl = Duration::from_secs(1);
+    let mut bucket = full(1000, 1_000_000).with_grant_memory(ttl, 50);
+    for index in 0..100_u64 {
+        bucket.charge(GrantId(u128::from(index)), 1000, at(index));
+    }
+    expect_that!(bucket.grant_count(), eq(50));
+    expect_that!(bucket.repeated(GrantId(50), 1), some(anything()));
+    for index in 100..5000_u64 {
+        let id = GrantId(u128::from(index));
+        bucket.charge(id, 3, at(100 + index));
+        bucket.refund(id, 1, at(100 + index));
+    }
+    expect_that!(bucket.debt_count(), lt(200));
+    expect_that!(bucket.remaining(at(9000)), gt(0));
+    expect_that!(bucket.grant_count(), eq(0));
+}
+
+/// Guards against drift: many small steps of time must not earn more than one large step.
+#[gtest]
+fn small_steps_earn_no_more_than_one_large_step() {
+    let limits = BucketLimits::new(7, 1_000);
+    let mut bucket = TokenBucket::empty(limits, at(0));
+    let mut now = at(0);
+    for _ in 0..1_000_000 {
+        now = now + Duration::from_nanos(333);
+        bucket.remaining(now);
+    }
+    // 0.333 s at 7 tokens/s are 2.331 tokens; the next whole token is due after 95.571 ms.
+    let missing = bucket.time_to_cover(3, now);
+    expect_that!(missing, some(eq(Duration::from_nanos(95_571_429))));
+}
+
+// --------------------------------------------------------------------------------------------
+
+/// Guards against starvation of a large charge by later small ones.
+#[gtest]
+fn waiting_charges_are_served_in_order() {
+    let mut queue = BucketQueue::new(full(10, 100), 3);
+    let long = Duration::from_secs(60);
+    let submit = |queue: &mut BucketQueue, grant, tokens, now| {
+        queue.submit(GrantId(grant), tokens, long, at(now))
+    };
+    expect_that!(
+        submit(&mut queue, 1, 50, 0),
+        eq(SubmitDecision::Decided(granted(50)))
+    );
+    expect_that!(submit(&mut queue, 2, 90, 0), eq(SubmitDecision::Queued));
+    expect_that!(submit(&mut queue, 3, 10, 0), eq(SubmitDecision::Queued));
+    expect_that!(submit(&mut queue, 2, 90, 0), eq(SubmitDecision::Queued));
+    expect_that!(queue.len(), eq(2));
+    expect_that!(queue.next_wake(at(0)), some(eq(Duration::from_secs(4))));
+    expect_that!(queue.poll(at(3999)), is_empty());
+    let served: Vec<_> = queue
+        .poll(at(5000))
+        .iter()
+        .map(|out| out.grant_id)
+        .collect();
+    expect_that!(served, eq(&vec![GrantId(2), GrantId(3)]));
+    for grant in 4..7 {
+        expect_that!(
+            submit(&mut queue, grant, 90, 5000),
+            eq(SubmitDecision::Queued)
+        );
+    }
+    let refused = submit(&mut queue, 7, 90, 5000);
+    expect_that!(
+        refused,
+        pat!(SubmitDecision::Decided(pat!(ChargeDecision::Wait { .. })))
+    );
+}
+
+/// Guards against waits beyond the maximum, and against a head that blocks others after it left.
+#[gtest]
+fn a_waiting_charge_is_refused_at_its_deadline() {
+    let mut queue = BucketQueue::new(full(10, 100), 10);
+    let seconds = Duration::from_secs;
+    queue.submit(GrantId(1), 100, seconds(1), at(0));
+    let hopeless = queue.submit(GrantId(9), 100, seconds(1), at(0));
+    expect_that!(
+        hopeless,
+        eq(SubmitDecision::Queued),
+        "grant 1 may be refunded"
+    );
+    queue.submit(GrantId(2), 20, seconds(8), at(0));
+    expect_that!(queue.next_wake(at(0)), some(eq(seconds(1))));
+    expect_that!(queue.poll(at(999)), is_empty());
+    let outcomes = queue.poll(at(2000));
+    let decisions: Vec<_> = outcomes
+        .iter()
+        .map(|out| (out.grant_id.0, out.decision))
+        .collect();
+    let refused = ChargeDecision::Wait {
+        ready_in: seconds(8),
+        remaining: 20,
+    };
+    expect_that!(decisions, eq(&vec![(9, refused), (2, granted(0))]));
+    queue.submit(GrantId(3), 50, seconds(50), at(2000));
+    expect_that!(queue.refund(GrantId(3), 50, at(2000)), eq(0));
+    expect_that!(
+        queue.is_empty(),
+        eq(true),
+        "an abandoned charge keeps waiting"
+    );
+    let mut queue = BucketQueue::new(TokenBucket::empty(BucketLimits::new(1, 9), at(0)), 10);
+    let refused = queue.submit(GrantId(1), 5, seconds(4), at(0));
+    expect_that!(
+        refused,
+        not(eq(SubmitDecision::Queued)),
+        "a hopeless charge waits"
+    );
+}
+
+/// Guards against retries beyond the ratio after the starting balance is used.
+#[gtest]
+fn retries_stay_within_the_ratio() {
+    let budget = RetryBudget::new(20, 3);
+    let retries = |count: u32| (0..count).filter(|_| budget.try_retry()).count();
+    expect_that!(retries(10), eq(3));
+    (0..10).for_each(|_| budget.record_request());
+    expect_that!(retries(10), eq(2));
+    (0..100).for_each(|_| budget.record_request());
+    expect_that!(budget.balance(), eq(3));
+}
+
+/// Guards the baseline against measuring more than its share of the rate.
+#[gtest]
+fn the_static_split_gives_each_host_its_part() {
+    let mut split = BaselineStaticSplit::new(BucketLimits::new(100, 100), 4, at(0));
+    expect_that!(
+        split.charge(0, GrantId(1), 26, at(0)),
+        eq(ChargeDecision::TooLarge)
+    );
+    expect_that!(split.charge(0, GrantId(2), 25, at(0)), eq(granted(0)));
+    expect_that!(split.charge(1, GrantId(3), 25, at(0)), eq(granted(0)));
+    split.refund(0, GrantId(2), 25, at(0));
+    expect_that!(split.charge(0, GrantId(4), 25, at(0)), eq(granted(0)));
+}
