--- /dev/null
+++ b/crates/telemetry/src/setting_faults.rs
@@ -0,0 +1,114 @@
+use std::fmt;
+use std::fmt::Display;
+use std::str::FromStr;
+
+use miette::Diagnostic;
+use thiserror::Error;
+
+/// One setting that cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingFault {
+    /// Flag, for example `--listen`.
+    pub setting: String,
+    /// What is wrong with it.
+    pub problem: String,
+}
+
+/// All settings that cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq, Error, Diagnostic)]
+#[diagnostic(
+    code(zinniahinge::settings),
+    help("each flag can also be set by a ZINNIAHINGE_* environment variable, see --help")
+)]
+pub struct SettingReport {
+    /// Faults in the order of the checks.
+    pub faults: Vec<SettingFault>,
+}
+
+impl Display for SettingReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} bad settings:", self.faults.len())?;
+        for SettingFault { setting, problem } in &self.faults {
+            write!(f, "\n  {setting}: {problem}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Collects faults while settings are checked, so that all are reported at once.
+#[derive(Clone, Debug, Default)]
+pub struct SettingFaults {
+    faults: Vec<SettingFault>,
+}
+
+impl SettingFaults {
+    /// Adds a fault.
+    pub fn add(&mut self, setting: &str, problem: impl Into<String>) {
+        self.faults.push(SettingFault {
+            setting: setting.to_owned(),
+            problem: problem.into(),
+        });
+    }
+
+    /// The value of a setting that must be given and not empty.
+    pub fn required(&mut self, setting: &str, value: Option<String>) -> Option<String> {
+        match value {
+            Some(value) if !value.is_empty() => Some(value),
+            Some(_) => {
+                self.add(setting, "is empty");
+                None
+            }
+            None => {
+                self.add(setting, "is missing");
+                None
+            }
+        }
+    }
+
+    /// The parsed value of a setting that must be given.
+    pub fn parsed<T>(&mut self, setting: &str, value: Option<String>) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let value = self.required(setting, value)?;
+        match value.parse() {
+            Ok(parsed) => Some(parsed),
+            Err(error) => {
+                self.add(setting, format!("`{value}`: {error}"));
+                None
+            }
+        }
+    }
+
+    /// The parsed value of a setting, or `default` if it is not given.
+    pub fn parsed_or<T>(&mut self, setting: &str, value: Option<String>, default: T) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        match value {
+            None => Some(default),
+            value => self.parsed(setting, value),
+        }
+    }
+
+    /// Ends the checks: `settings` if there was no fault. `settings` may be `None` only if a fault
+    /// was added.
+    pub fn finish<T>(self, settings: Option<T>) -> Result<T, SettingReport> {
+        let Self { mut faults } = self;
+        match settings {
+            Some(settings) if faults.is_empty() => Ok(settings),
+            Some(_) => Err(SettingReport { faults }),
+            None => {
+                if faults.is_empty() {
+                    faults.push(SettingFault {
+                        setting: "settings".to_owned(),
+                        problem: "are incomplete".to_owned(),
+                    });
+                }
+                Err(SettingReport { faults })
+            }
+        }
+    }
+}
