--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -1,6 +1,8 @@
 //! Scheduling decisions as pure code: the clock and the seed of randomness are passed in.
 
 mod cache_level;
+mod chooser_settings;
+mod chosen_server;
 mod class_queue;
 mod cold_refusals;
 mod demand_record;
@@ -37,12 +39,17 @@
 mod replica_choice;
 mod replica_record;
 mod run_estimate;
+mod server_chooser;
 mod server_observation;
 mod server_record;
+mod server_slot;
 mod ticket_book;
 mod ticket_record;
 
 pub use cache_level::CacheLevel;
+pub use chooser_settings::ChooserRule;
+pub use chooser_settings::ChooserSettings;
+pub use chosen_server::ChosenServer;
 pub use dispatch_decision::DispatchDecision;
 pub use dispatcher_identity::DispatcherIdentity;
 pub use dispatcher_settings::DispatcherSettings;
@@ -71,5 +78,6 @@
 pub use pool_state::PoolState;
 pub use queue_order::QueueOrder;
 pub use replica_choice::ReplicaChoice;
+pub use server_chooser::ServerChooser;
 pub use server_observation::LoadedModel;
 pub use server_observation::ServerObservation;
