--- a/crates/control/src/account_table.rs
+++ b/crates/control/src/account_table.rs
@@ -64,7 +64,10 @@
 impl AccountTable {
     /// No buckets yet.
     pub fn new(starts_empty: bool) -> Self {
-        Self { accounts: BTreeMap::new(), starts_empty }
+        Self {
+            accounts: BTreeMap::new(),
+            starts_empty,
+        }
     }
 
     /// Takes a charge in under the limits in force.
@@ -74,7 +77,10 @@
         request: &ChargeRequest,
         now: MonotonicTime,
     ) -> ChargeTicket {
-        let key = AccountKey { service: request.service.clone(), account: request.account.clone() };
+        let key = AccountKey {
+            service: request.service.clone(),
+            account: request.account.clone(),
+        };
         let starts_empty = self.starts_empty;
         let cell = self.accounts.entry(key).or_insert_with(|| {
             let bucket = if starts_empty {
@@ -90,8 +96,16 @@
 
     /// Settles a charge. Returns false if the account has no bucket here.
     pub fn refund(&mut self, request: &RefundRequest, now: MonotonicTime) -> bool {
-        let RefundRequest { service, account, grant_id, unused } = request;
-        let key = AccountKey { service: service.clone(), account: account.clone() };
+        let RefundRequest {
+            service,
+            account,
+            grant_id,
+            unused,
+        } = request;
+        let key = AccountKey {
+            service: service.clone(),
+            account: account.clone(),
+        };
         let Some(cell) = self.accounts.get_mut(&key) else {
             return false;
         };
@@ -116,7 +130,11 @@
     /// Answers charges whose time has come. Returns true if any still waits.
     pub fn poll(&mut self, now: MonotonicTime) -> bool {
         let mut waits = false;
-        for cell in self.accounts.values_mut().filter(|cell| !cell.queue.is_empty()) {
+        for cell in self
+            .accounts
+            .values_mut()
+            .filter(|cell| !cell.queue.is_empty())
+        {
             cell.poll(now);
             waits |= !cell.queue.is_empty();
         }
@@ -129,7 +147,10 @@
         accounts
             .map(|(key, cell)| {
                 let (mut bucket, _waiting) = cell.queue.into_parts();
-                AccountState { key, bucket: bucket.export(now) }
+                AccountState {
+                    key,
+                    bucket: bucket.export(now),
+                }
             })
             .collect()
     }
@@ -139,7 +160,10 @@
         let accounts = states.into_iter().map(|AccountState { key, bucket }| {
             (key, AccountCell::new(TokenBucket::import(bucket, now)))
         });
-        Self { accounts: accounts.collect(), starts_empty }
+        Self {
+            accounts: accounts.collect(),
+            starts_empty,
+        }
     }
 
     /// True if buckets that are not in the state start empty.
@@ -150,7 +174,10 @@
 
 impl AccountCell {
     fn new(bucket: TokenBucket) -> Self {
-        Self { queue: BucketQueue::new(bucket, MAX_WAITING), waiters: HashMap::new() }
+        Self {
+            queue: BucketQueue::new(bucket, MAX_WAITING),
+            waiters: HashMap::new(),
+        }
     }
 
     fn set_limits(&mut self, limits: BucketLimits, now: MonotonicTime) {
@@ -160,7 +187,12 @@
     }
 
     fn submit(&mut self, request: &ChargeRequest, now: MonotonicTime) -> ChargeTicket {
-        let ChargeRequest { grant_id, tokens, max_wait, .. } = request;
+        let ChargeRequest {
+            grant_id,
+            tokens,
+            max_wait,
+            ..
+        } = request;
         match self.queue.submit(*grant_id, *tokens, *max_wait, now) {
             SubmitDecision::Decided(decision) => ChargeTicket::Decided(self.reply(decision)),
             SubmitDecision::Queued => {
@@ -188,12 +220,19 @@
         let burst = self.queue.bucket().limits().burst();
         match decision {
             ChargeDecision::Granted { remaining } => ChargeReply::Granted { remaining, burst },
-            ChargeDecision::Wait { ready_in, remaining } => {
-                ChargeReply::Refused { retry_after: ready_in, remaining, burst }
-            }
-            ChargeDecision::TooLarge | ChargeDecision::IdReused => {
-                ChargeReply::Refused { retry_after: Duration::from_secs(1), remaining: 0, burst }
-            }
+            ChargeDecision::Wait {
+                ready_in,
+                remaining,
+            } => ChargeReply::Refused {
+                retry_after: ready_in,
+                remaining,
+                burst,
+            },
+            ChargeDecision::TooLarge | ChargeDecision::IdReused => ChargeReply::Refused {
+                retry_after: Duration::from_secs(1),
+                remaining: 0,
+                burst,
+            },
         }
     }
 }
--- a/crates/control/src/authority_gate.rs
+++ b/crates/control/src/authority_gate.rs
@@ -20,7 +20,10 @@
 impl OwnedShards {
     /// Shards for which `may_act` returns true.
     pub fn new(revision: Revision, may_act: impl Fn(ShardId) -> bool) -> Self {
-        Self { revision, owned: (0..SHARD_COUNT).map(may_act).collect() }
+        Self {
+            revision,
+            owned: (0..SHARD_COUNT).map(may_act).collect(),
+        }
     }
 
     fn contains(&self, shard: ShardId) -> bool {
--- a/crates/control/src/boot_clock.rs
+++ b/crates/control/src/boot_clock.rs
@@ -15,7 +15,9 @@
 
 impl Default for BootClock {
     fn default() -> Self {
-        Self { origin: since_boot() }
+        Self {
+            origin: since_boot(),
+        }
     }
 }
 
--- a/crates/control/src/config_follower.rs
+++ b/crates/control/src/config_follower.rs
@@ -59,7 +59,9 @@
     pub async fn run(self, token: CancellationToken) {
         let mut was_reachable = true;
         while !token.is_cancelled() {
-            let Some(listing) = token.run_until_cancelled(self.list()).await else { break };
+            let Some(listing) = token.run_until_cancelled(self.list()).await else {
+                break;
+            };
             let is_reachable = listing.is_some();
             if is_reachable != was_reachable {
                 self.note_contact(is_reachable);
@@ -68,7 +70,9 @@
             if let Some(revision) = listing {
                 self.watch(revision + 1, &token).await;
             }
-            token.run_until_cancelled(tokio::time::sleep(RETRY_PAUSE)).await;
+            token
+                .run_until_cancelled(tokio::time::sleep(RETRY_PAUSE))
+                .await;
         }
     }
 
@@ -105,9 +109,12 @@
             if !has_assignment {
                 core.planner.assignment_observed(0, Assignment::default());
             }
-            let own = hosts.iter().find(|(host, _)| *host == self.member.identity.host);
+            let own = hosts
+                .iter()
+                .find(|(host, _)| *host == self.member.identity.host);
             if let Some((_, entry)) = own {
-                core.authority.record_observed(entry.revision, Some(entry.record.clone()), now);
+                core.authority
+                    .record_observed(entry.revision, Some(entry.record.clone()), now);
             }
             core.members.load(revision, hosts)
         });
@@ -131,7 +138,11 @@
     }
 
     fn apply(&self, event: WatchEvent) {
-        let WatchEvent { key, change, mod_revision } = event;
+        let WatchEvent {
+            key,
+            change,
+            mod_revision,
+        } = event;
         let value = match change {
             WatchChange::Put { value, .. } => Some(value),
             WatchChange::Deleted => None,
@@ -160,7 +171,8 @@
         };
         let observed = self.member.update(|core, now| {
             if host == self.member.identity.host {
-                core.authority.record_observed(revision, record.clone(), now);
+                core.authority
+                    .record_observed(revision, record.clone(), now);
             }
             core.members.observe(host, revision, record)
         });
@@ -184,22 +196,38 @@
             warn!(self.logger, "document record not understood"; "service" => &*service);
             return;
         };
-        let source = InForceDocument { service: service.clone(), revision, text };
+        let source = InForceDocument {
+            service: service.clone(),
+            revision,
+            text,
+        };
         if self.in_force.offer_document(source) {
             info!(self.logger, "document in force"; "service" => &*service, "revision" => revision);
             let detail = format!("revision {revision}");
-            self.events.record(EventKind::DocumentInForce, None, service, detail);
+            self.events
+                .record(EventKind::DocumentInForce, None, service, detail);
         }
     }
 
     fn note_contact(&self, is_reachable: bool) {
-        let detail = if is_reachable { "reachable" } else { "unreachable" };
+        let detail = if is_reachable {
+            "reachable"
+        } else {
+            "unreachable"
+        };
         warn!(self.logger, "key-value service"; "contact" => detail);
-        self.events.record(EventKind::ServiceContact, None, "key-value service", detail);
+        self.events
+            .record(EventKind::ServiceContact, None, "key-value service", detail);
     }
 }
 
 fn parse_host(host: HostId, entry: &KvEntry) -> Option<(HostId, MemberEntry)> {
     let record = serde_json::from_slice(&entry.value).ok()?;
-    Some((host, MemberEntry { revision: entry.mod_revision, record }))
+    Some((
+        host,
+        MemberEntry {
+            revision: entry.mod_revision,
+            record,
+        },
+    ))
 }
--- a/crates/control/src/copy_store.rs
+++ b/crates/control/src/copy_store.rs
@@ -50,12 +50,21 @@
 impl CopyStore {
     /// Keeps a record. Returns false if it is not understood or does not fit.
     pub fn keep(&self, request: CopyRequest) -> bool {
-        let CopyRequest { host, incarnation: _, shard, record } = request;
+        let CopyRequest {
+            host,
+            incarnation: _,
+            shard,
+            record,
+        } = request;
         let Ok(parsed) = rmp_serde::from_slice::<IdempotencyRecord>(&record) else {
             return false;
         };
         let mut book = self.book.lock().unwrap_or_else(PoisonError::into_inner);
-        let key = CopyKey { host, shard, key: parsed.key };
+        let key = CopyKey {
+            host,
+            shard,
+            key: parsed.key,
+        };
         let held = book.records.get(&key).map_or(0, Vec::len);
         let bytes = book.bytes - held + record.len();
         if bytes > MAX_BYTES {
@@ -70,12 +79,22 @@
     pub fn watch(&self, own: &str, members: &MemberTable) {
         let mut book = self.book.lock().unwrap_or_else(PoisonError::into_inner);
         for (host, entry) in members.iter() {
-            let HostRecord { incarnation, guardian, state, .. } = &entry.record;
+            let HostRecord {
+                incarnation,
+                guardian,
+                state,
+                ..
+            } = &entry.record;
             let is_mine = guardian.as_deref() == Some(own) && *state != HostState::Dead;
-            let is_known =
-                book.watched.get(host).is_some_and(|run| run.incarnation == *incarnation);
+            let is_known = book
+                .watched
+                .get(host)
+                .is_some_and(|run| run.incarnation == *incarnation);
             if is_mine && !is_known {
-                let run = WatchedRun { incarnation: *incarnation, first_seen: entry.revision };
+                let run = WatchedRun {
+                    incarnation: *incarnation,
+                    first_seen: entry.revision,
+                };
                 book.watched.insert(host.clone(), run);
             }
         }
@@ -86,7 +105,9 @@
     pub fn is_complete(&self, host: &str, joined_at: Option<Revision>) -> bool {
         let book = self.book.lock().unwrap_or_else(PoisonError::into_inner);
         let watched = book.watched.get(host);
-        watched.zip(joined_at).is_some_and(|(run, joined_at)| run.first_seen > joined_at)
+        watched
+            .zip(joined_at)
+            .is_some_and(|(run, joined_at)| run.first_seen > joined_at)
     }
 
     /// Records kept for `shard` of `host`.
@@ -94,6 +115,8 @@
         let book = self.book.lock().unwrap_or_else(PoisonError::into_inner);
         let records = book.records.iter();
         let records = records.filter(|(key, _)| &*key.host == host && key.shard == shard);
-        records.map(|(_, record)| RecordBytes(record.clone())).collect()
+        records
+            .map(|(_, record)| RecordBytes(record.clone()))
+            .collect()
     }
 }
--- a/crates/control/src/dispatch_table.rs
+++ b/crates/control/src/dispatch_table.rs
@@ -83,7 +83,10 @@
 impl DispatchTable {
     /// No dispatchers yet.
     pub fn new(incarnation: Incarnation) -> Self {
-        Self { models: BTreeMap::new(), incarnation }
+        Self {
+            models: BTreeMap::new(),
+            incarnation,
+        }
     }
 
     /// Prepares a dispatcher for each model, so that replicas loaded under a former owner are found and, if
@@ -95,21 +98,24 @@
     }
 
     /// Takes a request in.
-    pub fn submit(
-        &mut self,
-        request: DispatchRequest,
-        now: MonotonicTime,
-    ) -> DispatchAnswer {
-        let key = ModelKey { service: request.service.clone(), model: request.model.clone() };
+    pub fn submit(&mut self, request: DispatchRequest, now: MonotonicTime) -> DispatchAnswer {
+        let key = ModelKey {
+            service: request.service.clone(),
+            model: request.model.clone(),
+        };
         let cell = self.cell(key);
         let request_id = request.request_id;
         match cell.dispatcher.enqueue(request, now) {
             EnqueueOutcome::Granted(ticket) => {
                 DispatchAnswer::Decided(DispatchReply::Granted(ticket))
             }
-            EnqueueOutcome::Refused { reason, retry_after } => {
-                DispatchAnswer::Decided(DispatchReply::Refused { reason, retry_after })
-            }
+            EnqueueOutcome::Refused {
+                reason,
+                retry_after,
+            } => DispatchAnswer::Decided(DispatchReply::Refused {
+                reason,
+                retry_after,
+            }),
             EnqueueOutcome::Queued | EnqueueOutcome::AlreadyQueued => {
                 let (sender, receiver) = oneshot::channel();
                 cell.waiters.insert(request_id, sender);
@@ -124,7 +130,10 @@
 
     /// Takes a ticket back. Returns false if it is not out.
     pub fn release(&mut self, release: &ReleaseRequest, now: MonotonicTime) -> bool {
-        let key = ModelKey { service: release.service.clone(), model: release.model.clone() };
+        let key = ModelKey {
+            service: release.service.clone(),
+            model: release.model.clone(),
+        };
         let Some(cell) = self.models.get_mut(&key) else {
             return false;
         };
@@ -162,7 +171,10 @@
 
     /// Demand reports that are due, at most one in flight per model.
     pub fn due_reports(&mut self, now: MonotonicTime) -> Vec<DemandRequest> {
-        let due = self.models.values_mut().filter(|cell| cell.is_report_due(now));
+        let due = self
+            .models
+            .values_mut()
+            .filter(|cell| cell.is_report_due(now));
         due.map(|cell| cell.start_report(now)).collect()
     }
 
@@ -174,7 +186,9 @@
         in_force: &InForceState,
         now: MonotonicTime,
     ) {
-        let Some(cell) = self.models.get_mut(key) else { return };
+        let Some(cell) = self.models.get_mut(key) else {
+            return;
+        };
         cell.report_in_flight = false;
         if let Some(DemandReply::Replicas { version, replicas }) = reply
             && version > cell.pool_version
@@ -211,7 +225,13 @@
     /// Resumes from the state of the previous owner. The requests in it wait until their hosts ask again.
     pub fn import(states: Vec<ModelState>, incarnation: Incarnation, now: MonotonicTime) -> Self {
         let mut table = Self::new(incarnation);
-        for ModelState { key, pool_version, listed, dispatcher } in states {
+        for ModelState {
+            key,
+            pool_version,
+            listed,
+            dispatcher,
+        } in states
+        {
             let applied = dispatcher.replicas.clone();
             let identity = table.identity(&key);
             let dispatcher = ModelDispatcher::from_state(
@@ -271,17 +291,27 @@
 
     fn start_report(&mut self, now: MonotonicTime) -> DemandRequest {
         let is_cold = self.dispatcher.waits_for_load();
-        self.next_report = now + if is_cold { COLD_INTERVAL } else { WARM_INTERVAL };
+        self.next_report = now
+            + if is_cold {
+                COLD_INTERVAL
+            } else {
+                WARM_INTERVAL
+            };
         self.report_in_flight = true;
-        DemandRequest { applied_version: self.pool_version, ..self.dispatcher.demand(now) }
+        DemandRequest {
+            applied_version: self.pool_version,
+            ..self.dispatcher.demand(now)
+        }
     }
 
     /// Leaves out backend servers that the host list does not show as live. The host list is asked twice a second,
     /// so this holds also while the pool's owner is away.
     fn apply_list(&mut self, in_force: &InForceState) {
         let listed = self.listed.iter();
-        let usable: Vec<ReplicaEntry> =
-            listed.filter(|replica| in_force.is_live(&replica.server)).cloned().collect();
+        let usable: Vec<ReplicaEntry> = listed
+            .filter(|replica| in_force.is_live(&replica.server))
+            .cloned()
+            .collect();
         if usable != self.applied {
             let version = self.dispatcher.replica_version() + 1;
             self.dispatcher.apply_replicas(version, usable.clone());
@@ -302,8 +332,9 @@
         self.dispatcher.set_weights(weights.collect());
         let adapters = document.document().adapters.iter();
         let adapters = adapters.filter(|adapter| adapter.base == key.model);
-        let names: Vec<Name> =
-            adapters.map(|adapter| adapter_id(&adapter.base, &adapter.name)).collect();
+        let names: Vec<Name> = adapters
+            .map(|adapter| adapter_id(&adapter.base, &adapter.name))
+            .collect();
         self.dispatcher.retain_adapters(&names);
     }
 
@@ -316,8 +347,7 @@
                 DispatchDecision::Granted { ticket, .. } => Some(ticket.ticket_id),
                 DispatchDecision::Refused { .. } => None,
             };
-            let delivered =
-                waiter.is_some_and(|waiter| waiter.send(decision.into_reply()).is_ok());
+            let delivered = waiter.is_some_and(|waiter| waiter.send(decision.into_reply()).is_ok());
             // Nobody got the ticket, so its slot is free.
             if let (false, Some(ticket_id)) = (delivered, ticket) {
                 let release = ReleaseRequest {
--- a/crates/control/src/engine_client.rs
+++ b/crates/control/src/engine_client.rs
@@ -127,18 +127,32 @@
         builder.disable_tls(true);
         builder.set_connect_timeout(Duration::from_secs(1));
         builder.set_max_idle_per_host(0);
-        Ok(Self { client: builder.build()? })
+        Ok(Self {
+            client: builder.build()?,
+        })
     }
 
     /// State of the engine, `None` if it gives none.
     pub async fn state(&self, address: &str) -> Option<EngineState> {
         let ask = async {
-            let response = self.client.get(format!("http://{address}/v1/state")).send().await;
-            let response = response.ok().filter(|response| response.status().is_success())?;
-            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await.ok()?;
+            let response = self
+                .client
+                .get(format!("http://{address}/v1/state"))
+                .send()
+                .await;
+            let response = response
+                .ok()
+                .filter(|response| response.status().is_success())?;
+            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+                .collect()
+                .await
+                .ok()?;
             serde_json::from_slice(&body.to_bytes()).ok()
         };
-        tokio::time::timeout(STATE_TIMEOUT, ask).await.ok().flatten()
+        tokio::time::timeout(STATE_TIMEOUT, ask)
+            .await
+            .ok()
+            .flatten()
     }
 
     /// Makes an engine that honours fencing numbers refuse every order of a former owner: unloads a model that does
@@ -152,7 +166,8 @@
             order_id: format!("fence-{fence}"),
             fence,
         };
-        let _ = tokio::time::timeout(STATE_TIMEOUT, self.post(address, "/v1/unload_model", &body)).await;
+        let _ = tokio::time::timeout(STATE_TIMEOUT, self.post(address, "/v1/unload_model", &body))
+            .await;
     }
 
     /// Sends an order and waits for its end.
@@ -166,7 +181,8 @@
         let adapter = order.adapter.as_deref();
         let body = OrderBody {
             model: &order.model,
-            adapter: adapter.map(|adapter| adapter.split_once(':').map_or(adapter, |(_, name)| name)),
+            adapter: adapter
+                .map(|adapter| adapter.split_once(':').map_or(adapter, |(_, name)| name)),
             version,
             bytes: order.bytes,
             order_id: order.order_id.0.to_string(),
@@ -194,10 +210,15 @@
             .body(Body::from(bytes::Bytes::from(body)));
         let response = request.send().await.map_err(|error| send_failure(&error))?;
         let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+            .collect()
+            .await;
         let body = body.map_err(|_| OrderEnd::Unknown)?.to_bytes();
         let text = String::from_utf8_lossy(&body);
-        Ok(EngineAnswer { status, is_fenced: text.contains("fenc") })
+        Ok(EngineAnswer {
+            status,
+            is_fenced: text.contains("fenc"),
+        })
     }
 }
 
--- a/crates/control/src/gossip.rs
+++ b/crates/control/src/gossip.rs
@@ -63,7 +63,10 @@
     /// Record revision 0 names no guardian, so the receiver answers without a promise.
     async fn exchange(&self, address: &str) {
         let (incarnation, assignment) = self.member.read(|core, _now| {
-            let revision = core.planner.assignment().map_or(0, |(revision, _)| revision);
+            let revision = core
+                .planner
+                .assignment()
+                .map_or(0, |(revision, _)| revision);
             (core.incarnation, revision)
         });
         let request = HeartbeatRequest {
@@ -74,8 +77,16 @@
             documents: self.in_force.load().revisions(),
             assignment,
         };
-        let target = PeerTarget { address, path: "/peer/heartbeat", timeout: GOSSIP_TIMEOUT };
-        if let Ok(reply) = self.client.call::<_, HeartbeatReply>(target, &request).await {
+        let target = PeerTarget {
+            address,
+            path: "/peer/heartbeat",
+            timeout: GOSSIP_TIMEOUT,
+        };
+        if let Ok(reply) = self
+            .client
+            .call::<_, HeartbeatReply>(target, &request)
+            .await
+        {
             self.learn(address, &reply).await;
         }
     }
@@ -97,24 +108,39 @@
         };
         documents.any(newer)
             || self.member.read(|core, _now| {
-                core.planner.assignment().is_none_or(|(revision, _)| revision < assignment)
+                core.planner
+                    .assignment()
+                    .is_none_or(|(revision, _)| revision < assignment)
             })
     }
 
     /// Asks `address` for everything newer.
     pub async fn pull(&self, address: &str) {
-        let request = SnapshotRequest { after: 0, documents: self.in_force.load().revisions() };
-        let target = PeerTarget { address, path: "/peer/snapshot", timeout: GOSSIP_TIMEOUT };
+        let request = SnapshotRequest {
+            after: 0,
+            documents: self.in_force.load().revisions(),
+        };
+        let target = PeerTarget {
+            address,
+            path: "/peer/snapshot",
+            timeout: GOSSIP_TIMEOUT,
+        };
         let Ok(reply) = self.client.call::<_, SnapshotReply>(target, &request).await else {
             return;
         };
-        let SnapshotReply { documents, assignment, assignment_revision, .. } = reply;
+        let SnapshotReply {
+            documents,
+            assignment,
+            assignment_revision,
+            ..
+        } = reply;
         for document in documents {
             self.in_force.offer_document(document);
         }
         if assignment_revision > 0 {
             self.member.update(|core, _now| {
-                core.planner.assignment_observed(assignment_revision, assignment);
+                core.planner
+                    .assignment_observed(assignment_revision, assignment);
             });
         }
         self.in_force.touch();
--- a/crates/control/src/host_list_follower.rs
+++ b/crates/control/src/host_list_follower.rs
@@ -53,8 +53,14 @@
         let mut tag = None;
         loop {
             let poll = tokio::time::timeout(POLL_TIMEOUT, self.poll(&client, tag.clone()));
-            let Some(result) = token.run_until_cancelled(poll).await else { break };
-            if let Ok(Some(ListPoll { tag: new_tag, servers: Some(servers) })) = result {
+            let Some(result) = token.run_until_cancelled(poll).await else {
+                break;
+            };
+            if let Ok(Some(ListPoll {
+                tag: new_tag,
+                servers: Some(servers),
+            })) = result
+            {
                 tag = new_tag;
                 let count = servers.len();
                 if self.in_force.set_servers(servers) {
@@ -72,7 +78,9 @@
     async fn poll(&self, client: &Client, tag: Option<HeaderValue>) -> Option<ListPoll> {
         let mut request = client.get(format!("http://{}/hosts", self.address));
         if let Some(tag) = &tag {
-            request.headers_mut().insert(header::IF_NONE_MATCH, tag.clone());
+            request
+                .headers_mut()
+                .insert(header::IF_NONE_MATCH, tag.clone());
         }
         let response = request.send().await.ok()?;
         if response.status() == StatusCode::NOT_MODIFIED {
@@ -82,8 +90,14 @@
             return None;
         }
         let new_tag = response.headers().get(header::ETAG).cloned();
-        let body = Limited::new(response.into_body(), MAX_LIST_BYTES).collect().await.ok()?;
+        let body = Limited::new(response.into_body(), MAX_LIST_BYTES)
+            .collect()
+            .await
+            .ok()?;
         let servers = serde_json::from_slice(&body.to_bytes()).ok()?;
-        Some(ListPoll { tag: new_tag, servers: Some(servers) })
+        Some(ListPoll {
+            tag: new_tag,
+            servers: Some(servers),
+        })
     }
 }
--- a/crates/control/src/idempotency_service.rs
+++ b/crates/control/src/idempotency_service.rs
@@ -76,8 +76,16 @@
 impl IdempotencyService {
     /// Answers the start of a request. `Run` is answered only after the record is durable.
     pub async fn begin(&self, request: BeginRequest) -> BeginReply {
-        let BeginRequest { account, key, fingerprint, request_id } = request;
-        let resource = ResourceKey::Idempotency { account: account.clone(), key: key.clone() };
+        let BeginRequest {
+            account,
+            key,
+            fingerprint,
+            request_id,
+        } = request;
+        let resource = ResourceKey::Idempotency {
+            account: account.clone(),
+            key: key.clone(),
+        };
         let shard = resource.shard();
         let key = IdempotencyKey::new(&account, &key);
         let decision = self.with_table(shard, |table, now| {
@@ -88,11 +96,11 @@
                 let record = IdempotencyRecord {
                     key,
                     fingerprint,
-                    attempt: request_id,
+                    attempt: Some(request_id),
                     age: Duration::ZERO,
                     phase: RecordPhase::Running,
                 };
-                self.record(shard, record).await
+                self.record(shard, record, request_id).await
             }
             Some(BeginDecision::Run) => BeginReply::Run,
             Some(BeginDecision::Stored(answer)) => BeginReply::Stored((*answer).clone()),
@@ -107,8 +115,13 @@
         }
     }
 
-    async fn record(&self, shard: ShardId, record: IdempotencyRecord) -> BeginReply {
-        let (key, attempt) = (record.key.clone(), record.attempt);
+    async fn record(
+        &self,
+        shard: ShardId,
+        record: IdempotencyRecord,
+        attempt: RequestId,
+    ) -> BeginReply {
+        let key = record.key.clone();
         if !self.make_durable(shard, &record).await {
             self.with_table(shard, |table, _now| table.abandon(&key, attempt));
             return BeginReply::Unavailable;
@@ -137,8 +150,18 @@
 
     /// Takes the end of a request in.
     pub async fn finish(&self, request: FinishRequest) -> PeerAck {
-        let FinishRequest { account, key, fingerprint, request_id, answer, ran } = request;
-        let resource = ResourceKey::Idempotency { account: account.clone(), key: key.clone() };
+        let FinishRequest {
+            account,
+            key,
+            fingerprint,
+            request_id,
+            answer,
+            ran,
+        } = request;
+        let resource = ResourceKey::Idempotency {
+            account: account.clone(),
+            key: key.clone(),
+        };
         let shard = resource.shard();
         let key = IdempotencyKey::new(&account, &key);
         if !ran {
@@ -155,7 +178,7 @@
                 let record = IdempotencyRecord {
                     key,
                     fingerprint,
-                    attempt: request_id,
+                    attempt: Some(request_id),
                     age: Duration::ZERO,
                     phase,
                 };
@@ -188,7 +211,9 @@
             return RecordOutcome::Unavailable;
         };
         let key = record_key(shard, &record.key);
-        self.writer.write(shard, key, Some(Bytes::from(value))).await
+        self.writer
+            .write(shard, key, Some(Bytes::from(value)))
+            .await
     }
 
     fn write_later(&self, shard: ShardId, record: IdempotencyRecord) {
@@ -203,16 +228,34 @@
 
     async fn copy_to_guardian(&self, shard: ShardId, record: &IdempotencyRecord) -> bool {
         let (address, incarnation) = self.member.read(|core, _now| {
-            let guardian = core.authority.guardian().and_then(|guardian| core.members.get(guardian));
-            (guardian.map(|entry| entry.record.address.control.clone()), core.incarnation)
+            let guardian = core
+                .authority
+                .guardian()
+                .and_then(|guardian| core.members.get(guardian));
+            (
+                guardian.map(|entry| entry.record.address.control.clone()),
+                core.incarnation,
+            )
         });
         let (Some(address), Ok(record)) = (address, rmp_serde::to_vec_named(record)) else {
             return false;
         };
         let host = self.member.identity.host.clone();
-        let request = CopyRequest { host, incarnation, shard, record };
-        let target = PeerTarget { address: &address, path: "/peer/copy", timeout: COPY_TIMEOUT };
-        matches!(self.client.call(target, &request).await, Ok(PeerAck::Accepted))
+        let request = CopyRequest {
+            host,
+            incarnation,
+            shard,
+            record,
+        };
+        let target = PeerTarget {
+            address: &address,
+            path: "/peer/copy",
+            timeout: COPY_TIMEOUT,
+        };
+        matches!(
+            self.client.call(target, &request).await,
+            Ok(PeerAck::Accepted)
+        )
     }
 
     fn add_backlog(&self, shard: ShardId, record: IdempotencyRecord) {
@@ -232,7 +275,11 @@
 
     /// Writes the backlog and reads back records of shards that were taken over, until `token` is cancelled.
     pub async fn run(self, token: CancellationToken) {
-        while token.run_until_cancelled(tokio::time::sleep(RETRY_PAUSE)).await.is_some() {
+        while token
+            .run_until_cancelled(tokio::time::sleep(RETRY_PAUSE))
+            .await
+            .is_some()
+        {
             self.flush_backlog().await;
             for (shard, former) in self.unrecovered() {
                 let this = self.clone();
@@ -272,8 +319,9 @@
             return;
         };
         let entries = listing.entries.iter();
-        let mut records: Vec<IdempotencyRecord> =
-            entries.filter_map(|entry| serde_json::from_slice(&entry.value).ok()).collect();
+        let mut records: Vec<IdempotencyRecord> = entries
+            .filter_map(|entry| serde_json::from_slice(&entry.value).ok())
+            .collect();
         let copies = self.read_copies(shard, &former).await;
         let is_complete = copies.is_some();
         // The guardian's copies are newer than the service's records, so they are added first.
@@ -291,14 +339,23 @@
     /// Copies that the dead owner's guardian holds; `None` if they may be lost.
     async fn read_copies(&self, shard: ShardId, former: &HostId) -> Option<Vec<IdempotencyRecord>> {
         let address = self.guardian_of(former)?;
-        let request = CopiesRequest { host: former.clone(), shard };
-        let target = PeerTarget { address: &address, path: "/peer/copies", timeout: COPY_TIMEOUT };
+        let request = CopiesRequest {
+            host: former.clone(),
+            shard,
+        };
+        let target = PeerTarget {
+            address: &address,
+            path: "/peer/copies",
+            timeout: COPY_TIMEOUT,
+        };
         let reply: CopiesReply = self.client.call(target, &request).await.ok()?;
         if !reply.is_complete {
             return None;
         }
         let records = reply.records.iter();
-        records.map(|record| rmp_serde::from_slice(&record.0).ok()).collect()
+        records
+            .map(|record| rmp_serde::from_slice(&record.0).ok())
+            .collect()
     }
 
     fn guardian_of(&self, former: &HostId) -> Option<Name> {
@@ -315,7 +372,10 @@
         act: impl FnOnce(&mut IdempotencyTable, zinniahinge_types::MonotonicTime) -> T,
     ) -> Option<T> {
         let result = self.shards.with_shard(shard, |state, owner| {
-            state.idempotency.as_mut().map(|table| act(table, owner.now))
+            state
+                .idempotency
+                .as_mut()
+                .map(|table| act(table, owner.now))
         });
         result.flatten()
     }
@@ -326,6 +386,10 @@
     hash.update((key.account.len() as u64).to_be_bytes());
     hash.update(key.account.as_bytes());
     hash.update(key.key.as_bytes());
-    let digest: String = hash.finalize().iter().map(|byte| format!("{byte:02x}")).collect();
+    let digest: String = hash
+        .finalize()
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect();
     idempotency_key(shard, &digest)
 }
--- a/crates/control/src/in_force.rs
+++ b/crates/control/src/in_force.rs
@@ -38,7 +38,9 @@
     /// Revision of each document.
     pub fn revisions(&self) -> BTreeMap<Name, Revision> {
         let documents = self.documents.iter();
-        documents.map(|(service, entry)| (service.clone(), entry.source.revision)).collect()
+        documents
+            .map(|(service, entry)| (service.clone(), entry.source.revision))
+            .collect()
     }
 
     /// Compiled document of `service`.
@@ -90,7 +92,9 @@
             if held.is_some_and(|held| held.source.revision >= source.revision) {
                 return false;
             }
-            state.documents.insert(source.service.clone(), DocumentEntry { source, compiled });
+            state
+                .documents
+                .insert(source.service.clone(), DocumentEntry { source, compiled });
             true
         })
     }
--- a/crates/control/src/member_controller.rs
+++ b/crates/control/src/member_controller.rs
@@ -32,6 +32,7 @@
 use zinniahinge_types::ShardId;
 use zinniahinge_types::ShardOwner;
 
+use crate::copy_store::CopyStore;
 use crate::gossip::GossipHandler;
 use crate::in_force::InForceCell;
 use crate::member_core::MemberCell;
@@ -63,6 +64,8 @@
     pub client: PeerClient,
     /// Handles what heartbeat replies tell.
     pub gossip: Arc<GossipHandler>,
+    /// Copies kept for other owners.
+    pub copies: Arc<CopyStore>,
     /// Events.
     pub events: Arc<EventLog>,
     /// Log.
@@ -105,18 +108,30 @@
         let (host_actions, guardian_actions, assignment_actions, gained) =
             self.member.update(|core, now| {
                 let host_actions = core.authority.tick(now, &core.members);
+                self.copies.watch(&self.member.identity.host, &core.members);
                 let own = core.authority.standing(now);
                 let guardian_actions = core.guardian.tick(&own, &core.members, now);
                 let assignment_actions = core.planner.tick(&own, &core.members, now);
-                (host_actions, guardian_actions, assignment_actions, core.planner.take_gained())
+                (
+                    host_actions,
+                    guardian_actions,
+                    assignment_actions,
+                    core.planner.take_gained(),
+                )
             });
         for gain in gained {
             self.acquire(gain);
         }
         self.shards.reconcile(&self.member);
-        host_actions.into_iter().for_each(|action| self.run_host_action(action));
-        guardian_actions.into_iter().for_each(|action| self.run_guardian_action(action));
-        assignment_actions.into_iter().for_each(|action| self.run_assignment_action(action));
+        host_actions
+            .into_iter()
+            .for_each(|action| self.run_host_action(action));
+        guardian_actions
+            .into_iter()
+            .for_each(|action| self.run_guardian_action(action));
+        assignment_actions
+            .into_iter()
+            .for_each(|action| self.run_assignment_action(action));
     }
 
     // ------------------------------------------------------------------------
@@ -124,10 +139,20 @@
     fn run_host_action(&self, action: HostAction) {
         let this = self.clone();
         match action {
-            HostAction::SendHeartbeat { to, sequence, record_revision } => {
-                tokio::spawn(async move { this.send_heartbeat(to, sequence, record_revision).await });
+            HostAction::SendHeartbeat {
+                to,
+                sequence,
+                record_revision,
+            } => {
+                tokio::spawn(
+                    async move { this.send_heartbeat(to, sequence, record_revision).await },
+                );
             }
-            HostAction::WriteRecord { renewal, expected, record } => {
+            HostAction::WriteRecord {
+                renewal,
+                expected,
+                record,
+            } => {
                 tokio::spawn(async move { this.write_record(renewal, expected, record).await });
             }
             HostAction::ReadRecord => {
@@ -141,7 +166,10 @@
     async fn send_heartbeat(&self, to: HostId, sequence: u64, record_revision: Revision) {
         let (address, incarnation) = self.member.read(|core, _now| {
             let entry = core.members.get(&to);
-            (entry.map(|entry| entry.record.address.control.clone()), core.incarnation)
+            (
+                entry.map(|entry| entry.record.address.control.clone()),
+                core.incarnation,
+            )
         });
         let Some(address) = address else { return };
         let request = HeartbeatRequest {
@@ -157,12 +185,17 @@
             path: "/peer/heartbeat",
             timeout: HEARTBEAT_TIMEOUT,
         };
-        let Ok(reply) = self.client.call::<_, HeartbeatReply>(target, &request).await else {
+        let Ok(reply) = self
+            .client
+            .call::<_, HeartbeatReply>(target, &request)
+            .await
+        else {
             return;
         };
         self.member.update(|core, now| {
             if core.incarnation == incarnation {
-                core.authority.heartbeat_answered(reply.sequence, reply.acknowledged, now);
+                core.authority
+                    .heartbeat_answered(reply.sequence, reply.acknowledged, now);
             }
         });
         self.gossip.learn(&address, &reply).await;
@@ -181,9 +214,12 @@
 
     async fn read_record(&self) {
         let host = &self.member.identity.host;
-        let Some((revision, record)) = self.read_host(host).await else { return };
+        let Some((revision, record)) = self.read_host(host).await else {
+            return;
+        };
         self.member.update(|core, now| {
-            core.authority.record_observed(revision, record.clone(), now);
+            core.authority
+                .record_observed(revision, record.clone(), now);
             let _ = core.members.observe(host.clone(), revision, record);
         });
     }
@@ -193,15 +229,19 @@
         let key = host_key(host);
         let listing = self.kv.range_prefix(&key).await.ok()?;
         match listing.entries.iter().find(|entry| *entry.key == *key) {
-            Some(entry) => {
-                Some((entry.mod_revision, Some(serde_json::from_slice(&entry.value).ok()?)))
-            }
+            Some(entry) => Some((
+                entry.mod_revision,
+                Some(serde_json::from_slice(&entry.value).ok()?),
+            )),
             None => Some((listing.revision, None)),
         }
     }
 
     fn rejoin(&self, above: u64) {
-        warn!(self.logger, "this incarnation was declared dead, joining again");
+        warn!(
+            self.logger,
+            "this incarnation was declared dead, joining again"
+        );
         self.shards.drop_all();
         self.member.rejoin(above);
     }
@@ -212,12 +252,21 @@
         let this = self.clone();
         tokio::spawn(async move {
             match action {
-                GuardianAction::DeclareDead { host, expected, record } => {
+                GuardianAction::DeclareDead {
+                    host,
+                    expected,
+                    record,
+                } => {
                     this.declare_dead(host, expected, record).await;
                 }
-                GuardianAction::TakeOver { host, expected, record } => {
+                GuardianAction::TakeOver {
+                    host,
+                    expected,
+                    record,
+                } => {
                     let detail = format!("guardian {}", this.member.identity.host);
-                    this.events.record(EventKind::GuardianChanged, None, host.clone(), detail);
+                    this.events
+                        .record(EventKind::GuardianChanged, None, host.clone(), detail);
                     this.swap(&host_key(&host), expected, &record).await;
                     this.observe_host(&host).await;
                 }
@@ -227,14 +276,20 @@
 
     async fn declare_dead(&self, host: HostId, expected: Revision, record: HostRecord) {
         let value = encode(&record);
-        match self.kv.compare_and_swap(&host_key(&host), expected, value).await {
+        match self
+            .kv
+            .compare_and_swap(&host_key(&host), expected, value)
+            .await
+        {
             Err(KvError::NotSent { .. }) => {
-                self.member.update(|core, _now| core.guardian.death_not_sent(&host, expected));
+                self.member
+                    .update(|core, _now| core.guardian.death_not_sent(&host, expected));
             }
             Ok(CasOutcome::Swapped { .. }) => {
                 warn!(self.logger, "host declared dead"; "host" => &*host);
                 let detail = format!("incarnation {}", record.incarnation);
-                self.events.record(EventKind::HostDeclaredDead, None, host.clone(), detail);
+                self.events
+                    .record(EventKind::HostDeclaredDead, None, host.clone(), detail);
             }
             _ => {}
         }
@@ -255,13 +310,22 @@
     fn run_assignment_action(&self, action: AssignmentAction) {
         let this = self.clone();
         match action {
-            AssignmentAction::HandOver { shard, to, frozen_at } => {
+            AssignmentAction::HandOver {
+                shard,
+                to,
+                frozen_at,
+            } => {
                 let state = self.shards.freeze(shard);
                 let detail = format!("to {}", to.host);
                 self.note_shard(EventKind::ShardReleased, shard, detail);
                 tokio::spawn(async move { this.hand_over(shard, to, frozen_at, state).await });
             }
-            AssignmentAction::WriteAssignment { expected, assignment, claimed: _, released: _ } => {
+            AssignmentAction::WriteAssignment {
+                expected,
+                assignment,
+                claimed: _,
+                released: _,
+            } => {
                 tokio::spawn(async move { this.write_assignment(expected, assignment).await });
             }
             AssignmentAction::ReadAssignment => {
@@ -299,7 +363,10 @@
     ) -> bool {
         let (address, incarnation) = self.member.read(|core, _now| {
             let entry = core.members.get(&to.host);
-            (entry.map(|entry| entry.record.address.control.clone()), core.incarnation)
+            (
+                entry.map(|entry| entry.record.address.control.clone()),
+                core.incarnation,
+            )
         });
         let Some(address) = address else { return false };
         let request = HandoverRequest {
@@ -310,21 +377,30 @@
             shard,
             state,
         };
-        let target =
-            PeerTarget { address: &address, path: "/peer/handover", timeout: HANDOVER_TIMEOUT };
-        matches!(self.client.call(target, &request).await, Ok(PeerAck::Accepted))
+        let target = PeerTarget {
+            address: &address,
+            path: "/peer/handover",
+            timeout: HANDOVER_TIMEOUT,
+        };
+        matches!(
+            self.client.call(target, &request).await,
+            Ok(PeerAck::Accepted)
+        )
     }
 
     async fn write_assignment(&self, expected: Revision, assignment: Assignment) {
         let outcome = self.swap(ASSIGNMENT_KEY, expected, &assignment).await;
         self.member.update(|core, now| {
-            core.planner.write_finished(expected, assignment, outcome, now);
+            core.planner
+                .write_finished(expected, assignment, outcome, now);
         });
         self.in_force.touch();
     }
 
     async fn read_assignment(&self) {
-        let Ok(entry) = self.kv.get(ASSIGNMENT_KEY).await else { return };
+        let Ok(entry) = self.kv.get(ASSIGNMENT_KEY).await else {
+            return;
+        };
         let (revision, assignment) = match entry {
             Some(entry) => match serde_json::from_slice(&entry.value) {
                 Ok(assignment) => (entry.mod_revision, assignment),
@@ -332,7 +408,8 @@
             },
             None => (0, Assignment::default()),
         };
-        self.member.update(|core, _now| core.planner.assignment_observed(revision, assignment));
+        self.member
+            .update(|core, _now| core.planner.assignment_observed(revision, assignment));
         self.in_force.touch();
     }
 
@@ -363,18 +440,27 @@
     }
 
     fn assignment_revision(&self) -> Revision {
-        self.member
-            .read(|core, _now| core.planner.assignment().map_or(0, |(revision, _)| revision))
+        self.member.read(|core, _now| {
+            core.planner
+                .assignment()
+                .map_or(0, |(revision, _)| revision)
+        })
     }
 
     fn note_authority(&self, has_authority: bool) {
-        let kind = if has_authority { EventKind::AuthorityGained } else { EventKind::AuthorityLost };
+        let kind = if has_authority {
+            EventKind::AuthorityGained
+        } else {
+            EventKind::AuthorityLost
+        };
         info!(self.logger, "authority"; "held" => has_authority);
-        self.events.record(kind, None, self.member.identity.host.clone(), "");
+        self.events
+            .record(kind, None, self.member.identity.host.clone(), "");
     }
 
     fn note_shard(&self, kind: EventKind, shard: ShardId, detail: String) {
-        self.events.record(kind, None, Name::from(format!("shard {shard}")), detail);
+        self.events
+            .record(kind, None, Name::from(format!("shard {shard}")), detail);
     }
 }
 
--- a/crates/control/src/member_core.rs
+++ b/crates/control/src/member_core.rs
@@ -48,7 +48,11 @@
 
 impl MemberCore {
     fn new(identity: &HostIdentity, incarnation: Incarnation, members: MemberTable) -> Self {
-        let HostIdentity { host, address, settings } = identity.clone();
+        let HostIdentity {
+            host,
+            address,
+            settings,
+        } = identity.clone();
         Self {
             incarnation,
             authority: HostAuthority::new(host.clone(), incarnation, address, settings),
@@ -74,7 +78,12 @@
     /// Starts with `incarnation`.
     pub fn new(identity: HostIdentity, incarnation: Incarnation, clock: BootClock) -> Self {
         let core = Mutex::new(MemberCore::new(&identity, incarnation, MemberTable::new()));
-        Self { identity, gate: AuthorityGate::default(), clock, core }
+        Self {
+            identity,
+            gate: AuthorityGate::default(),
+            clock,
+            core,
+        }
     }
 
     /// Changes the core at the present time and publishes the result to the gate.
@@ -105,7 +114,9 @@
     }
 
     fn publish(&self, core: &MemberCore) {
-        let MemberCore { authority, planner, .. } = core;
+        let MemberCore {
+            authority, planner, ..
+        } = core;
         self.gate.set_until(authority.authority_until());
         let revision = planner.assignment().map_or(0, |(revision, _)| revision);
         let may_act = |shard| planner.fencing_number(shard, true).is_some();
--- a/crates/control/src/pool_cell.rs
+++ b/crates/control/src/pool_cell.rs
@@ -91,7 +91,10 @@
 
     /// State for the next owner.
     pub fn export(self, now: MonotonicTime) -> PoolExport {
-        PoolExport { planner: self.planner.export_state(now), service: self.service }
+        PoolExport {
+            planner: self.planner.export_state(now),
+            service: self.service,
+        }
     }
 
     fn new(
@@ -117,7 +120,10 @@
 
     /// Applies a new document.
     pub fn apply_document(&mut self, document: &Arc<CompiledDocument>) {
-        let is_known = self.document.as_ref().is_some_and(|known| Arc::ptr_eq(known, document));
+        let is_known = self
+            .document
+            .as_ref()
+            .is_some_and(|known| Arc::ptr_eq(known, document));
         if !is_known {
             self.planner.set_settings(settings(document));
             self.planner.set_catalog(catalog(document));
@@ -174,8 +180,14 @@
         (model.name.clone(), spec)
     });
     let adapters = document.adapters.iter().map(|adapter| {
-        let spec = AdapterSpec { model: adapter.base.clone(), bytes: adapter.memory.bytes() };
+        let spec = AdapterSpec {
+            model: adapter.base.clone(),
+            bytes: adapter.memory.bytes(),
+        };
         (adapter_id(&adapter.base, &adapter.name), spec)
     });
-    PoolCatalog { models: models.collect(), adapters: adapters.collect() }
+    PoolCatalog {
+        models: models.collect(),
+        adapters: adapters.collect(),
+    }
 }
--- a/crates/control/src/pool_controller.rs
+++ b/crates/control/src/pool_controller.rs
@@ -103,8 +103,12 @@
     fn tick(&self, service: &Name, document: &DocumentEntry, in_force: &InForceState) {
         let key = pool_key(service);
         let group = &document.compiled.document().group;
-        let listed: Vec<ServerEntry> =
-            in_force.servers.iter().filter(|entry| entry.group == *group).cloned().collect();
+        let listed: Vec<ServerEntry> = in_force
+            .servers
+            .iter()
+            .filter(|entry| entry.group == *group)
+            .cloned()
+            .collect();
         let work = self.shards.with(&key, |state, owner| {
             let pool = state.pools.entry(service.clone()).or_insert_with(|| {
                 let compiled = document.compiled.clone();
@@ -113,7 +117,14 @@
             pool.apply_document(&document.compiled);
             pool_work(pool, &listed, owner.now)
         });
-        let Some(PoolWork { asks, orders, must_read }) = work else { return };
+        let Some(PoolWork {
+            asks,
+            orders,
+            must_read,
+        }) = work
+        else {
+            return;
+        };
         if must_read {
             let (this, service) = (self.clone(), service.clone());
             tokio::spawn(async move { this.read_reservations(service).await });
@@ -135,7 +146,9 @@
         let listing = self.kv.range_prefix(&reservations_prefix(&service)).await;
         let key = pool_key(&service);
         self.shards.with(&key, |state, owner| {
-            let Some(pool) = state.pools.get_mut(&service) else { return };
+            let Some(pool) = state.pools.get_mut(&service) else {
+                return;
+            };
             pool.is_reading = false;
             let Ok(listing) = &listing else { return };
             let entries = listing.entries.iter();
@@ -147,10 +160,18 @@
     }
 
     async fn observe(&self, service: Name, ask: ServerAsk) {
-        let ServerAsk { entry, fence, fencing } = ask;
+        let ServerAsk {
+            entry,
+            fence,
+            fencing,
+        } = ask;
         let mut asked_at = self.member.now();
         let mut state = self.engines.state(&entry.address).await;
-        if fencing && state.as_ref().is_some_and(|state| state.highest_fence < fence) {
+        if fencing
+            && state
+                .as_ref()
+                .is_some_and(|state| state.highest_fence < fence)
+        {
             // The state counts only after the engine refuses the orders of former owners.
             self.engines.raise_fence(&entry.address, fence).await;
             asked_at = self.member.now();
@@ -160,13 +181,19 @@
         let in_force = self.in_force.load();
         let key = pool_key(&service);
         self.shards.with(&key, |shard, owner| {
-            let Some(pool) = shard.pools.get_mut(&service) else { return };
+            let Some(pool) = shard.pools.get_mut(&service) else {
+                return;
+            };
             pool.asking.remove(&entry.server);
-            pool.next_ask.insert(entry.server.clone(), owner.now + OBSERVE_INTERVAL);
+            pool.next_ask
+                .insert(entry.server.clone(), owner.now + OBSERVE_INTERVAL);
             if let Some(state) = state {
                 apply_state(pool, &entry, &state, fencing, asked_at, owner.now);
                 let group = &entry.group;
-                let listed = in_force.servers.iter().filter(|listed| listed.group == *group);
+                let listed = in_force
+                    .servers
+                    .iter()
+                    .filter(|listed| listed.group == *group);
                 pool.end_recovery_if_complete(listed.map(|listed| listed.server.clone()));
             }
         });
@@ -211,7 +238,9 @@
             let pool = state.pools.get(service)?;
             let is_current = pool.fence == order.fence && owner.fence >= pool.fence;
             let document = pool.document()?;
-            let version = document.model(&order.model).and_then(|model| model.version.clone());
+            let version = document
+                .model(&order.model)
+                .and_then(|model| model.version.clone());
             is_current.then_some(version)
         });
         match version.flatten() {
@@ -224,14 +253,19 @@
     async fn write_reservations(&self, service: &Name, server: &Name) -> RecordOutcome {
         let key = pool_key(service);
         let open = self.shards.with(&key, |state, _owner| {
-            state.pools.get(service).map(|pool| pool.planner.reservations(server))
+            state
+                .pools
+                .get(service)
+                .map(|pool| pool.planner.reservations(server))
         });
         let Some(Some(open)) = open else {
             return RecordOutcome::NotOwner;
         };
         let value = serde_json::to_vec(&open).unwrap_or_default();
         let record_key = reservation_key(service, server);
-        self.writer.write(key.shard(), record_key, Some(Bytes::from(value))).await
+        self.writer
+            .write(key.shard(), record_key, Some(Bytes::from(value)))
+            .await
     }
 
     fn note_order(&self, order: &PoolOrder) {
@@ -239,14 +273,21 @@
             OrderAction::LoadModel | OrderAction::LoadAdapter => EventKind::LoadOrdered,
             OrderAction::UnloadModel | OrderAction::UnloadAdapter => EventKind::UnloadOrdered,
         };
-        self.events.record(kind, None, subject(order), format!("server {}", order.server));
+        self.events.record(
+            kind,
+            None,
+            subject(order),
+            format!("server {}", order.server),
+        );
         info!(self.logger, "order"; "action" => ?order.action, "server" => &*order.server,
             "model" => &*subject(order));
     }
 
     fn note_result(&self, order: &PoolOrder, result: OrderResult) {
-        let is_load =
-            matches!(order.action, OrderAction::LoadModel | OrderAction::LoadAdapter);
+        let is_load = matches!(
+            order.action,
+            OrderAction::LoadModel | OrderAction::LoadAdapter
+        );
         let kind = match (is_load, result) {
             (true, OrderResult::Done) => EventKind::LoadFinished,
             (true, _) => EventKind::LoadFailed,
@@ -261,16 +302,27 @@
     if !pool.is_ready {
         let must_read = !pool.is_reading;
         pool.is_reading = true;
-        return PoolWork { must_read, ..PoolWork::default() };
+        return PoolWork {
+            must_read,
+            ..PoolWork::default()
+        };
     }
     forget_gone(pool, listed);
-    PoolWork { asks: due_asks(pool, listed, now), orders: pool.planner.plan(now), must_read: false }
+    PoolWork {
+        asks: due_asks(pool, listed, now),
+        orders: pool.planner.plan(now),
+        must_read: false,
+    }
 }
 
 fn forget_gone(pool: &mut PoolCell, listed: &[ServerEntry]) {
     let is_listed = |server: &Name| listed.iter().any(|entry| entry.server == *server);
-    let gone: Vec<Name> =
-        pool.planner.server_names().filter(|server| !is_listed(server)).cloned().collect();
+    let gone: Vec<Name> = pool
+        .planner
+        .server_names()
+        .filter(|server| !is_listed(server))
+        .cloned()
+        .collect();
     for server in gone {
         pool.planner.server_gone(&server);
         pool.next_ask.remove(&server);
@@ -286,7 +338,11 @@
         let due = pool.next_ask.get(&entry.server).is_none_or(|at| *at <= now);
         if due && pool.asking.insert(entry.server.clone()) {
             let fencing = document.document().fencing;
-            asks.push(ServerAsk { entry: entry.clone(), fence: pool.fence, fencing });
+            asks.push(ServerAsk {
+                entry: entry.clone(),
+                fence: pool.fence,
+                fencing,
+            });
         }
     }
     asks
@@ -301,7 +357,10 @@
     now: MonotonicTime,
 ) {
     adopt_open_orders(pool, entry, state, now);
-    let ready = state.models.iter().filter(|model| model.phase == EnginePhase::Ready);
+    let ready = state
+        .models
+        .iter()
+        .filter(|model| model.phase == EnginePhase::Ready);
     let observation = ServerObservation {
         server: entry.server.clone(),
         address: entry.address.clone(),
@@ -376,7 +435,9 @@
 }
 
 fn pool_key(service: &Name) -> ResourceKey {
-    ResourceKey::Pool { service: service.clone() }
+    ResourceKey::Pool {
+        service: service.clone(),
+    }
 }
 
 fn subject(order: &PoolOrder) -> Name {
--- a/crates/control/src/record_keys.rs
+++ b/crates/control/src/record_keys.rs
@@ -36,7 +36,8 @@
     if let Some(host) = key.strip_prefix(HOSTS_PREFIX) {
         return Some(WatchedKey::Host(host.into()));
     }
-    key.strip_prefix(DOCUMENTS_PREFIX).map(|service| WatchedKey::Document(service.into()))
+    key.strip_prefix(DOCUMENTS_PREFIX)
+        .map(|service| WatchedKey::Document(service.into()))
 }
 
 /// Key of a host record.
--- a/crates/control/src/record_writer.rs
+++ b/crates/control/src/record_writer.rs
@@ -70,7 +70,15 @@
         in_force: Arc<InForceCell>,
     ) -> (Self, RecordWriterTask) {
         let (sender, receiver) = mpsc::channel(QUEUE_LIMIT);
-        (Self { sender }, RecordWriterTask { kv, member, in_force, receiver })
+        (
+            Self { sender },
+            RecordWriterTask {
+                kv,
+                member,
+                in_force,
+                receiver,
+            },
+        )
     }
 
     /// Writes a record of `shard`; without a value the record is removed.
@@ -81,7 +89,12 @@
         value: Option<Bytes>,
     ) -> RecordOutcome {
         let (done, outcome) = oneshot::channel();
-        let write = RecordWrite { shard, key: key.into(), value, done };
+        let write = RecordWrite {
+            shard,
+            key: key.into(),
+            value,
+            done,
+        };
         if self.sender.send(write).await.is_err() {
             return RecordOutcome::Unavailable;
         }
@@ -114,7 +127,9 @@
         let mut keys = HashSet::from([first.key.clone()]);
         let mut batch = vec![first];
         while batch.len() < MAX_BATCH_OPERATIONS - 1 {
-            let Ok(write) = self.receiver.try_recv() else { break };
+            let Ok(write) = self.receiver.try_recv() else {
+                break;
+            };
             if !keys.insert(write.key.clone()) {
                 return (batch, Some(write));
             }
@@ -125,7 +140,9 @@
 
     async fn write_batch(&self, mut batch: Vec<RecordWrite>) {
         for _ in 0..MAX_ATTEMPTS {
-            let Some(fence) = self.keep_owned(&mut batch) else { return };
+            let Some(fence) = self.keep_owned(&mut batch) else {
+                return;
+            };
             match self.kv.write_batch(&operations(&batch, fence)).await {
                 Ok(BatchOutcome::Swapped { .. }) => {
                     self.in_force.mark_heard(std::time::Instant::now());
@@ -157,10 +174,15 @@
     }
 
     async fn refresh_assignment(&self) {
-        let Ok(Some(entry)) = self.kv.get(ASSIGNMENT_KEY).await else { return };
-        let Ok(assignment) = serde_json::from_slice::<Assignment>(&entry.value) else { return };
+        let Ok(Some(entry)) = self.kv.get(ASSIGNMENT_KEY).await else {
+            return;
+        };
+        let Ok(assignment) = serde_json::from_slice::<Assignment>(&entry.value) else {
+            return;
+        };
         self.member.update(|core, _now| {
-            core.planner.assignment_observed(entry.mod_revision, assignment);
+            core.planner
+                .assignment_observed(entry.mod_revision, assignment);
         });
     }
 }
--- a/crates/control/src/shard_state.rs
+++ b/crates/control/src/shard_state.rs
@@ -56,8 +56,9 @@
         incarnation: Incarnation,
         former: Option<Name>,
     ) -> Self {
-        let idempotency =
-            former.is_none().then(|| IdempotencyTable::new(IdempotencySettings::default()));
+        let idempotency = former
+            .is_none()
+            .then(|| IdempotencyTable::new(IdempotencySettings::default()));
         Self {
             shard,
             acquired_at,
@@ -77,10 +78,18 @@
         state: &[u8],
         now: MonotonicTime,
     ) -> Option<Self> {
-        let ShardExport { accounts, starts_empty, models, pools, idempotency } =
-            rmp_serde::from_slice(state).ok()?;
+        let ShardExport {
+            accounts,
+            starts_empty,
+            models,
+            pools,
+            idempotency,
+        } = rmp_serde::from_slice(state).ok()?;
         let pools = pools.into_iter().map(|pool| {
-            (pool.service.clone(), PoolCell::import(pool, acquired_at, now))
+            (
+                pool.service.clone(),
+                PoolCell::import(pool, acquired_at, now),
+            )
         });
         Some(Self {
             shard,
@@ -88,9 +97,8 @@
             accounts: AccountTable::import(accounts, starts_empty, now),
             models: DispatchTable::import(models, incarnation, now),
             pools: pools.collect(),
-            idempotency: idempotency.map(|state| {
-                IdempotencyTable::import(IdempotencySettings::default(), state, now)
-            }),
+            idempotency: idempotency
+                .map(|state| IdempotencyTable::import(IdempotencySettings::default(), state, now)),
             recovered_from: None,
         })
     }
--- a/crates/control/src/shard_table.rs
+++ b/crates/control/src/shard_table.rs
@@ -46,7 +46,9 @@
 impl ShardTable {
     /// All shards vacant.
     pub fn new(member: Arc<MemberCell>) -> Self {
-        let slots = (0..SHARD_COUNT).map(|_| Mutex::new(ShardSlot::Vacant)).collect();
+        let slots = (0..SHARD_COUNT)
+            .map(|_| Mutex::new(ShardSlot::Vacant))
+            .collect();
         Self { slots, member }
     }
 
@@ -87,7 +89,12 @@
     /// Takes a shard over, from staged state if there is any.
     pub fn acquire(&self, gain: &ShardGain, staged: Option<StagedShard>, now: MonotonicTime) {
         let incarnation = self.member.read(|core, _now| core.incarnation);
-        let ShardGain { shard, revision, previous, claimed: _ } = gain;
+        let ShardGain {
+            shard,
+            revision,
+            previous,
+            claimed: _,
+        } = gain;
         let imported = staged.as_ref().and_then(|staged| {
             ShardState::import(*shard, *revision, incarnation, &staged.state, now)
         });
@@ -110,7 +117,10 @@
         };
         let acquired_at = state.acquired_at;
         let state = state.export(self.member.now())?;
-        *slot = ShardSlot::Frozen(FrozenShard { acquired_at, state: state.clone() });
+        *slot = ShardSlot::Frozen(FrozenShard {
+            acquired_at,
+            state: state.clone(),
+        });
         Some(state)
     }
 
@@ -119,8 +129,9 @@
     pub fn reconcile(&self, member: &MemberCell) {
         let (incarnation, owned, frozen) = member.read(|core, _now| {
             let owned: Vec<ShardId> = core.planner.owned_shards().collect();
-            let frozen: Vec<ShardId> =
-                (0..SHARD_COUNT).filter(|shard| core.planner.is_frozen(*shard)).collect();
+            let frozen: Vec<ShardId> = (0..SHARD_COUNT)
+                .filter(|shard| core.planner.is_frozen(*shard))
+                .collect();
             (core.incarnation, owned, frozen)
         });
         for shard in 0..SHARD_COUNT {
@@ -146,6 +157,8 @@
     }
 
     fn lock(&self, shard: ShardId) -> MutexGuard<'_, ShardSlot> {
-        self.slots[usize::from(shard)].lock().unwrap_or_else(PoisonError::into_inner)
+        self.slots[usize::from(shard)]
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/entry/src/answer_relay.rs
+++ b/crates/entry/src/answer_relay.rs
@@ -138,7 +138,10 @@
             }
             StreamEnd::CallerLeft => {
                 self.ticket.set_outcome(ReleaseOutcome::Cancelled);
-                self.record(EventKind::RequestFailed, format!("caller left after {detail}"));
+                self.record(
+                    EventKind::RequestFailed,
+                    format!("caller left after {detail}"),
+                );
             }
             StreamEnd::KeyWithdrawn => {
                 self.ticket.set_outcome(ReleaseOutcome::Cancelled);
@@ -147,15 +150,25 @@
             }
             StreamEnd::ServerFailed => {
                 self.ticket.set_outcome(ReleaseOutcome::ServerFailed);
-                self.record(EventKind::RequestFailed, format!("server failed after {detail}"));
-                cut(sender, ProblemKind::BackendFailed, "the backend server stopped").await;
+                self.record(
+                    EventKind::RequestFailed,
+                    format!("server failed after {detail}"),
+                );
+                cut(
+                    sender,
+                    ProblemKind::BackendFailed,
+                    "the backend server stopped",
+                )
+                .await;
             }
         }
     }
 
     fn record(&self, kind: EventKind, detail: String) {
         let trace_id = Some(self.context.trace_id);
-        self.state.events.record(kind, trace_id, self.context.subject(), detail);
+        self.state
+            .events
+            .record(kind, trace_id, self.context.subject(), detail);
     }
 }
 
@@ -174,7 +187,9 @@
 
 /// A stream starts with an event field or a comment; anything else is not a stream of events.
 fn looks_like_events(chunk: &[u8]) -> bool {
-    [&b"data:"[..], b"event:", b"id:", b"retry:", b":"].iter().any(|start| chunk.starts_with(start))
+    [&b"data:"[..], b"event:", b"id:", b"retry:", b":"]
+        .iter()
+        .any(|start| chunk.starts_with(start))
 }
 
 /// Ends the answer so that the caller cannot take it for whole: an error event, then a broken chunked body.
--- a/crates/entry/src/backend_client.rs
+++ b/crates/entry/src/backend_client.rs
@@ -108,7 +108,14 @@
 }
 
 async fn exchange(client: &Client, call: BackendCall) -> Result<Response> {
-    let BackendCall { address, method, path, headers, body, deadline } = call;
+    let BackendCall {
+        address,
+        method,
+        path,
+        headers,
+        body,
+        deadline,
+    } = call;
     let left = deadline.saturating_duration_since(Instant::now());
     if left.is_zero() {
         return Err(BackendFailure::NotSent);
--- a/crates/entry/src/caller_key.rs
+++ b/crates/entry/src/caller_key.rs
@@ -62,7 +62,9 @@
     };
     let has_parameter = query.split('&').any(|pair| {
         let name = pair.split('=').next().unwrap_or_default();
-        KEY_PARAMETERS.iter().any(|parameter| name.eq_ignore_ascii_case(parameter))
+        KEY_PARAMETERS
+            .iter()
+            .any(|parameter| name.eq_ignore_ascii_case(parameter))
     });
     if has_parameter || key.is_some_and(|key| key.occurs_in(query.as_bytes())) {
         let detail = "send the key in the Authorization header, not in the query; replace this key";
@@ -73,20 +75,27 @@
 
 fn candidates(headers: &HeaderMap) -> impl Iterator<Item = Result<&str>> {
     let bearer = headers.get_all(header::AUTHORIZATION).iter().map(|value| {
-        let text = value.to_str().map_err(|_| invalid("the Authorization header is not text"))?;
+        let text = value
+            .to_str()
+            .map_err(|_| invalid("the Authorization header is not text"))?;
         let (scheme, key) = text.split_once(' ').unwrap_or((text, ""));
         if !scheme.eq_ignore_ascii_case("bearer") || key.trim().is_empty() {
             return Err(invalid("expected `Authorization: Bearer <key>`"));
         }
         Ok(key.trim())
     });
-    let plain = KEY_HEADERS.iter().flat_map(|name| headers.get_all(*name).iter()).map(|value| {
-        let text = value.to_str().map_err(|_| invalid("the key header is not text"))?;
-        if text.trim().is_empty() {
-            return Err(invalid("the key header is empty"));
-        }
-        Ok(text.trim())
-    });
+    let plain = KEY_HEADERS
+        .iter()
+        .flat_map(|name| headers.get_all(*name).iter())
+        .map(|value| {
+            let text = value
+                .to_str()
+                .map_err(|_| invalid("the key header is not text"))?;
+            if text.trim().is_empty() {
+                return Err(invalid("the key header is empty"));
+            }
+            Ok(text.trim())
+        });
     bearer.chain(plain)
 }
 
--- a/crates/entry/src/caller_listener.rs
+++ b/crates/entry/src/caller_listener.rs
@@ -71,7 +71,12 @@
         let acceptor = Arc::new(ArcSwapOption::<TlsAcceptor>::empty());
         if let Some(files) = files {
             acceptor.store(Some(Arc::new(load_acceptor(&files)?)));
-            tokio::spawn(follow_certificate(files, acceptor.clone(), logger, token.clone()));
+            tokio::spawn(follow_certificate(
+                files,
+                acceptor.clone(),
+                logger,
+                token.clone(),
+            ));
         }
         let (sender, ready) = mpsc::channel(READY_LIMIT);
         tokio::spawn(accept_loop(listener, acceptor, sender, token));
@@ -143,7 +148,9 @@
         if count == 0 {
             return None;
         }
-        let is_whole = buffer[..count].windows(4).any(|window| window == b"\r\n\r\n");
+        let is_whole = buffer[..count]
+            .windows(4)
+            .any(|window| window == b"\r\n\r\n");
         if is_whole || buffer.len() >= PEEK_BYTES {
             return Some(());
         }
@@ -174,7 +181,11 @@
     token: CancellationToken,
 ) {
     let mut known = modified(&files);
-    while token.run_until_cancelled(tokio::time::sleep(CERTIFICATE_INTERVAL)).await.is_some() {
+    while token
+        .run_until_cancelled(tokio::time::sleep(CERTIFICATE_INTERVAL))
+        .await
+        .is_some()
+    {
         let current = modified(&files);
         if current.is_none() || current == known {
             continue;
--- a/crates/entry/src/chat_call.rs
+++ b/crates/entry/src/chat_call.rs
@@ -59,12 +59,21 @@
         let parsed: ChatBody = serde_json::from_slice(body).map_err(|error| {
             RequestProblem::not_run(ProblemKind::InvalidBody, describe_json_error(&error))
         })?;
-        let ChatBody { model, messages, stream, max_tokens, max_completion_tokens } = parsed;
+        let ChatBody {
+            model,
+            messages,
+            stream,
+            max_tokens,
+            max_completion_tokens,
+        } = parsed;
         let (base, adapter) = match model.split_once(':') {
             Some((base, adapter)) => (base.into(), Some(adapter.into())),
             None => (model, None),
         };
-        let text: String = messages.iter().map(|message| message.content.to_string()).collect();
+        let text: String = messages
+            .iter()
+            .map(|message| message.content.to_string())
+            .collect();
         Ok(Self {
             model: base,
             adapter,
--- a/crates/entry/src/entry_counters.rs
+++ b/crates/entry/src/entry_counters.rs
@@ -33,7 +33,9 @@
 impl GaugeGuard {
     fn raise(gauge: &IntGauge) -> Self {
         gauge.inc();
-        Self { gauge: gauge.clone() }
+        Self {
+            gauge: gauge.clone(),
+        }
     }
 }
 
@@ -91,7 +93,9 @@
 
     /// Counts a failed attempt.
     pub fn backend_failure(&self, failure: BackendFailure) {
-        self.backend_failures.with_label_values(&[&format!("{failure:?}")]).inc();
+        self.backend_failures
+            .with_label_values(&[&format!("{failure:?}")])
+            .inc();
     }
 
     /// Notes the time to a first token.
--- a/crates/entry/src/entry_process.rs
+++ b/crates/entry/src/entry_process.rs
@@ -85,7 +85,12 @@
     let keys = KeyRingFile::open(&settings.peer_keys)?;
     let client = PeerClient::new(keys.clone(), PeerCounters::register(&registry)?)?;
     tokio::spawn(keys.follow(logger.clone(), token.clone()));
-    let state = Arc::new(build_state(&settings, &registry, events.clone(), client.clone())?);
+    let state = Arc::new(build_state(
+        &settings,
+        &registry,
+        events.clone(),
+        client.clone(),
+    )?);
     let follower = SnapshotFollower {
         own_control: settings.control.to_string().into(),
         client,
@@ -157,11 +162,12 @@
 ) -> Result<tokio::task::JoinHandle<()>> {
     let listener = bind(address).await?;
     let router: Router = add_admin_routes(Router::new(), source);
-    let server = Server::new(router).register_shutdown_hook(move || async move {
-        token.cancelled().await;
-    });
+    let server = Server::new(router)
+        .register_shutdown_hook(move || Box::pin(async move { token.cancelled().await }));
     Ok(tokio::spawn(async move {
-        let _ = server.run(volo::net::incoming::DefaultIncoming::from(listener)).await;
+        let _ = server
+            .run(volo::net::incoming::DefaultIncoming::from(listener))
+            .await;
     }))
 }
 
@@ -183,10 +189,15 @@
     )
     .map_err(|source| EntryError::Listen { address, source })?;
     info!(logger, "listening"; "callers" => %address, "admin" => %settings.admin);
-    state.events.record(EventKind::ProcessReady, None, state.host.clone(), "");
+    state
+        .events
+        .record(EventKind::ProcessReady, None, state.host.clone(), "");
     let drain = drain(settings.clone(), state.clone(), stopping, accepting, logger);
-    let server = Server::new(caller_router(state)).register_shutdown_hook(move || drain);
-    server.run(incoming).await.map_err(|error| EntryError::Http(error.to_string()))
+    let server = Server::new(caller_router(state)).register_shutdown_hook(move || Box::pin(drain));
+    server
+        .run(incoming)
+        .await
+        .map_err(|error| EntryError::Http(error.to_string()))
 }
 
 fn caller_router(state: Arc<EntryState>) -> Router {
@@ -214,7 +225,9 @@
     logger: Logger,
 ) {
     info!(logger, "stopping"; "open" => state.counters.active());
-    state.events.record(EventKind::ProcessStopping, None, state.host.clone(), "");
+    state
+        .events
+        .record(EventKind::ProcessStopping, None, state.host.clone(), "");
     stopping.store(true, Ordering::Release);
     tokio::time::sleep(settings.drain_lead).await;
     accepting.cancel();
@@ -223,7 +236,9 @@
             tokio::time::sleep(DRAIN_POLL).await;
         }
     };
-    let in_time = tokio::time::timeout(settings.drain_limit, idle).await.is_ok();
+    let in_time = tokio::time::timeout(settings.drain_limit, idle)
+        .await
+        .is_ok();
     info!(logger, "drained"; "complete" => in_time);
 }
 
--- a/crates/entry/src/entry_settings.rs
+++ b/crates/entry/src/entry_settings.rs
@@ -54,13 +54,32 @@
 /// Parser of the flags.
 pub fn entry_arguments() -> OptionParser<EntryArguments> {
     let common = common_arguments();
-    let admin = text("admin", "ADDR", "IP address and port of metrics, health and events");
-    let control = text("control", "ADDR", "IP address and port of this host's control process");
-    let peer_keys = text("peer-keys", "FILE", "Keys that authenticate messages between processes");
-    let tls_certificate = text("tls-certificate", "FILE", "Certificate chain for callers, PEM");
+    let admin = text(
+        "admin",
+        "ADDR",
+        "IP address and port of metrics, health and events",
+    );
+    let control = text(
+        "control",
+        "ADDR",
+        "IP address and port of this host's control process",
+    );
+    let peer_keys = text(
+        "peer-keys",
+        "FILE",
+        "Keys that authenticate messages between processes",
+    );
+    let tls_certificate = text(
+        "tls-certificate",
+        "FILE",
+        "Certificate chain for callers, PEM",
+    );
     let tls_key = text("tls-key", "FILE", "Private key of the certificate, PEM");
-    let max_body_bytes =
-        text("max-body-bytes", "BYTES", "Largest request body (default: 16777216)");
+    let max_body_bytes = text(
+        "max-body-bytes",
+        "BYTES",
+        "Largest request body (default: 16777216)",
+    );
     let default_deadline_ms = text(
         "default-deadline-ms",
         "MS",
@@ -71,8 +90,11 @@
         "MS",
         "Time between not ready and the end of new connections (default: 1000)",
     );
-    let drain_limit_ms =
-        text("drain-limit-ms", "MS", "Longest wait for open requests at a stop (default: 60000)");
+    let drain_limit_ms = text(
+        "drain-limit-ms",
+        "MS",
+        "Longest wait for open requests at a stop (default: 60000)",
+    );
     bpaf::construct!(EntryArguments {
         common,
         admin,
@@ -90,11 +112,7 @@
     .version(env!("CARGO_PKG_VERSION"))
 }
 
-fn text(
-    name: &'static str,
-    meta: &'static str,
-    help: &'static str,
-) -> impl Parser<Option<String>> {
+fn text(name: &'static str, meta: &'static str, help: &'static str) -> impl Parser<Option<String>> {
     let variable = match name {
         "admin" => "ZINNIAHINGE_ADMIN",
         "control" => "ZINNIAHINGE_CONTROL",
@@ -106,7 +124,11 @@
         "drain-lead-ms" => "ZINNIAHINGE_DRAIN_LEAD_MS",
         _ => "ZINNIAHINGE_DRAIN_LIMIT_MS",
     };
-    bpaf::long(name).env(variable).help(help).argument::<String>(meta).optional()
+    bpaf::long(name)
+        .env(variable)
+        .help(help)
+        .argument::<String>(meta)
+        .optional()
 }
 
 impl EntryArguments {
@@ -138,12 +160,24 @@
         let certificate = check_certificate(faults, tls_certificate, tls_key);
         let max_body_bytes =
             faults.parsed_or("--max-body-bytes", max_body_bytes, defaults.max_body_bytes);
-        let default_deadline =
-            millis(faults, "--default-deadline-ms", default_deadline_ms, defaults.default_deadline);
-        let drain_lead =
-            millis(faults, "--drain-lead-ms", drain_lead_ms, Duration::from_secs(1));
-        let drain_limit =
-            millis(faults, "--drain-limit-ms", drain_limit_ms, Duration::from_secs(60));
+        let default_deadline = millis(
+            faults,
+            "--default-deadline-ms",
+            default_deadline_ms,
+            defaults.default_deadline,
+        );
+        let drain_lead = millis(
+            faults,
+            "--drain-lead-ms",
+            drain_lead_ms,
+            Duration::from_secs(1),
+        );
+        let drain_limit = millis(
+            faults,
+            "--drain-limit-ms",
+            drain_limit_ms,
+            Duration::from_secs(60),
+        );
         Some(EntrySettings {
             common: common?,
             admin: admin?,
@@ -169,9 +203,10 @@
 ) -> Option<Option<CertificateFiles>> {
     match (certificate, key) {
         (None, None) => Some(None),
-        (Some(certificate), Some(key)) => {
-            Some(Some(CertificateFiles { certificate: certificate.into(), key: key.into() }))
-        }
+        (Some(certificate), Some(key)) => Some(Some(CertificateFiles {
+            certificate: certificate.into(),
+            key: key.into(),
+        })),
         (Some(_), None) => {
             faults.add("--tls-key", "is missing; --tls-certificate is given");
             None
--- a/crates/entry/src/entry_snapshot.rs
+++ b/crates/entry/src/entry_snapshot.rs
@@ -47,12 +47,17 @@
     /// Control process that owns `key` now.
     pub fn owner_address(&self, key: &ResourceKey) -> Option<Name> {
         let owner = self.assignment.owner(key.shard())?;
-        self.hosts.get(&owner.host).map(|address| address.control.clone())
+        self.hosts
+            .get(&owner.host)
+            .map(|address| address.control.clone())
     }
 
     /// Account of `service` that a key with this digest belongs to.
     pub fn account(&self, service: &str, digest: &[u8; 32]) -> Option<&ClientAccount> {
-        self.services.get(service)?.document.account_by_digest(digest)
+        self.services
+            .get(service)?
+            .document
+            .account_by_digest(digest)
     }
 
     /// True if any service has an account with this digest.
@@ -97,14 +102,19 @@
     /// Notes that the snapshot was current `staleness` ago.
     pub fn mark_fresh(&self, staleness: Duration) {
         let at = self.origin.elapsed().saturating_sub(staleness);
-        self.fresh_ms.fetch_max(at.as_millis() as u64 + 1, Ordering::AcqRel);
+        self.fresh_ms
+            .fetch_max(at.as_millis() as u64 + 1, Ordering::AcqRel);
     }
 
     /// Time since the snapshot was last known to be current; `None` if it never was.
     pub fn staleness(&self) -> Option<Duration> {
         match self.fresh_ms.load(Ordering::Acquire) {
             0 => None,
-            at => Some(self.origin.elapsed().saturating_sub(Duration::from_millis(at - 1))),
+            at => Some(
+                self.origin
+                    .elapsed()
+                    .saturating_sub(Duration::from_millis(at - 1)),
+            ),
         }
     }
 
--- a/crates/entry/src/filters/authentication.rs
+++ b/crates/entry/src/filters/authentication.rs
@@ -52,8 +52,10 @@
         return Ok(());
     }
     let detail = "this host cannot tell at present whether keys were withdrawn; try another host";
-    Err(RequestProblem::not_run(ProblemKind::StaleConfiguration, detail)
-        .with_retry_after(state.limits.max_staleness))
+    Err(
+        RequestProblem::not_run(ProblemKind::StaleConfiguration, detail)
+            .with_retry_after(state.limits.max_staleness),
+    )
 }
 
 fn find_account<'a>(
@@ -61,7 +63,10 @@
     context: &RequestContext,
 ) -> Result<&'a ClientAccount> {
     let Some(key) = &context.key else {
-        return Err(RequestProblem::not_run(ProblemKind::MissingKey, "this route needs a key"));
+        return Err(RequestProblem::not_run(
+            ProblemKind::MissingKey,
+            "this route needs a key",
+        ));
     };
     let service = context.service().map_or("", |service| service);
     if let Some(account) = snapshot.account(service, &key.digest) {
@@ -71,7 +76,10 @@
         let detail = "the client account has no access to this service";
         return Err(RequestProblem::not_run(ProblemKind::Forbidden, detail));
     }
-    Err(RequestProblem::not_run(ProblemKind::InvalidKey, "the key belongs to no client account"))
+    Err(RequestProblem::not_run(
+        ProblemKind::InvalidKey,
+        "the key belongs to no client account",
+    ))
 }
 
 fn check_grant(account: &ClientAccount, context: &RequestContext) -> Result<()> {
--- a/crates/entry/src/filters/charge.rs
+++ b/crates/entry/src/filters/charge.rs
@@ -50,7 +50,10 @@
         return Err(RequestProblem::not_run(ProblemKind::UnknownModel, detail));
     };
     if call.prompt_tokens > model.max_prompt_tokens {
-        let detail = format!("the prompt is over the model's {} tokens", model.max_prompt_tokens);
+        let detail = format!(
+            "the prompt is over the model's {} tokens",
+            model.max_prompt_tokens
+        );
         return Err(RequestProblem::not_run(ProblemKind::InvalidBody, detail));
     }
     let output = call.max_tokens.unwrap_or(model.max_output_tokens);
@@ -68,7 +71,10 @@
     tokens: u64,
 ) -> Result<ChargeGrant> {
     let service = context.service().cloned().unwrap_or_default();
-    let key = ResourceKey::Account { service: service.clone(), account: account.clone() };
+    let key = ResourceKey::Account {
+        service: service.clone(),
+        account: account.clone(),
+    };
     let grant_id = GrantId(context.request_id.0);
     let message = ChargeRequest {
         service,
@@ -84,30 +90,37 @@
         deadline: context.deadline,
         long_poll: true,
     };
-    match state.owners.call(call, |reply| *reply == ChargeReply::NotOwner).await {
-        Ok(ChargeReply::Granted { remaining, burst }) => {
-            Ok(ChargeGrant {
-                service: message.service.clone(),
-                account: account.clone(),
-                grant_id,
-                tokens,
-                remaining,
-                burst,
-            })
-        }
-        Ok(ChargeReply::Refused { retry_after, burst, .. }) if tokens <= burst => {
+    match state
+        .owners
+        .call(call, |reply| *reply == ChargeReply::NotOwner)
+        .await
+    {
+        Ok(ChargeReply::Granted { remaining, burst }) => Ok(ChargeGrant {
+            service: message.service.clone(),
+            account: account.clone(),
+            grant_id,
+            tokens,
+            remaining,
+            burst,
+        }),
+        Ok(ChargeReply::Refused {
+            retry_after, burst, ..
+        }) if tokens <= burst => {
             let detail = "the client account used up its token rate";
             Err(RequestProblem::not_run(ProblemKind::RateLimited, detail)
                 .with_retry_after(retry_after))
         }
         Ok(ChargeReply::Refused { burst, .. }) => {
-            let detail = format!("the request needs {tokens} tokens, the account's burst is {burst}");
+            let detail =
+                format!("the request needs {tokens} tokens, the account's burst is {burst}");
             Err(RequestProblem::not_run(ProblemKind::ChargeTooLarge, detail))
         }
         Ok(ChargeReply::NotOwner) | Err(_) => {
             let detail = "the client account's limiter could not be reached before the deadline";
-            Err(RequestProblem::not_run(ProblemKind::OwnerUnavailable, detail)
-                .with_retry_after(state.limits.retry_after))
+            Err(
+                RequestProblem::not_run(ProblemKind::OwnerUnavailable, detail)
+                    .with_retry_after(state.limits.retry_after),
+            )
         }
     }
 }
--- a/crates/entry/src/filters/deadline.rs
+++ b/crates/entry/src/filters/deadline.rs
@@ -32,7 +32,9 @@
 fn route_terms(state: &EntryState, context: &RequestContext) -> (Duration, PriorityClass) {
     match context.target.as_ref() {
         Some(RequestTarget::Plain { route, .. }) => (route.deadline, route.class),
-        Some(RequestTarget::Model { route: Some(route), .. }) => (route.deadline, route.class),
+        Some(RequestTarget::Model {
+            route: Some(route), ..
+        }) => (route.deadline, route.class),
         _ => (state.limits.default_deadline, PriorityClass::Normal),
     }
 }
@@ -52,10 +54,15 @@
     let Some(value) = context.headers.get(TIMEOUT_HEADER) else {
         return Ok(None);
     };
-    let millis = value.to_str().ok().and_then(|text| text.parse::<u64>().ok());
+    let millis = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.parse::<u64>().ok());
     match millis {
         Some(millis) if millis > 0 => Ok(Some(Duration::from_millis(millis))),
-        _ => Err(invalid(format!("{TIMEOUT_HEADER}: expected a positive number of milliseconds"))),
+        _ => Err(invalid(format!(
+            "{TIMEOUT_HEADER}: expected a positive number of milliseconds"
+        ))),
     }
 }
 
@@ -67,7 +74,9 @@
         b"urgent" => Ok(Some(PriorityClass::Urgent)),
         b"normal" => Ok(Some(PriorityClass::Normal)),
         b"batch" => Ok(Some(PriorityClass::Batch)),
-        _ => Err(invalid(format!("{CLASS_HEADER}: expected urgent, normal or batch"))),
+        _ => Err(invalid(format!(
+            "{CLASS_HEADER}: expected urgent, normal or batch"
+        ))),
     }
 }
 
--- a/crates/entry/src/filters/idempotency.rs
+++ b/crates/entry/src/filters/idempotency.rs
@@ -45,7 +45,10 @@
     };
     let Some(account) = context.account.clone() else {
         let detail = "idempotency keys need a client account; this route is open to all";
-        return Err(RequestProblem::not_run(ProblemKind::InvalidIdempotencyKey, detail));
+        return Err(RequestProblem::not_run(
+            ProblemKind::InvalidIdempotencyKey,
+            detail,
+        ));
     };
     let claim = IdempotencyUse {
         key,
@@ -62,7 +65,10 @@
     context: &RequestContext,
     claim: &IdempotencyUse,
 ) -> crate::owner_client::Result<BeginReply> {
-    let key = ResourceKey::Idempotency { account: claim.account.clone(), key: claim.key.clone() };
+    let key = ResourceKey::Idempotency {
+        account: claim.account.clone(),
+        key: claim.key.clone(),
+    };
     let message = BeginRequest {
         account: claim.account.clone(),
         key: claim.key.clone(),
@@ -76,7 +82,10 @@
         deadline: context.deadline,
         long_poll: false,
     };
-    state.owners.call(call, |reply| *reply == BeginReply::NotOwner).await
+    state
+        .owners
+        .call(call, |reply| *reply == BeginReply::NotOwner)
+        .await
 }
 
 fn handle_reply(
@@ -93,9 +102,11 @@
         Ok(BeginReply::Stored(answer)) => Ok(FilterStep::Answer(replay(answer))),
         Ok(BeginReply::InProgress) => {
             let detail = "an earlier request with this idempotency key has not finished";
-            Err(RequestProblem::not_run(ProblemKind::IdempotencyInProgress, detail)
-                .with_ran(RanState::Unknown)
-                .with_retry_after(state.limits.retry_after))
+            Err(
+                RequestProblem::not_run(ProblemKind::IdempotencyInProgress, detail)
+                    .with_ran(RanState::Unknown)
+                    .with_retry_after(state.limits.retry_after),
+            )
         }
         Ok(BeginReply::OutcomeUnknown) => {
             let detail = "an earlier request with this idempotency key may have run; its answer is not known";
@@ -104,13 +115,18 @@
         }
         Ok(BeginReply::Mismatch) => {
             let detail = "this idempotency key was used for another request";
-            Err(RequestProblem::not_run(ProblemKind::IdempotencyMismatch, detail))
+            Err(RequestProblem::not_run(
+                ProblemKind::IdempotencyMismatch,
+                detail,
+            ))
         }
         Ok(BeginReply::Unavailable | BeginReply::NotOwner) | Err(_) => {
             abandon_key(&state.owners, claim);
             let detail = "the idempotency key cannot be recorded at present";
-            Err(RequestProblem::not_run(ProblemKind::OwnerUnavailable, detail)
-                .with_retry_after(state.limits.retry_after))
+            Err(
+                RequestProblem::not_run(ProblemKind::OwnerUnavailable, detail)
+                    .with_retry_after(state.limits.retry_after),
+            )
         }
     }
 }
@@ -122,10 +138,16 @@
     };
     let text = value.to_str().ok().filter(|text| !text.is_empty());
     match text {
-        Some(text) if text.len() <= MAX_KEY_BYTES && values.next().is_none() => Ok(Some(text.into())),
+        Some(text) if text.len() <= MAX_KEY_BYTES && values.next().is_none() => {
+            Ok(Some(text.into()))
+        }
         _ => {
-            let detail = "expected one Idempotency-Key header with 1 to 255 visible ASCII characters";
-            Err(RequestProblem::not_run(ProblemKind::InvalidIdempotencyKey, detail))
+            let detail =
+                "expected one Idempotency-Key header with 1 to 255 visible ASCII characters";
+            Err(RequestProblem::not_run(
+                ProblemKind::InvalidIdempotencyKey,
+                detail,
+            ))
         }
     }
 }
@@ -142,7 +164,11 @@
 }
 
 fn replay(answer: StoredAnswer) -> Response {
-    let StoredAnswer { status, content_type, body } = answer;
+    let StoredAnswer {
+        status,
+        content_type,
+        body,
+    } = answer;
     let mut response = Response::new(Body::from(Bytes::from(body)));
     *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
     let headers = response.headers_mut();
--- a/crates/entry/src/filters/mod.rs
+++ b/crates/entry/src/filters/mod.rs
@@ -15,13 +15,25 @@
 /// record costs no tokens.
 pub fn standard_chain() -> FilterChain {
     FilterChain::new(vec![
-        RequestFilter { name: "route", apply: |s, c| Box::pin(async { route::apply(s, c) }) },
+        RequestFilter {
+            name: "route",
+            apply: |s, c| Box::pin(async { route::apply(s, c) }),
+        },
         RequestFilter {
             name: "authentication",
             apply: |s, c| Box::pin(async { authentication::apply(s, c) }),
         },
-        RequestFilter { name: "deadline", apply: |s, c| Box::pin(async { deadline::apply(s, c) }) },
-        RequestFilter { name: "idempotency", apply: |s, c| Box::pin(idempotency::apply(s, c)) },
-        RequestFilter { name: "charge", apply: |s, c| Box::pin(charge::apply(s, c)) },
+        RequestFilter {
+            name: "deadline",
+            apply: |s, c| Box::pin(async { deadline::apply(s, c) }),
+        },
+        RequestFilter {
+            name: "idempotency",
+            apply: |s, c| Box::pin(idempotency::apply(s, c)),
+        },
+        RequestFilter {
+            name: "charge",
+            apply: |s, c| Box::pin(charge::apply(s, c)),
+        },
     ])
 }
--- a/crates/entry/src/filters/route.rs
+++ b/crates/entry/src/filters/route.rs
@@ -35,7 +35,9 @@
 fn find_plain(snapshot: &EntrySnapshot, context: &RequestContext) -> Result<RequestTarget> {
     let method = context.method.as_str();
     for (service, in_force) in &snapshot.services {
-        let Some(route) = in_force.document.route(method, &context.path) else { continue };
+        let Some(route) = in_force.document.route(method, &context.path) else {
+            continue;
+        };
         if let RouteTarget::Group(group) = &route.target {
             return Ok(RequestTarget::Plain {
                 service: service.clone(),
@@ -62,9 +64,9 @@
     let mut found = None;
     for (service, in_force) in &snapshot.services {
         let document = &in_force.document;
-        let has_adapter =
-            |adapter: &str| document.adapter(&call.model, adapter).is_some();
-        if document.model(&call.model).is_none() || !call.adapter.as_deref().is_none_or(has_adapter) {
+        let has_adapter = |adapter: &str| document.adapter(&call.model, adapter).is_some();
+        if document.model(&call.model).is_none() || !call.adapter.as_deref().is_none_or(has_adapter)
+        {
             continue;
         }
         let knows_key = context
@@ -73,7 +75,11 @@
             .is_some_and(|key| document.account_by_digest(&key.digest).is_some());
         if knows_key || found.is_none() {
             let route = document.route("POST", CHAT_PATH).cloned();
-            found = Some(RequestTarget::Model { service: service.clone(), call: call.clone(), route });
+            found = Some(RequestTarget::Model {
+                service: service.clone(),
+                call: call.clone(),
+                route,
+            });
         }
         if knows_key {
             break;
@@ -98,10 +104,16 @@
 
 fn require_known_key(snapshot: &EntrySnapshot, context: &RequestContext) -> Result<()> {
     let Some(key) = &context.key else {
-        return Err(RequestProblem::not_run(ProblemKind::MissingKey, "this route needs a key"));
+        return Err(RequestProblem::not_run(
+            ProblemKind::MissingKey,
+            "this route needs a key",
+        ));
     };
     if snapshot.knows_key(&key.digest) {
         return Ok(());
     }
-    Err(RequestProblem::not_run(ProblemKind::InvalidKey, "the key belongs to no client account"))
+    Err(RequestProblem::not_run(
+        ProblemKind::InvalidKey,
+        "the key belongs to no client account",
+    ))
 }
--- a/crates/entry/src/model_forward.rs
+++ b/crates/entry/src/model_forward.rs
@@ -85,8 +85,7 @@
             }
         }
         let detail = "every backend server that was tried failed";
-        Err(RequestProblem::not_run(ProblemKind::BackendFailed, detail)
-            .with_ran(RanState::Unknown))
+        Err(RequestProblem::not_run(ProblemKind::BackendFailed, detail).with_ran(RanState::Unknown))
     }
 
     async fn dispatch(&self, attempt: u128, excluded: &[Name]) -> Result<TicketGuard> {
@@ -116,19 +115,25 @@
                     ticket,
                 ))
             }
-            Ok(DispatchReply::Refused { reason, retry_after }) => {
-                Err(refusal_problem(reason, retry_after))
-            }
+            Ok(DispatchReply::Refused {
+                reason,
+                retry_after,
+            }) => Err(refusal_problem(reason, retry_after)),
             Ok(DispatchReply::NotOwner) | Err(_) => {
                 let detail = "the model's dispatcher gave no answer before the deadline";
-                Err(RequestProblem::not_run(ProblemKind::DeadlineExceeded, detail)
-                    .with_retry_after(self.state.limits.retry_after))
+                Err(
+                    RequestProblem::not_run(ProblemKind::DeadlineExceeded, detail)
+                        .with_retry_after(self.state.limits.retry_after),
+                )
             }
         }
     }
 
     fn dispatch_request(&self, attempt: u128, excluded: &[Name]) -> DispatchRequest {
-        let output = self.call.max_tokens.unwrap_or_else(|| self.model_max_output());
+        let output = self
+            .call
+            .max_tokens
+            .unwrap_or_else(|| self.model_max_output());
         DispatchRequest {
             request_id: RequestId(self.context.request_id.0.wrapping_add(attempt)),
             trace_id: self.context.trace_id,
@@ -136,7 +141,11 @@
             service: self.service.clone(),
             model: self.call.model.clone(),
             adapter: self.adapter_id(),
-            account: self.context.account.clone().unwrap_or_else(|| "open".into()),
+            account: self
+                .context
+                .account
+                .clone()
+                .unwrap_or_else(|| "open".into()),
             class: self.context.class,
             deadline_in: self.context.time_left(),
             tokens: self.call.prompt_tokens + output,
@@ -149,7 +158,9 @@
     /// Adapter names are unique only within their base model.
     fn adapter_id(&self) -> Option<Name> {
         let ChatCall { model, adapter, .. } = &self.call;
-        adapter.as_ref().map(|adapter| format!("{model}:{adapter}").into())
+        adapter
+            .as_ref()
+            .map(|adapter| format!("{model}:{adapter}").into())
     }
 
     fn model_max_output(&self) -> u64 {
@@ -173,7 +184,11 @@
         mut ticket: TicketGuard,
     ) -> std::result::Result<Response, BackendFailure> {
         let started = Instant::now();
-        let sent = self.state.backends.send(self.backend_call(&ticket.ticket)).await;
+        let sent = self
+            .state
+            .backends
+            .send(self.backend_call(&ticket.ticket))
+            .await;
         let response = match sent {
             Ok(response) => response,
             Err(failure) => {
@@ -193,15 +208,16 @@
             return self.stream_answer(response, ticket, started).await;
         }
         let result = self.whole_answer(response, started, &mut ticket).await;
-        let outcome = result.as_ref().map_or(ReleaseOutcome::ServerFailed, |_| ReleaseOutcome::Finished);
+        let outcome = result
+            .as_ref()
+            .map_or(ReleaseOutcome::ServerFailed, |_| ReleaseOutcome::Finished);
         ticket.set_outcome(outcome);
         result
     }
 
     fn backend_call(&self, ticket: &DispatchTicket) -> BackendCall {
         let context = &self.context;
-        let headers =
-            request_headers(&context.headers, context.key.as_ref(), context.request_id);
+        let headers = request_headers(&context.headers, context.key.as_ref(), context.request_id);
         BackendCall {
             address: ticket.address.clone(),
             method: Method::POST,
@@ -288,7 +304,9 @@
 
     fn record(&self, kind: EventKind, detail: String) {
         let trace_id = Some(self.context.trace_id);
-        self.state.events.record(kind, trace_id, self.context.subject(), detail);
+        self.state
+            .events
+            .record(kind, trace_id, self.context.subject(), detail);
     }
 }
 
@@ -314,8 +332,11 @@
 
 /// True for a failure of the server, and for a server that has lost the model, is busy or refuses more work.
 fn is_retryable(status: StatusCode) -> bool {
-    let lost_or_busy =
-        [StatusCode::NOT_FOUND, StatusCode::CONFLICT, StatusCode::TOO_MANY_REQUESTS];
+    let lost_or_busy = [
+        StatusCode::NOT_FOUND,
+        StatusCode::CONFLICT,
+        StatusCode::TOO_MANY_REQUESTS,
+    ];
     status.is_server_error() || lost_or_busy.contains(&status)
 }
 
@@ -325,12 +346,14 @@
         RefusalReason::DeadlineUnreachable => {
             (ProblemKind::DeadlineExceeded, "the deadline cannot be met")
         }
-        RefusalReason::DeadlinePassed => {
-            (ProblemKind::DeadlineExceeded, "the deadline passed while the request waited")
-        }
-        RefusalReason::UnknownModel => {
-            (ProblemKind::UnknownModel, "the model or adapter was withdrawn")
-        }
+        RefusalReason::DeadlinePassed => (
+            ProblemKind::DeadlineExceeded,
+            "the deadline passed while the request waited",
+        ),
+        RefusalReason::UnknownModel => (
+            ProblemKind::UnknownModel,
+            "the model or adapter was withdrawn",
+        ),
         RefusalReason::AccountWithdrawn => {
             (ProblemKind::InvalidKey, "the client account was withdrawn")
         }
@@ -350,17 +373,31 @@
     /// Answer for the caller.
     pub fn into_problem(self, server: &str) -> RequestProblem {
         let (kind, ran, what) = match self {
-            Self::NotSent => (ProblemKind::NoBackendServer, RanState::No, "could not be reached"),
-            Self::NoAnswer => (ProblemKind::BackendFailed, RanState::Unknown, "gave no answer"),
-            Self::TimedOut => {
-                (ProblemKind::DeadlineExceeded, RanState::Unknown, "did not answer in time")
-            }
-            Self::CrossedAnswer => {
-                (ProblemKind::BackendFailed, RanState::Unknown, "answered another request")
-            }
-            Self::BrokenAnswer => {
-                (ProblemKind::BackendFailed, RanState::Unknown, "gave a broken answer")
-            }
+            Self::NotSent => (
+                ProblemKind::NoBackendServer,
+                RanState::No,
+                "could not be reached",
+            ),
+            Self::NoAnswer => (
+                ProblemKind::BackendFailed,
+                RanState::Unknown,
+                "gave no answer",
+            ),
+            Self::TimedOut => (
+                ProblemKind::DeadlineExceeded,
+                RanState::Unknown,
+                "did not answer in time",
+            ),
+            Self::CrossedAnswer => (
+                ProblemKind::BackendFailed,
+                RanState::Unknown,
+                "answered another request",
+            ),
+            Self::BrokenAnswer => (
+                ProblemKind::BackendFailed,
+                RanState::Unknown,
+                "gave a broken answer",
+            ),
         };
         RequestProblem::not_run(kind, format!("backend server {server} {what}")).with_ran(ran)
     }
--- a/crates/entry/src/owner_client.rs
+++ b/crates/entry/src/owner_client.rs
@@ -89,8 +89,16 @@
         Rep: DeserializeOwned,
     {
         let address = self.cell.load().owner_address(call.key)?;
-        let timeout = if call.long_poll { left } else { left.min(CALL_TIMEOUT) };
-        let target = PeerTarget { address: &address, path: call.path, timeout };
+        let timeout = if call.long_poll {
+            left
+        } else {
+            left.min(CALL_TIMEOUT)
+        };
+        let target = PeerTarget {
+            address: &address,
+            path: call.path,
+            timeout,
+        };
         tokio::select! {
             reply = self.client.call(target, call.message) => reply.ok(),
             () = self.owner_moved(call.key, &address) => None,
--- a/crates/entry/src/plain_forward.rs
+++ b/crates/entry/src/plain_forward.rs
@@ -72,11 +72,17 @@
         let result = self.try_servers().await;
         if let Some(claim) = self.claim.take() {
             let answer = result.as_ref().ok().map(stored_answer);
-            let ran = result.as_ref().err().is_none_or(|problem| problem.ran != RanState::No);
+            let ran = result
+                .as_ref()
+                .err()
+                .is_none_or(|problem| problem.ran != RanState::No);
             finish_key(&self.state.owners, claim, answer, ran).await;
         }
         let answer = result?;
-        self.record(EventKind::RequestFinished, format!("status {}", answer.parts.status));
+        self.record(
+            EventKind::RequestFinished,
+            format!("status {}", answer.parts.status),
+        );
         let mut response = Response::new(Body::from(answer.body));
         *response.status_mut() = answer.parts.status;
         *response.headers_mut() = response_headers(&answer.parts.headers);
@@ -89,8 +95,10 @@
             check_account(&self.state, &self.context)?;
             let Some(server) = self.pick_server(&excluded) else {
                 let detail = "no backend server is available for this route";
-                return Err(RequestProblem::not_run(ProblemKind::NoBackendServer, detail)
-                    .with_retry_after(self.state.limits.retry_after));
+                return Err(
+                    RequestProblem::not_run(ProblemKind::NoBackendServer, detail)
+                        .with_retry_after(self.state.limits.retry_after),
+                );
             };
             let failure = match self.attempt(&server).await {
                 Ok(answer) => return Ok(answer),
@@ -118,7 +126,10 @@
         server: &ServerEntry,
     ) -> std::result::Result<PlainAnswer, BackendFailure> {
         let call = self.backend_call(server);
-        self.record(EventKind::RequestDispatched, format!("server {}", server.server));
+        self.record(
+            EventKind::RequestDispatched,
+            format!("server {}", server.server),
+        );
         let sent = if self.route.idempotent {
             self.state.backends.send(call).await
         } else {
@@ -162,8 +173,11 @@
                 && !excluded.contains(&server.server)
         };
         let servers: Vec<&ServerEntry> = snapshot.servers.iter().filter(usable).collect();
-        let near: Vec<&ServerEntry> =
-            servers.iter().copied().filter(|server| server.place == self.state.place).collect();
+        let near: Vec<&ServerEntry> = servers
+            .iter()
+            .copied()
+            .filter(|server| server.place == self.state.place)
+            .collect();
         let pool = if near.is_empty() { servers } else { near };
         let index = rand::random_range(0..pool.len().max(1));
         pool.get(index).map(|server| ServerEntry::clone(server))
@@ -171,18 +185,25 @@
 
     fn note_failure(&self, server: &ServerEntry, failure: BackendFailure) {
         self.state.counters.backend_failure(failure);
-        self.record(EventKind::RequestFailed, format!("server {}, {failure:?}", server.server));
+        self.record(
+            EventKind::RequestFailed,
+            format!("server {}, {failure:?}", server.server),
+        );
     }
 
     fn record(&self, kind: EventKind, detail: String) {
         let trace_id = Some(self.context.trace_id);
-        self.state.events.record(kind, trace_id, self.context.subject(), detail);
+        self.state
+            .events
+            .record(kind, trace_id, self.context.subject(), detail);
     }
 }
 
 fn stored_answer(answer: &PlainAnswer) -> StoredAnswer {
     let content_type = answer.parts.headers.get(http::header::CONTENT_TYPE);
-    let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let content_type = content_type
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default();
     StoredAnswer {
         status: answer.parts.status.as_u16(),
         content_type: content_type.into(),
--- a/crates/entry/src/problem.rs
+++ b/crates/entry/src/problem.rs
@@ -151,7 +151,12 @@
 impl RequestProblem {
     /// A problem with a request that did not run.
     pub fn not_run(kind: ProblemKind, detail: impl Into<String>) -> Self {
-        Self { kind, detail: detail.into(), ran: RanState::No, retry_after: None }
+        Self {
+            kind,
+            detail: detail.into(),
+            ran: RanState::No,
+            retry_after: None,
+        }
     }
 
     /// Sets whether the request ran.
@@ -168,7 +173,12 @@
 
     /// JSON of the answer's body.
     pub fn to_json(&self) -> String {
-        let Self { kind, detail, ran, retry_after: _ } = self;
+        let Self {
+            kind,
+            detail,
+            ran,
+            retry_after: _,
+        } = self;
         let body = ProblemBody {
             r#type: format!("urn:zinniahinge:problem:{}", kind.name()),
             title: kind.name(),
@@ -187,7 +197,10 @@
         let content_type = HeaderValue::from_static("application/problem+json");
         headers.insert(header::CONTENT_TYPE, content_type);
         if let Some(retry_after) = self.retry_after {
-            headers.insert(header::RETRY_AFTER, HeaderValue::from(whole_seconds(retry_after)));
+            headers.insert(
+                header::RETRY_AFTER,
+                HeaderValue::from(whole_seconds(retry_after)),
+            );
         }
         if self.kind.status() == StatusCode::UNAUTHORIZED {
             headers.insert(header::WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
--- a/crates/entry/src/request_handler.rs
+++ b/crates/entry/src/request_handler.rs
@@ -86,20 +86,46 @@
     state.retries.record_request();
     let trace_id = Some(context.trace_id);
     let account = context.account.clone().unwrap_or_else(|| "open".into());
-    state.events.record(EventKind::RequestAdmitted, trace_id, context.subject(), account);
+    state.events.record(
+        EventKind::RequestAdmitted,
+        trace_id,
+        context.subject(),
+        account,
+    );
     let target = context.target.clone();
     let claim = context.idempotency.take().and_then(ClaimGuard::into_claim);
     let shared = Arc::new(context.detach());
     match target {
-        Some(RequestTarget::Model { service, call, route: _ }) => {
-            ModelForward { state: state.clone(), context: shared, service, call, charge }
-                .run()
-                .await
+        Some(RequestTarget::Model {
+            service,
+            call,
+            route: _,
+        }) => {
+            ModelForward {
+                state: state.clone(),
+                context: shared,
+                service,
+                call,
+                charge,
+            }
+            .run()
+            .await
         }
-        Some(RequestTarget::Plain { service: _, route, group }) => {
-            PlainForward { state: state.clone(), context: shared, route, group, charge, claim }
-                .run()
-                .await
+        Some(RequestTarget::Plain {
+            service: _,
+            route,
+            group,
+        }) => {
+            PlainForward {
+                state: state.clone(),
+                context: shared,
+                route,
+                group,
+                charge,
+                claim,
+            }
+            .run()
+            .await
         }
         None => {
             let detail = "no route for this path";
@@ -144,13 +170,21 @@
 }
 
 fn check_headers(state: &EntryState, headers: &HeaderMap) -> Result<()> {
-    let size: usize =
-        headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+    let size: usize = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum();
     if size <= state.limits.max_header_bytes {
         return Ok(());
     }
-    let detail = format!("the headers are over {} bytes", state.limits.max_header_bytes);
-    Err(RequestProblem::not_run(ProblemKind::HeadersTooLarge, detail))
+    let detail = format!(
+        "the headers are over {} bytes",
+        state.limits.max_header_bytes
+    );
+    Err(RequestProblem::not_run(
+        ProblemKind::HeadersTooLarge,
+        detail,
+    ))
 }
 
 async fn read_body(state: &EntryState, headers: &HeaderMap, body: Body) -> Result<Bytes> {
@@ -185,7 +219,9 @@
         RanState::Yes | RanState::Unknown => EventKind::RequestFailed,
     };
     let trace_id = Some(context.trace_id);
-    state.events.record(kind, trace_id, context.subject(), problem.kind.name());
+    state
+        .events
+        .record(kind, trace_id, context.subject(), problem.kind.name());
 }
 
 fn finish_headers(response: &mut Response, context: &RequestContext, trace: &TraceContext) {
@@ -196,7 +232,10 @@
     if let Ok(value) = HeaderValue::try_from(trace.to_string()) {
         headers.insert(TraceContext::HEADER, value);
     }
-    if let Some(ChargeGrant { remaining, burst, .. }) = context.charge {
+    if let Some(ChargeGrant {
+        remaining, burst, ..
+    }) = context.charge
+    {
         headers.insert("x-ratelimit-limit-tokens", HeaderValue::from(burst));
         headers.insert("x-ratelimit-remaining-tokens", HeaderValue::from(remaining));
     }
@@ -227,7 +266,9 @@
             let body = serde_json::to_vec(&list).unwrap_or_default();
             let mut response = Response::new(Body::from(Bytes::from(body)));
             let content_type = HeaderValue::from_static("application/json");
-            response.headers_mut().insert(http::header::CONTENT_TYPE, content_type);
+            response
+                .headers_mut()
+                .insert(http::header::CONTENT_TYPE, content_type);
             response
         }
         Err(problem) => problem.to_response(),
@@ -236,7 +277,10 @@
 
 fn models_for(state: &EntryState, key: Option<CallerKey>) -> Result<ModelList> {
     let Some(key) = key else {
-        return Err(RequestProblem::not_run(ProblemKind::MissingKey, "this route needs a key"));
+        return Err(RequestProblem::not_run(
+            ProblemKind::MissingKey,
+            "this route needs a key",
+        ));
     };
     let snapshot = state.snapshot.load();
     if !snapshot.knows_key(&key.digest) {
@@ -245,17 +289,29 @@
     }
     let mut data = Vec::new();
     for (service, in_force) in &snapshot.services {
-        let Some(account) = in_force.document.account_by_digest(&key.digest) else { continue };
+        let Some(account) = in_force.document.account_by_digest(&key.digest) else {
+            continue;
+        };
         let document = in_force.document.document();
-        let models = document.models.iter().map(|model| (model.name.clone(), None));
+        let models = document
+            .models
+            .iter()
+            .map(|model| (model.name.clone(), None));
         let adapters = document.adapters.iter();
         let adapters = adapters.map(|adapter| (adapter.base.clone(), Some(adapter.name.clone())));
         for (model, adapter) in models.chain(adapters) {
             if account.may_use_model(&model, adapter.as_deref()) {
                 let id = adapter.map_or(model.to_string(), |adapter| format!("{model}:{adapter}"));
-                data.push(ModelItem { id, object: "model", owned_by: service.clone() });
+                data.push(ModelItem {
+                    id,
+                    object: "model",
+                    owned_by: service.clone(),
+                });
             }
         }
     }
-    Ok(ModelList { object: "list", data })
+    Ok(ModelList {
+        object: "list",
+        data,
+    })
 }
--- a/crates/entry/src/settlement.rs
+++ b/crates/entry/src/settlement.rs
@@ -40,7 +40,10 @@
 impl ClaimGuard {
     /// Guards `claim`.
     pub fn new(owners: OwnerClient, claim: IdempotencyUse) -> Self {
-        Self { owners, claim: Some(claim) }
+        Self {
+            owners,
+            claim: Some(claim),
+        }
     }
 
     /// Hands the claim to the code that sends the request and finishes the key.
@@ -65,16 +68,39 @@
     answer: Option<StoredAnswer>,
     ran: bool,
 ) {
-    let IdempotencyUse { key, fingerprint, account, request_id } = claim;
-    let resource = ResourceKey::Idempotency { account: account.clone(), key: key.clone() };
-    let message = FinishRequest { account, key, fingerprint, request_id, answer, ran };
+    let IdempotencyUse {
+        key,
+        fingerprint,
+        account,
+        request_id,
+    } = claim;
+    let resource = ResourceKey::Idempotency {
+        account: account.clone(),
+        key: key.clone(),
+    };
+    let message = FinishRequest {
+        account,
+        key,
+        fingerprint,
+        request_id,
+        answer,
+        ran,
+    };
     send(owners, &resource, "/peer/finish", &message).await;
 }
 
 async fn send<Req: Serialize>(owners: &OwnerClient, key: &ResourceKey, path: &str, message: &Req) {
     let deadline = Instant::now() + SETTLE_TIMEOUT;
-    let call = OwnerCall { key, path, message, deadline, long_poll: false };
-    let _ = owners.call(call, |ack| *ack == PeerAck::NotOwner).await;
+    let call = OwnerCall {
+        key,
+        path,
+        message,
+        deadline,
+        long_poll: false,
+    };
+    let _ = owners
+        .call(call, |ack: &PeerAck| *ack == PeerAck::NotOwner)
+        .await;
 }
 
 // ----------------------------------------------------------------------------
@@ -89,7 +115,11 @@
 impl ChargeGuard {
     /// Guards `grant`; nothing is used yet.
     pub fn new(owners: OwnerClient, grant: ChargeGrant) -> Self {
-        Self { owners, grant, used: 0 }
+        Self {
+            owners,
+            grant,
+            used: 0,
+        }
     }
 
     /// Notes how many tokens the backend server may have spent so far.
@@ -105,16 +135,30 @@
 
 impl Drop for ChargeGuard {
     fn drop(&mut self) {
-        let ChargeGrant { service, account, grant_id, tokens, remaining: _, burst: _ } =
-            self.grant.clone();
+        let ChargeGrant {
+            service,
+            account,
+            grant_id,
+            tokens,
+            remaining: _,
+            burst: _,
+        } = self.grant.clone();
         let unused = tokens.saturating_sub(self.used);
         if unused == 0 {
             return;
         }
         let owners = self.owners.clone();
         spawn_settlement(async move {
-            let key = ResourceKey::Account { service: service.clone(), account: account.clone() };
-            let message = RefundRequest { service, account, grant_id, unused };
+            let key = ResourceKey::Account {
+                service: service.clone(),
+                account: account.clone(),
+            };
+            let message = RefundRequest {
+                service,
+                account,
+                grant_id,
+                unused,
+            };
             send(&owners, &key, "/peer/refund", &message).await;
         });
     }
@@ -141,7 +185,11 @@
             tokens: 0,
             first_token: None,
         };
-        Self { owners, release, ticket }
+        Self {
+            owners,
+            release,
+            ticket,
+        }
     }
 
     /// Notes how the request ended.
--- a/crates/entry/src/snapshot_follower.rs
+++ b/crates/entry/src/snapshot_follower.rs
@@ -58,10 +58,15 @@
         while !token.is_cancelled() {
             let address = self.pick_control(failures);
             if position.address.as_ref() != Some(&address) {
-                position = PollPosition { address: Some(address.clone()), version: 0 };
+                position = PollPosition {
+                    address: Some(address.clone()),
+                    version: 0,
+                };
             }
             let poll = self.poll(&address, position.version);
-            let Some(result) = token.run_until_cancelled(poll).await else { break };
+            let Some(result) = token.run_until_cancelled(poll).await else {
+                break;
+            };
             match result {
                 Ok(reply) => {
                     failures = 0;
@@ -70,7 +75,9 @@
                 }
                 Err(_) => {
                     failures += 1;
-                    token.run_until_cancelled(tokio::time::sleep(RETRY_PAUSE)).await;
+                    token
+                        .run_until_cancelled(tokio::time::sleep(RETRY_PAUSE))
+                        .await;
                 }
             }
         }
@@ -91,20 +98,25 @@
         others[(failures / 2) % others.len()].clone()
     }
 
-    async fn poll(
-        &self,
-        address: &str,
-        after: u64,
-    ) -> zinniahinge_peer::Result<SnapshotReply> {
-        let request = SnapshotRequest { after, documents: self.held_revisions() };
-        let target = PeerTarget { address, path: "/peer/snapshot", timeout: POLL_TIMEOUT };
+    async fn poll(&self, address: &str, after: u64) -> zinniahinge_peer::Result<SnapshotReply> {
+        let request = SnapshotRequest {
+            after,
+            documents: self.held_revisions(),
+        };
+        let target = PeerTarget {
+            address,
+            path: "/peer/snapshot",
+            timeout: POLL_TIMEOUT,
+        };
         self.client.call(target, &request).await
     }
 
     fn held_revisions(&self) -> BTreeMap<Name, Revision> {
         let snapshot = self.cell.load();
         let services = snapshot.services.iter();
-        services.map(|(service, held)| (service.clone(), held.revision)).collect()
+        services
+            .map(|(service, held)| (service.clone(), held.revision))
+            .collect()
     }
 
     fn apply(&self, reply: SnapshotReply) {
@@ -118,7 +130,11 @@
             servers,
             staleness,
         } = reply;
-        let mut next = EntrySnapshot { hosts, servers, ..EntrySnapshot::clone(&current) };
+        let mut next = EntrySnapshot {
+            hosts,
+            servers,
+            ..EntrySnapshot::clone(&current)
+        };
         if assignment_revision >= current.assignment_revision {
             next.assignment = assignment;
             next.assignment_revision = assignment_revision;
@@ -131,7 +147,11 @@
     }
 
     fn apply_document(&self, next: &mut EntrySnapshot, document: InForceDocument) {
-        let InForceDocument { service, revision, text } = document;
+        let InForceDocument {
+            service,
+            revision,
+            text,
+        } = document;
         let held = next.services.get(&service).map_or(0, |held| held.revision);
         if revision <= held {
             return;
@@ -146,7 +166,8 @@
                     format!("revision {revision}"),
                 );
                 let document = Arc::new(compiled);
-                next.services.insert(service, ServiceInForce { revision, document });
+                next.services
+                    .insert(service, ServiceInForce { revision, document });
             }
             Err(error) => warn!(
                 self.logger, "document rejected, the earlier revision stays in force";
--- a/crates/peer/src/key_ring.rs
+++ b/crates/peer/src/key_ring.rs
@@ -19,7 +19,9 @@
 
 impl fmt::Debug for PeerKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("PeerKey").field("id", &self.id).finish_non_exhaustive()
+        f.debug_struct("PeerKey")
+            .field("id", &self.id)
+            .finish_non_exhaustive()
     }
 }
 
@@ -59,7 +61,11 @@
 
 fn parse_line(line: &str) -> Result<PeerKey, String> {
     let (id, digits) = line.split_once(':').ok_or("expected `id:hex`")?;
-    if id.is_empty() || !id.bytes().all(|byte| byte.is_ascii_alphanumeric() || byte == b'-') {
+    if id.is_empty()
+        || !id
+            .bytes()
+            .all(|byte| byte.is_ascii_alphanumeric() || byte == b'-')
+    {
         return Err("the id must consist of letters, digits and hyphens".to_owned());
     }
     if digits.len() != KEY_BYTES * 2 || !digits.is_ascii() {
@@ -70,5 +76,8 @@
         *byte = u8::from_str_radix(&digits[2 * position..2 * position + 2], 16)
             .map_err(|_| "the key is not hexadecimal".to_owned())?;
     }
-    Ok(PeerKey { id: id.into(), secret })
+    Ok(PeerKey {
+        id: id.into(),
+        secret,
+    })
 }
--- a/crates/peer/src/key_ring_file.rs
+++ b/crates/peer/src/key_ring_file.rs
@@ -31,7 +31,10 @@
         let path = path.into();
         let text = read(&path)?;
         let ring = parse(&path, &text)?;
-        Ok(Self { path, ring: Arc::new(ArcSwap::from_pointee(ring)) })
+        Ok(Self {
+            path,
+            ring: Arc::new(ArcSwap::from_pointee(ring)),
+        })
     }
 
     /// The keys in use now.
@@ -42,7 +45,11 @@
     /// Reads the file every second until `token` is cancelled. A broken file keeps the keys in use.
     pub async fn follow(self, logger: Logger, token: CancellationToken) {
         let mut known = read(&self.path).unwrap_or_default();
-        while token.run_until_cancelled(tokio::time::sleep(RELOAD_INTERVAL)).await.is_some() {
+        while token
+            .run_until_cancelled(tokio::time::sleep(RELOAD_INTERVAL))
+            .await
+            .is_some()
+        {
             let Ok(text) = read(&self.path) else { continue };
             if text == known {
                 continue;
@@ -68,5 +75,8 @@
 }
 
 fn key_ring_error(path: &PathBuf, cause: String) -> PeerError {
-    PeerError::KeyRing { path: path.display().to_string(), cause }
+    PeerError::KeyRing {
+        path: path.display().to_string(),
+        cause,
+    }
 }
--- a/crates/peer/src/peer_client.rs
+++ b/crates/peer/src/peer_client.rs
@@ -61,11 +61,17 @@
         builder.disable_tls(true);
         builder.set_connect_timeout(CONNECT_TIMEOUT);
         builder.set_max_idle_per_host(MAX_IDLE_CONNECTIONS);
-        let client = builder.build().map_err(|error: ClientError| PeerError::OutcomeUnknown {
-            address: String::new(),
-            cause: error.to_string(),
-        })?;
-        Ok(Self { client, keys, counters })
+        let client = builder
+            .build()
+            .map_err(|error: ClientError| PeerError::OutcomeUnknown {
+                address: String::new(),
+                cause: error.to_string(),
+            })?;
+        Ok(Self {
+            client,
+            keys,
+            counters,
+        })
     }
 
     /// Sends `message` and waits for the reply.
@@ -114,8 +120,14 @@
         let key = ring.signing_key();
         let time_ms = wall_clock_ms();
         let path = target.path;
-        let code =
-            SealedParts { direction: "request", path, time_ms, nonce, body: &body }.sign(key);
+        let code = SealedParts {
+            direction: "request",
+            path,
+            time_ms,
+            nonce,
+            body: &body,
+        }
+        .sign(key);
         let uri = format!("http://{}{path}", target.address);
         let request = self
             .client
@@ -127,7 +139,10 @@
             .header(NONCE_HEADER, format!("{nonce:016x}"))
             .header(MAC_HEADER, code)
             .body(Body::from(Bytes::from(body)));
-        request.send().await.map_err(|error| target.send_error(&error))
+        request
+            .send()
+            .await
+            .map_err(|error| target.send_error(&error))
     }
 
     fn is_genuine(&self, path: &str, headers: &HeaderMap, nonce: u64, body: &[u8]) -> bool {
@@ -142,25 +157,38 @@
         };
         let ring = self.keys.ring();
         ring.find(id).is_some_and(|key| {
-            SealedParts { direction: "reply", path, time_ms, nonce, body }.verify(key, code)
+            SealedParts {
+                direction: "reply",
+                path,
+                time_ms,
+                nonce,
+                body,
+            }
+            .verify(key, code)
         })
     }
 }
 
 impl PeerTarget<'_> {
     fn unknown(&self, cause: impl ToString) -> PeerError {
-        PeerError::OutcomeUnknown { address: self.address.to_owned(), cause: cause.to_string() }
+        PeerError::OutcomeUnknown {
+            address: self.address.to_owned(),
+            cause: cause.to_string(),
+        }
     }
 
     fn rejected(&self, status: u16) -> PeerError {
-        PeerError::Rejected { address: self.address.to_owned(), status }
+        PeerError::Rejected {
+            address: self.address.to_owned(),
+            status,
+        }
     }
 
     fn send_error(&self, error: &ClientError) -> PeerError {
         match error.kind() {
-            ErrorKind::Connect | ErrorKind::Builder => {
-                PeerError::NotSent { address: self.address.to_owned() }
-            }
+            ErrorKind::Connect | ErrorKind::Builder => PeerError::NotSent {
+                address: self.address.to_owned(),
+            },
             _ => self.unknown(error),
         }
     }
--- a/crates/peer/src/peer_error.rs
+++ b/crates/peer/src/peer_error.rs
@@ -48,6 +48,9 @@
 impl PeerError {
     /// True if the peer cannot have acted on the message.
     pub fn is_unsent(&self) -> bool {
-        matches!(self, Self::NotSent { .. } | Self::Rejected { .. } | Self::Encode(_))
+        matches!(
+            self,
+            Self::NotSent { .. } | Self::Rejected { .. } | Self::Encode(_)
+        )
     }
 }
--- a/crates/peer/src/peer_gate.rs
+++ b/crates/peer/src/peer_gate.rs
@@ -92,7 +92,12 @@
 impl PeerGate {
     /// Creates a gate.
     pub fn new(keys: KeyRingFile, counters: PeerCounters) -> Self {
-        Self { keys, counters, filter: Arc::default(), origin: Instant::now() }
+        Self {
+            keys,
+            counters,
+            filter: Arc::default(),
+            origin: Instant::now(),
+        }
     }
 
     /// Opens a request, calls `handler` with the message, and seals its reply.
@@ -114,7 +119,10 @@
                 self.seal_reply(&path, nonce, &handler(message).await)
             }
             Err(reason) => {
-                self.counters.rejected.with_label_values(&[reason.label()]).inc();
+                self.counters
+                    .rejected
+                    .with_label_values(&[reason.label()])
+                    .inc();
                 StatusCode::BAD_REQUEST.into_response()
             }
         }
@@ -134,11 +142,21 @@
     }
 
     fn verify(&self, path: &str, header: &MessageHeader, body: &[u8]) -> Result<(), RejectReason> {
-        let MessageHeader { key_id, time_ms, nonce, code } = header;
+        let MessageHeader {
+            key_id,
+            time_ms,
+            nonce,
+            code,
+        } = header;
         let ring = self.keys.ring();
         let key = ring.find(key_id).ok_or(RejectReason::UnknownKey)?;
-        let parts =
-            SealedParts { direction: "request", path, time_ms: *time_ms, nonce: *nonce, body };
+        let parts = SealedParts {
+            direction: "request",
+            path,
+            time_ms: *time_ms,
+            nonce: *nonce,
+            body,
+        };
         if !parts.verify(key, code) {
             return Err(RejectReason::BadCode);
         }
@@ -160,8 +178,14 @@
         let ring = self.keys.ring();
         let key = ring.signing_key();
         let time_ms = wall_clock_ms();
-        let code =
-            SealedParts { direction: "reply", path, time_ms, nonce, body: &body }.sign(key);
+        let code = SealedParts {
+            direction: "reply",
+            path,
+            time_ms,
+            nonce,
+            body: &body,
+        }
+        .sign(key);
         let response = http::Response::builder()
             .header(http::header::CONTENT_TYPE, CONTENT_TYPE)
             .header(KEY_HEADER, &*key.id)
@@ -203,5 +227,7 @@
 
 /// Milliseconds since the Unix epoch.
 pub(crate) fn wall_clock_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_millis() as u64)
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |elapsed| elapsed.as_millis() as u64)
 }
--- a/crates/peer/src/replay_filter.rs
+++ b/crates/peer/src/replay_filter.rs
@@ -32,9 +32,16 @@
     /// Returns true the first time a nonce is seen. A full generation rejects further messages,
     /// because forgetting nonces would let an old message through.
     pub fn admit(&self, nonce: u64, now: MonotonicTime) -> bool {
-        let mut generations = self.generations.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut generations = self
+            .generations
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         generations.rotate(now);
-        let NonceGenerations { current, previous, started: _ } = &mut *generations;
+        let NonceGenerations {
+            current,
+            previous,
+            started: _,
+        } = &mut *generations;
         if previous.contains(&nonce) || current.len() >= MAX_NONCES {
             return false;
         }
@@ -49,7 +56,11 @@
             return;
         }
         let current = std::mem::take(&mut self.current);
-        self.previous = if age < GENERATION * 2 { current } else { HashSet::new() };
+        self.previous = if age < GENERATION * 2 {
+            current
+        } else {
+            HashSet::new()
+        };
         self.started = now;
     }
 }
--- a/crates/peer/src/seal.rs
+++ b/crates/peer/src/seal.rs
@@ -39,7 +39,13 @@
     }
 
     fn mac(&self, key: &PeerKey) -> Hmac<Sha256> {
-        let Self { direction, path, time_ms, nonce, body } = self;
+        let Self {
+            direction,
+            path,
+            time_ms,
+            nonce,
+            body,
+        } = self;
         // HMAC pads a shorter key with zeros to the block size of the hash.
         let mut block = [0_u8; SHA256_BLOCK_BYTES];
         block[..KEY_BYTES].copy_from_slice(&key.secret);
