--- a/crates/scheduling/src/demand_record.rs
+++ b/crates/scheduling/src/demand_record.rs
@@ -10,6 +10,8 @@
 pub(crate) struct DemandRecord {
     pub(crate) waiting: Vec<AdapterDemand>,
     pub(crate) reported_at: MonotonicTime,
+    /// False until the dispatcher's first report to this planner.
+    pub(crate) reported: bool,
     /// Newest list version that the dispatcher has applied.
     pub(crate) applied_version: u64,
     /// Version of the last change of the model's replica list.
@@ -47,10 +49,17 @@
             .min_by_key(|demand| (demand.class, demand.deadline_in))
     }
 
-    /// Counts activity; a gap that it ends goes into the history.
-    pub(crate) fn record_activity(&mut self, arrived: bool, now: MonotonicTime) {
-        if let (true, Some(last)) = (arrived, self.last_active) {
-            self.gaps.record(now.since(last));
+    /// Counts activity; a gap that it ends goes into the history. Gaps up to `shortest` are left
+    /// out: they decide nothing, and the many of a busy time would displace the long ones.
+    pub(crate) fn record_activity(
+        &mut self,
+        arrived: bool,
+        shortest: Duration,
+        now: MonotonicTime,
+    ) {
+        let gap = self.last_active.map(|last| now.since(last));
+        if let Some(gap) = gap.filter(|gap| arrived && *gap > shortest) {
+            self.gaps.record(gap);
         }
         self.last_active = Some(now);
     }
--- a/crates/scheduling/src/pool_adapter.rs
+++ b/crates/scheduling/src/pool_adapter.rs
@@ -1,29 +1,43 @@
 //! Adapter orders of a [`PoolPlanner`].
 
+use std::time::Duration;
+
 use zinniahinge_types::AdapterDemand;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 
 use crate::AdapterSpec;
+use crate::LifecycleStage;
 use crate::OrderAction;
 use crate::PoolOrder;
 use crate::PoolPlanner;
 use crate::open_order::OpenOrder;
 use crate::pool_drain::ReplicaKey;
-use crate::replica_record::LifecycleStage;
+use crate::replica_record::DrainReason;
+use crate::replica_record::DrainRecord;
+use crate::replica_record::ReplicaRecord;
 
 /// An adapter that requests wait for.
 #[derive(Clone, Debug)]
 struct AdapterWish {
     model: Name,
+    adapter: Name,
     demand: AdapterDemand,
     spec: AdapterSpec,
 }
 
+/// Names an adapter on a replica.
+#[derive(Clone, Debug)]
+struct AdapterKey {
+    server: Name,
+    model: Name,
+    adapter: Name,
+}
+
 impl PoolPlanner {
     /// Load orders for adapters that requests wait for, most urgent first.
     pub(crate) fn load_adapters(&mut self, now: MonotonicTime) -> Vec<PoolOrder> {
-        let mut wishes = self.adapter_wishes();
+        let mut wishes = self.adapter_wishes(now);
         wishes.sort_by_key(|wish| (wish.demand.class, wish.demand.deadline_in));
         let mut orders = Vec::new();
         for wish in &wishes {
@@ -41,47 +55,64 @@
         loads.count()
     }
 
-    fn adapter_wishes(&self) -> Vec<AdapterWish> {
+    fn adapter_wishes(&self, now: MonotonicTime) -> Vec<AdapterWish> {
         let mut wishes = Vec::new();
         for (model, record) in &self.demands {
             for demand in &record.waiting {
-                wishes.extend(self.adapter_wish(model, demand));
+                let waited = demand.waited + now.since(record.reported_at);
+                wishes.extend(self.adapter_wish(model, demand, waited));
             }
         }
         wishes
     }
 
-    /// An adapter wants one replica with it, however many requests wait.
-    fn adapter_wish(&self, model: &Name, demand: &AdapterDemand) -> Option<AdapterWish> {
+    /// An adapter wants one replica with it, however many requests wait, and further ones while
+    /// those cannot keep up.
+    fn adapter_wish(
+        &self,
+        model: &Name,
+        demand: &AdapterDemand,
+        waited: Duration,
+    ) -> Option<AdapterWish> {
         let adapter = demand.adapter.as_ref()?;
         let spec = self.catalog.adapters.get(adapter)?;
-        let present = self.servers.values().any(|record| {
-            let replica = record.replicas.get(model);
-            replica.is_some_and(|replica| {
-                let usable = matches!(
-                    replica.stage,
-                    LifecycleStage::Ready | LifecycleStage::Loading
-                );
-                usable && replica.adapters.contains_key(adapter)
-            })
-        });
-        let wanted = spec.model == *model && !present;
+        let records = self.servers.values();
+        let replicas = records.filter_map(|record| record.replicas.get(model));
+        let (mut loading, mut slots) = (false, 0);
+        for replica in replicas.filter(|replica| replica.stage == LifecycleStage::Ready) {
+            match replica.adapters.get(adapter).map(|record| record.stage) {
+                Some(LifecycleStage::Loading) => loading = true,
+                Some(LifecycleStage::Ready) => slots += replica.slots,
+                _ => {}
+            }
+        }
+        let overloaded = demand.count > slots && waited >= self.settings.scale_out_wait;
+        let wanted = spec.model == *model && !loading && (slots == 0 || overloaded);
         wanted.then(|| AdapterWish {
             model: model.clone(),
+            adapter: adapter.clone(),
             demand: demand.clone(),
             spec: spec.clone(),
         })
     }
 
     fn load_adapter(&mut self, wish: &AdapterWish, now: MonotonicTime) -> Option<PoolOrder> {
-        let key = self.adapter_target_replica(wish)?;
+        let keys = self.adapter_targets(wish, now);
+        let fits = |key: &&ReplicaKey| {
+            let record = self.servers.get(&key.server);
+            record.is_some_and(|record| record.free_bytes() >= wish.spec.bytes)
+        };
+        let Some(key) = keys.iter().find(fits) else {
+            self.make_adapter_room(wish, keys.first()?, now);
+            return None;
+        };
         let record = self.servers.get(&key.server)?;
         let order = OpenOrder {
             action: OrderAction::LoadAdapter,
             server: key.server.clone(),
             boot_id: record.boot_id,
             model: wish.model.clone(),
-            adapter: wish.demand.adapter.clone(),
+            adapter: Some(wish.adapter.clone()),
             bytes: wish.spec.bytes,
             issued_at: now,
             resend_at: now + self.settings.resend_after,
@@ -91,19 +122,145 @@
         self.open_order(order, now)
     }
 
-    /// The least busy ready replica with enough free memory.
-    fn adapter_target_replica(&self, wish: &AdapterWish) -> Option<ReplicaKey> {
-        let keys = self.replica_keys(|record, model, replica| {
+    /// Ready replicas that could get the adapter, the least busy first.
+    fn adapter_targets(&self, wish: &AdapterWish, now: MonotonicTime) -> Vec<ReplicaKey> {
+        let mut keys = self.replica_keys(|record, model, replica| {
             *model == wish.model
                 && replica.stage == LifecycleStage::Ready
                 && !record.leaving
-                && record.free_bytes() >= wish.spec.bytes
+                && !record.is_paused(&wish.adapter, now)
+                && !replica.adapters.contains_key(&wish.adapter)
         });
-        keys.into_iter().min_by_key(|key| {
+        keys.sort_by_key(|key| {
             let replica = self.replica(key);
             replica.map_or((0, 0), |replica| {
                 (replica.in_flight, replica.adapters.len())
             })
+        });
+        keys
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Room for adapters
+
+    /// Starts to free memory on the target's server: the longest unused adapters of the server
+    /// first, then one idle replica.
+    fn make_adapter_room(&mut self, wish: &AdapterWish, target: &ReplicaKey, now: MonotonicTime) {
+        let Some(record) = self.servers.get(&target.server) else {
+            return;
+        };
+        let draining: u64 = record.replicas.values().map(draining_bytes).sum();
+        let coming = record.free_bytes() + record.freeing_bytes() + draining;
+        if coming >= wish.spec.bytes {
+            return;
+        }
+        if let Some(victim) = self.unused_adapter(target, now) {
+            self.drain_adapter(&victim, now);
+        } else if let Some(victim) = self.idle_neighbour(target, now) {
+            self.start_drain(&victim, DrainReason::Evicted, now);
+        }
+    }
+
+    /// The longest unused adapter on the target's server that no request waits for.
+    fn unused_adapter(&self, target: &ReplicaKey, now: MonotonicTime) -> Option<AdapterKey> {
+        let record = self.servers.get(&target.server)?;
+        let mut best: Option<(MonotonicTime, AdapterKey)> = None;
+        for (model, replica) in &record.replicas {
+            for (adapter, state) in &replica.adapters {
+                let fresh = now.since(state.last_used) < self.settings.min_residency;
+                let ready = state.stage == LifecycleStage::Ready;
+                let older = best.as_ref().is_none_or(|best| state.last_used < best.0);
+                if ready && older && !fresh && !self.awaits_adapter(model, adapter) {
+                    let key = AdapterKey {
+                        server: target.server.clone(),
+                        model: model.clone(),
+                        adapter: adapter.clone(),
+                    };
+                    best = Some((state.last_used, key));
+                }
+            }
+        }
+        best.map(|best| best.1)
+    }
+
+    fn awaits_adapter(&self, model: &Name, adapter: &Name) -> bool {
+        let demand = self.demands.get(model);
+        demand.is_some_and(|demand| {
+            let mut waiting = demand.waiting.iter();
+            waiting.any(|waiting| waiting.adapter.as_ref() == Some(adapter))
         })
     }
+
+    fn idle_neighbour(&self, target: &ReplicaKey, now: MonotonicTime) -> Option<ReplicaKey> {
+        let record = self.servers.get(&target.server)?;
+        let replicas = record.replicas.iter();
+        let idle = replicas.filter(|(model, replica)| {
+            **model != target.model && self.is_evictable(model, replica, false, now)
+        });
+        let longest = idle.min_by_key(|(_, replica)| replica.last_busy)?;
+        Some(ReplicaKey {
+            server: target.server.clone(),
+            model: longest.0.clone(),
+        })
+    }
+
+    fn drain_adapter(&mut self, key: &AdapterKey, now: MonotonicTime) {
+        let version = self.touch(&key.model);
+        let replica = self.replica_mut(&key.server, &key.model);
+        let adapter = replica.and_then(|replica| replica.adapters.get_mut(&key.adapter));
+        if let Some(adapter) = adapter {
+            adapter.stage = LifecycleStage::Draining;
+            adapter.drain = Some(DrainRecord {
+                reason: DrainReason::Evicted,
+                version,
+                since: now,
+                acknowledged: false,
+            });
+        }
+    }
+
+    /// Unload orders for adapters that have drained. Reports count requests per server, so an
+    /// adapter has drained when nothing at all is in flight on its replica.
+    pub(crate) fn unload_adapters(&mut self, now: MonotonicTime) -> Vec<PoolOrder> {
+        let mut due = Vec::new();
+        for (server, record) in &self.servers {
+            for (model, replica) in &record.replicas {
+                let usable = record.observed && replica.stage == LifecycleStage::Ready;
+                if !usable || !replica.is_idle() {
+                    continue;
+                }
+                let drained = replica.adapters.iter().filter(|(_, state)| {
+                    let acknowledged = state.drain.is_some_and(|drain| drain.acknowledged);
+                    state.stage == LifecycleStage::Draining && acknowledged
+                });
+                due.extend(drained.map(|(adapter, state)| OpenOrder {
+                    action: OrderAction::UnloadAdapter,
+                    server: server.clone(),
+                    boot_id: record.boot_id,
+                    model: model.clone(),
+                    adapter: Some(adapter.clone()),
+                    bytes: state.bytes,
+                    issued_at: now,
+                    resend_at: now + self.settings.resend_after,
+                    permit: false,
+                    account: None,
+                }));
+            }
+        }
+        let orders = due.into_iter();
+        orders
+            .filter_map(|order| self.open_order(order, now))
+            .collect()
+    }
+}
+
+fn draining_bytes(replica: &ReplicaRecord) -> u64 {
+    let adapters = replica.adapters.values();
+    let draining = adapters.filter(|adapter| {
+        matches!(
+            adapter.stage,
+            LifecycleStage::Draining | LifecycleStage::Unloading
+        )
+    });
+    draining.map(|adapter| adapter.bytes).sum()
 }
--- a/crates/scheduling/src/pool_demand.rs
+++ b/crates/scheduling/src/pool_demand.rs
@@ -8,8 +8,8 @@
 use zinniahinge_types::ReplicaEntry;
 use zinniahinge_types::ReplicaPhase;
 
+use crate::LifecycleStage;
 use crate::PoolPlanner;
-use crate::replica_record::LifecycleStage;
 use crate::replica_record::ReplicaRecord;
 use crate::server_record::ServerRecord;
 
@@ -40,7 +40,7 @@
         let running = in_flight.iter().any(|count| count.count > 0);
         let demand = self.demands.entry(model.clone()).or_default();
         if arrivals > 0 || running || !waiting.is_empty() {
-            demand.record_activity(arrivals > 0, now);
+            demand.record_activity(arrivals > 0, self.settings.min_residency, now);
         }
         self.mark_adapters_used(&model, &waiting, now);
         let demand = self.demands.entry(model.clone()).or_default();
@@ -49,14 +49,16 @@
         self.replica_list(&model, now)
     }
 
-    /// Records the applied version; true if the dispatcher lost its state since its last report.
+    /// Records the applied version; true if the dispatcher may have lost tickets: it went back to
+    /// an older list, or this planner has not heard from it before.
     fn record_version(&mut self, model: &Name, applied_version: u64) -> bool {
         if !self.demands.contains_key(model) {
             self.touch(model);
         }
         let demand = self.demands.entry(model.clone()).or_default();
-        let restarted = applied_version < demand.applied_version;
+        let restarted = !demand.reported || applied_version < demand.applied_version;
         demand.applied_version = applied_version;
+        demand.reported = true;
         restarted
     }
 
@@ -72,7 +74,7 @@
     }
 
     fn replica_list(&self, model: &Name, now: MonotonicTime) -> DemandReply {
-        if self.recovering_until.is_some_and(|until| now < until) {
+        if self.is_recovering(now) {
             return DemandReply::Replicas {
                 version: 0,
                 replicas: Vec::new(),
--- a/crates/scheduling/src/pool_drain.rs
+++ b/crates/scheduling/src/pool_drain.rs
@@ -6,13 +6,13 @@
 use zinniahinge_types::Name;
 
 use crate::KeepAliveRule;
+use crate::LifecycleStage;
 use crate::OrderAction;
 use crate::PoolOrder;
 use crate::PoolPlanner;
 use crate::open_order::OpenOrder;
 use crate::replica_record::DrainReason;
 use crate::replica_record::DrainRecord;
-use crate::replica_record::LifecycleStage;
 use crate::replica_record::ReplicaRecord;
 use crate::server_record::ServerRecord;
 
@@ -82,12 +82,10 @@
     /// Makes draining replicas ready again when requests wait for their model and their memory is
     /// not promised away.
     pub(crate) fn take_drains_back(&mut self) {
-        let keys = self.replica_keys(|_, model, replica| {
+        let keys = self.replica_keys(|record, model, replica| {
             let reason = replica.drain.map(|drain| drain.reason);
-            let optional = matches!(reason, Some(DrainReason::Idle | DrainReason::Surplus));
-            let demand = self.demands.get(model);
-            let waiting = demand.is_some_and(|demand| demand.waiting_count() > 0);
-            optional && waiting && replica.stage == LifecycleStage::Draining
+            let draining = replica.stage == LifecycleStage::Draining;
+            reason.is_some_and(|reason| draining && self.is_revocable(record, model, reason))
         });
         for key in keys {
             if let Some(replica) = self.replica_mut(&key.server, &key.model) {
@@ -98,10 +96,25 @@
         }
     }
 
+    fn is_revocable(&self, record: &ServerRecord, model: &Name, reason: DrainReason) -> bool {
+        let demand = self.demands.get(model);
+        let waiting = demand.is_some_and(|demand| demand.waiting_count() > 0);
+        let usable = !record.leaving && self.catalog.models.contains_key(model);
+        let claims = self.claims.values();
+        let mut servers = claims.filter_map(|claim| self.servers.get(&claim.server));
+        let claimed = servers.any(|server| std::ptr::eq(server, record));
+        match reason {
+            DrainReason::Idle | DrainReason::Surplus => usable && waiting && !claimed,
+            DrainReason::Evicted => usable && waiting && !claimed,
+            DrainReason::Withdrawn => usable,
+        }
+    }
+
     /// Unload orders for everything that has drained.
     pub(crate) fn unload_drained(&mut self, now: MonotonicTime) -> Vec<PoolOrder> {
         self.acknowledge_orphans(now);
-        let keys = self.replica_keys(|record, _, replica| record.observed && replica.may_unload());
+        let keys =
+            self.replica_keys(|record, _, replica| record.observed && replica.may_unload(now));
         let orders = keys.iter().filter_map(|key| self.unload_model(key, now));
         orders.collect()
     }
@@ -159,8 +172,7 @@
         let Some(demand) = demand.filter(|demand| demand.gaps.is_informed()) else {
             return self.settings.default_keep_alive;
         };
-        let spec = self.catalog.models.get(model);
-        let load = spec.map_or(Duration::ZERO, |spec| spec.load_times.disk);
+        let load = self.nearest_load_time(model);
         let cold_cost = load.as_secs_f64() * self.settings.idle_per_cold_second;
         let best = demand
             .gaps
@@ -168,6 +180,17 @@
         best.max(self.settings.min_residency)
     }
 
+    /// Expected load time on the server with the nearest checkpoint.
+    pub(crate) fn nearest_load_time(&self, model: &str) -> Duration {
+        let servers = self.servers.values();
+        let usable = servers.filter(|record| record.observed && !record.leaving);
+        let nearest = usable.map(|record| record.cache_level(model)).min();
+        let spec = self.catalog.models.get(model);
+        spec.map_or(Duration::ZERO, |spec| {
+            spec.load_times.at(nearest.unwrap_or_default())
+        })
+    }
+
     /// One replica of each model that has had more than it needs for long enough.
     fn surplus_replicas(&mut self, now: MonotonicTime) -> Vec<ReplicaKey> {
         let models: Vec<_> = self.demands.keys().cloned().collect();
--- a/crates/scheduling/src/pool_handover.rs
+++ b/crates/scheduling/src/pool_handover.rs
@@ -155,6 +155,7 @@
 fn demand_snapshot(record: &DemandRecord, now: MonotonicTime) -> DemandSnapshot {
     DemandSnapshot {
         waiting: record.waiting.clone(),
+        reported: record.reported,
         report_age: now.since(record.reported_at),
         applied_version: record.applied_version,
         list_version: record.list_version,
@@ -192,6 +193,7 @@
             .map(|(model, replica)| (model, replica_record(replica, now)))
             .collect(),
         confirmed_at: now,
+        observed_at: now,
         failures: failures
             .map(|(model, failure)| (model, load_failure(failure, now)))
             .collect(),
@@ -222,6 +224,7 @@
         ready_at: time_before(now, snapshot.ready_for),
         last_busy: time_before(now, snapshot.idle_for),
         used: snapshot.used,
+        unload_after: now,
     }
 }
 
@@ -247,6 +250,7 @@
     let inactive_for = snapshot.inactive_for;
     DemandRecord {
         waiting: snapshot.waiting,
+        reported: snapshot.reported,
         reported_at: time_before(now, snapshot.report_age),
         applied_version: snapshot.applied_version,
         list_version: snapshot.list_version,
--- a/crates/scheduling/src/pool_load.rs
+++ b/crates/scheduling/src/pool_load.rs
@@ -10,6 +10,7 @@
 
 use crate::CacheLevel;
 use crate::EvictionRule;
+use crate::LifecycleStage;
 use crate::LoadOrder;
 use crate::ModelSpec;
 use crate::OrderAction;
@@ -22,13 +23,15 @@
 use crate::pool_drain::ReplicaKey;
 use crate::pool_planner::MemoryClaim;
 use crate::replica_record::DrainReason;
-use crate::replica_record::LifecycleStage;
 use crate::replica_record::ReplicaRecord;
 use crate::server_record::ServerRecord;
 
 /// Deadlines within the same step count as equal, so that age and fairness have a say.
 const DEADLINE_STEP: Duration = Duration::from_secs(5);
 
+/// Cost of waiting for a drain and an unload, in seconds of load time.
+const DRAIN_COST_S: f64 = 0.5;
+
 /// Time ahead for which the probability of the next request counts in an eviction.
 const RETURN_HORIZON: Duration = Duration::from_secs(60);
 
@@ -59,18 +62,27 @@
         let wanted = |model: &Name| wishes.iter().any(|wish| wish.model == *model);
         self.claims.retain(|model, _| wanted(model));
         let mut orders = Vec::new();
-        for wish in &wishes {
-            orders.extend(self.load_model(wish, now));
+        for (position, wish) in wishes.iter().enumerate() {
+            // Memory is freed only for loads that can start soon; the permits are the bottleneck.
+            let may_claim = position < self.settings.load_limit as usize;
+            orders.extend(self.load_model(wish, may_claim, now));
         }
         orders
     }
 
-    fn load_model(&mut self, wish: &LoadWish, now: MonotonicTime) -> Option<PoolOrder> {
+    fn load_model(
+        &mut self,
+        wish: &LoadWish,
+        may_claim: bool,
+        now: MonotonicTime,
+    ) -> Option<PoolOrder> {
         let spec = self.catalog.models.get(&wish.model)?.clone();
         let placement = self.place(wish, &spec, now)?;
         let level = self.servers[&placement.server].cache_level(&wish.model);
         if !placement.victims.is_empty() || placement.free_bytes < spec.bytes {
-            self.claim(wish, &spec, &placement, now);
+            if may_claim {
+                self.claim(wish, &spec, &placement, now);
+            }
             return None;
         }
         if !self.permit_is_due(level, now) {
@@ -170,16 +182,13 @@
         if !self.wants_replica(model, demand, spec, now) {
             return None;
         }
-        let servers = self.servers.values();
-        let levels = servers.filter(|record| record.may_load(model, now));
-        let nearest = levels.map(|record| record.cache_level(model)).min();
         Some(LoadWish {
             model: model.clone(),
             account: Some(foremost.account.clone()),
             class: foremost.class,
             deadline_in: demand.deadline_in(now),
             waited: demand.waited(now),
-            expected: spec.load_times.at(nearest.unwrap_or_default()),
+            expected: self.nearest_load_time(model),
         })
     }
 
@@ -193,13 +202,14 @@
         now: MonotonicTime,
     ) -> bool {
         let replicas = self.servers.values().filter_map(|r| r.replicas.get(model));
-        let (mut loading, mut ready, mut slots) = (0_u32, 0_u32, 0_u32);
+        let (mut loading, mut ready, mut slots, mut in_flight) = (0_u32, 0_u32, 0_u32, 0_u32);
         for replica in replicas {
             match replica.stage {
                 LifecycleStage::Loading => loading += 1,
                 LifecycleStage::Ready => {
                     ready += 1;
                     slots += replica.slots;
+                    in_flight += replica.in_flight;
                 }
                 LifecycleStage::Draining | LifecycleStage::Unloading => {}
             }
@@ -210,10 +220,13 @@
         if ready == 0 {
             return true;
         }
-        let backlog = f64::from(self.servable_count(model, demand));
+        let servable = self.servable_count(model, demand);
         let limit = f64::from(slots) * self.settings.scale_out_backlog;
+        // Requests that wait beside free slots have no replica left that they may use.
+        let stuck = servable > 0 && in_flight * 2 < slots;
         let waited = demand.waited(now) >= self.settings.scale_out_wait;
-        ready < spec.max_replicas && backlog > limit && waited
+        let overloaded = f64::from(servable) > limit || stuck;
+        ready < spec.max_replicas && overloaded && waited
     }
 
     /// Waiting requests that a ready replica could serve if it had a free slot.
@@ -311,11 +324,17 @@
             .filter_map(|victim| Some(self.value(record, victim, self.replica(victim)?, now)))
             .sum();
         let load = spec.load_times.at(record.cache_level(&wish.model));
+        let free_bytes = record.free_bytes().saturating_sub(promised);
+        let drain_s = if free_bytes < spec.bytes {
+            DRAIN_COST_S
+        } else {
+            0.0
+        };
         Some(Placement {
             server: server.clone(),
             victims,
-            cost: load.as_secs_f64() + evicted,
-            free_bytes: record.free_bytes().saturating_sub(promised),
+            cost: load.as_secs_f64() + evicted + drain_s,
+            free_bytes,
         })
     }
 
@@ -359,7 +378,7 @@
         (freed >= needed).then_some(victims)
     }
 
-    fn is_evictable(
+    pub(crate) fn is_evictable(
         &self,
         model: &Name,
         replica: &ReplicaRecord,
--- a/crates/scheduling/src/pool_observation.rs
+++ b/crates/scheduling/src/pool_observation.rs
@@ -1,8 +1,11 @@
 //! How a [`PoolPlanner`] takes in what backend servers report.
 
+use std::collections::BTreeSet;
+
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 
+use crate::LifecycleStage;
 use crate::LoadedModel;
 use crate::OrderAction;
 use crate::OrderId;
@@ -11,7 +14,6 @@
 use crate::ServerObservation;
 use crate::open_order::OpenOrder;
 use crate::replica_record::AdapterRecord;
-use crate::replica_record::LifecycleStage;
 use crate::replica_record::ReplicaRecord;
 use crate::server_record::ServerRecord;
 
@@ -20,6 +22,10 @@
     /// were lost, and loads by a predecessor.
     pub fn observe_server(&mut self, observation: ServerObservation, now: MonotonicTime) {
         let server = observation.server.clone();
+        let known = self.servers.get(&server);
+        if known.is_some_and(|record| observation.asked_at < record.observed_at) {
+            return;
+        }
         self.forget_earlier_boot(&observation);
         self.update_record(&observation);
         let confirmed_at = self.servers.get(&server).map(|record| record.confirmed_at);
@@ -50,6 +56,7 @@
         record.fencing = observation.fencing;
         record.leaving = observation.leaving;
         record.observed = true;
+        record.observed_at = observation.asked_at;
         record.memory_bytes = observation.memory_bytes;
         record.accelerators = observation.accelerators;
         record.cached = observation.cached.clone();
@@ -77,13 +84,14 @@
     /// Removes replicas and adapters that the server no longer has. Those with an open order stay:
     /// their order may not have arrived yet.
     fn remove_vanished(&mut self, observation: &ServerObservation) {
+        let ordered = self.ordered_models(&observation.server);
         let Some(record) = self.servers.get_mut(&observation.server) else {
             return;
         };
         let mut changed = Vec::new();
         record.replicas.retain(|model, replica| {
             let loaded = observation.loaded.get(model);
-            let kept = loaded.is_some() || has_open_order(replica.stage);
+            let kept = loaded.is_some() || ordered.contains(model);
             let adapters = replica.adapters.len();
             replica.adapters.retain(|adapter, record| {
                 let present = loaded.is_none_or(|loaded| loaded.adapters.contains_key(adapter));
@@ -99,6 +107,13 @@
         }
     }
 
+    /// Models with an open load or unload order on `server`.
+    fn ordered_models(&self, server: &Name) -> BTreeSet<Name> {
+        let orders = self.orders.values();
+        let open = orders.filter(|order| order.server == *server && order.adapter.is_none());
+        open.map(|order| order.model.clone()).collect()
+    }
+
     /// Brings the record of a loaded model up to date, or adds one that a predecessor loaded.
     fn adopt(
         &mut self,
@@ -108,12 +123,22 @@
         now: MonotonicTime,
     ) {
         let slots = self.catalog.models.get(model).map_or(1, |spec| spec.slots);
+        let ordered = self.ordered_models(&observation.server).contains(model);
         let Some(record) = self.servers.get_mut(&observation.server) else {
             return;
         };
         let known = record.replicas.contains_key(model);
         let replica = adopted_replica(record, model, loaded, slots, now);
-        let changed = adopt_adapters(replica, loaded, now);
+        let in_order = matches!(
+            replica.stage,
+            LifecycleStage::Loading | LifecycleStage::Unloading
+        );
+        if in_order && !ordered {
+            // Known only from a predecessor's adapter order until now.
+            replica.stage = LifecycleStage::Ready;
+            replica.slots = slots;
+        }
+        let changed = adopt_adapters(replica, loaded, now) || (in_order && !ordered);
         let load_changed = replica.running != loaded.running;
         replica.running = loaded.running;
         if loaded.running == 0 && observation.asked_at >= replica.unsure_since {
@@ -155,10 +180,6 @@
     replica.adapters.len() != known
 }
 
-fn has_open_order(stage: LifecycleStage) -> bool {
-    matches!(stage, LifecycleStage::Loading | LifecycleStage::Unloading)
-}
-
 /// True if the observation was asked for after the order and shows its effect.
 fn shows_effect(observation: &ServerObservation, order: &OpenOrder) -> bool {
     let loaded = observation.loaded.get(&order.model);
--- a/crates/scheduling/src/pool_plan.rs
+++ b/crates/scheduling/src/pool_plan.rs
@@ -1,11 +1,16 @@
 //! One planning step of a [`PoolPlanner`].
 
+use std::time::Duration;
+
 use zinniahinge_types::MonotonicTime;
 
 use crate::OrderId;
 use crate::PoolOrder;
 use crate::PoolPlanner;
 
+/// Keep-alive, ageing and scaling change slowly, so they are looked at in this interval.
+const PLAN_INTERVAL: Duration = Duration::from_millis(500);
+
 impl PoolPlanner {
     /// Orders that can be given at `now`. Each must be sent, recorded first if its server ignores
     /// fencing, and confirmed with [`Self::confirm`] when its result is known.
@@ -13,10 +18,15 @@
         for demand in self.demands.values_mut() {
             demand.expire(now);
         }
+        if self.is_recovering(now) {
+            // What looks cold may be loaded on a server that was not observed yet.
+            return self.repeat_orders(now);
+        }
         self.take_drains_back();
         self.start_drains(now);
         let mut orders = self.repeat_orders(now);
         orders.extend(self.unload_drained(now));
+        orders.extend(self.unload_adapters(now));
         orders.extend(self.load_models(now));
         orders.extend(self.load_adapters(now));
         orders
@@ -31,7 +41,8 @@
             .any(|demand| demand.waiting_count() > 0);
         let permit = waiting.then(|| self.permits.next_start());
         let permit = permit.filter(|start| *start > now);
-        [resend, permit].into_iter().flatten().min()
+        let periodic = now + PLAN_INTERVAL;
+        [resend, permit, Some(periodic)].into_iter().flatten().min()
     }
 
     /// Gives orders again whose result has been unknown for long.
--- a/crates/scheduling/src/pool_planner.rs
+++ b/crates/scheduling/src/pool_planner.rs
@@ -6,6 +6,7 @@
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 
+use crate::LifecycleStage;
 use crate::MemoryReservation;
 use crate::OrderAction;
 use crate::OrderId;
@@ -17,7 +18,6 @@
 use crate::open_order::OpenOrder;
 use crate::permit_window::PermitWindow;
 use crate::replica_record::AdapterRecord;
-use crate::replica_record::LifecycleStage;
 use crate::replica_record::ReplicaRecord;
 use crate::server_record::ServerRecord;
 
@@ -104,6 +104,10 @@
         self.recovering_until = None;
     }
 
+    pub(crate) fn is_recovering(&self, now: MonotonicTime) -> bool {
+        self.recovering_until.is_some_and(|until| now < until)
+    }
+
     /// Counts a predecessor's orders whose results are not known as open.
     pub fn recover(&mut self, reservations: Vec<MemoryReservation>, now: MonotonicTime) {
         self.permits.delay_until(now + Duration::from_secs(1));
@@ -129,7 +133,8 @@
                 boot_id,
                 ..ServerRecord::default()
             });
-        if record.boot_id != boot_id {
+        let restarted = record.boot_id != boot_id;
+        if restarted || shows_load(record, action, &model) {
             return;
         }
         let order = OpenOrder {
@@ -196,8 +201,10 @@
     /// Opens an order and reserves its memory. Memory and replica limits are checked here once
     /// more, whatever rule chose the order; a violation yields no order.
     pub(crate) fn open_order(&mut self, order: OpenOrder, now: MonotonicTime) -> Option<PoolOrder> {
+        let below_limit = self.is_below_replica_limit(&order.model);
         let record = self.servers.get_mut(&order.server)?;
-        if !is_allowed(record, &order) {
+        let within_limit = order.action != OrderAction::LoadModel || below_limit;
+        if !within_limit || !is_allowed(record, &order, now) {
             return None;
         }
         reserve(record, &order, now);
@@ -208,6 +215,25 @@
         sent
     }
 
+    /// True if one more replica may be loaded: none is loading, and there are fewer than the
+    /// catalog allows.
+    fn is_below_replica_limit(&self, model: &Name) -> bool {
+        let Some(spec) = self.catalog.models.get(model) else {
+            return false;
+        };
+        let records = self.servers.values();
+        let replicas = records.filter_map(|record| record.replicas.get(model));
+        let mut ready = 0;
+        for replica in replicas {
+            match replica.stage {
+                LifecycleStage::Loading => return false,
+                LifecycleStage::Ready => ready += 1,
+                LifecycleStage::Draining | LifecycleStage::Unloading => {}
+            }
+        }
+        ready < spec.max_replicas.max(1)
+    }
+
     pub(crate) fn order_message(
         &self,
         order_id: OrderId,
@@ -240,7 +266,7 @@
         }
         match order.action {
             OrderAction::LoadModel => self.end_model_load(&order, result, now),
-            OrderAction::UnloadModel => self.end_model_unload(&order, result),
+            OrderAction::UnloadModel => self.end_model_unload(&order, result, now),
             OrderAction::LoadAdapter => self.end_adapter_load(&order, result, now),
             OrderAction::UnloadAdapter => self.end_adapter_unload(&order, result),
         }
@@ -250,6 +276,8 @@
 
     fn end_model_load(&mut self, order: &OpenOrder, result: OrderResult, now: MonotonicTime) {
         let pause = self.settings.failure_pause;
+        let spec = self.catalog.models.get(&order.model);
+        let slots = spec.map_or(1, |spec| spec.slots);
         let Some(record) = self.servers.get_mut(&order.server) else {
             return;
         };
@@ -258,16 +286,14 @@
                 record.failures.remove(&order.model);
                 if let Some(replica) = record.replicas.get_mut(&order.model) {
                     replica.stage = LifecycleStage::Ready;
+                    replica.slots = slots;
                     replica.ready_at = now;
                     replica.last_busy = now;
                 }
             }
             OrderResult::Failed => {
                 record.replicas.remove(&order.model);
-                let failure = record.failures.entry(order.model.clone()).or_default();
-                let factor = 1_u32 << failure.count.min(6);
-                failure.retry_at = now + pause * factor;
-                failure.count += 1;
+                record.record_failure(&order.model, pause, now);
             }
             OrderResult::NotSent => {
                 record.replicas.remove(&order.model);
@@ -275,18 +301,25 @@
         }
     }
 
-    fn end_model_unload(&mut self, order: &OpenOrder, result: OrderResult) {
+    fn end_model_unload(&mut self, order: &OpenOrder, result: OrderResult, now: MonotonicTime) {
+        let pause = self.settings.failure_pause;
         let Some(record) = self.servers.get_mut(&order.server) else {
             return;
         };
         if result == OrderResult::Done {
             record.replicas.remove(&order.model);
         } else if let Some(replica) = record.replicas.get_mut(&order.model) {
-            replica.stage = LifecycleStage::Draining;
+            replica.return_from_unload(now + pause);
         }
     }
 
     fn end_adapter_load(&mut self, order: &OpenOrder, result: OrderResult, now: MonotonicTime) {
+        if let (OrderResult::Failed, Some(adapter)) = (result, &order.adapter) {
+            let pause = self.settings.failure_pause;
+            if let Some(record) = self.servers.get_mut(&order.server) {
+                record.record_failure(adapter, pause, now);
+            }
+        }
         let Some((replica, adapter)) = self.adapter_target(order) else {
             return;
         };
@@ -305,7 +338,8 @@
         if result == OrderResult::Done {
             replica.adapters.remove(&adapter);
         } else if let Some(record) = replica.adapters.get_mut(&adapter) {
-            record.stage = LifecycleStage::Draining;
+            record.stage = LifecycleStage::Ready;
+            record.drain = None;
         }
     }
 
@@ -316,8 +350,13 @@
     }
 }
 
+/// True if a predecessor's load is known to have succeeded.
+fn shows_load(record: &ServerRecord, action: OrderAction, model: &Name) -> bool {
+    action == OrderAction::LoadModel && record.observed && record.replicas.contains_key(model)
+}
+
 /// Last check before an order is given.
-fn is_allowed(record: &ServerRecord, order: &OpenOrder) -> bool {
+fn is_allowed(record: &ServerRecord, order: &OpenOrder, now: MonotonicTime) -> bool {
     let replica = record.replicas.get(&order.model);
     match order.action {
         OrderAction::LoadModel => replica.is_none() && record.free_bytes() >= order.bytes,
@@ -325,7 +364,7 @@
             let ready = replica.is_some_and(|replica| replica.stage == LifecycleStage::Ready);
             ready && record.free_bytes() >= order.bytes
         }
-        OrderAction::UnloadModel => replica.is_some_and(ReplicaRecord::may_unload),
+        OrderAction::UnloadModel => replica.is_some_and(|replica| replica.may_unload(now)),
         OrderAction::UnloadAdapter => {
             let adapter = order.adapter.as_ref();
             let record = replica.and_then(|replica| replica.adapters.get(adapter?));
--- a/crates/scheduling/src/pool_state.rs
+++ b/crates/scheduling/src/pool_state.rs
@@ -9,9 +9,9 @@
 
 use crate::CacheLevel;
 use crate::GapHistogram;
+use crate::LifecycleStage;
 use crate::MemoryReservation;
 use crate::replica_record::DrainReason;
-use crate::replica_record::LifecycleStage;
 
 /// State of a [`crate::PoolPlanner`] for a planned handover. Times are relative, because clocks of
 /// two processes have different origins. The catalog is not part of it; the document has it.
@@ -92,6 +92,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct DemandSnapshot {
     pub(crate) waiting: Vec<AdapterDemand>,
+    pub(crate) reported: bool,
     pub(crate) report_age: Duration,
     pub(crate) applied_version: u64,
     pub(crate) list_version: u64,
--- a/crates/scheduling/src/replica_book.rs
+++ b/crates/scheduling/src/replica_book.rs
@@ -104,10 +104,11 @@
         record.record_failure(settings, now);
     }
 
-    /// Earliest end of an ejection after `now`.
-    pub(crate) fn next_probation_end(&self, now: MonotonicTime) -> Option<MonotonicTime> {
-        let ends = self.ejections.values().filter_map(EjectionRecord::until);
-        ends.filter(|until| *until > now).min()
+    /// Next time after `now` at which a replica becomes available without any event.
+    pub(crate) fn next_change(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+        let probations = self.ejections.values().filter_map(EjectionRecord::until);
+        let changes = probations.chain([self.reports_count_until]);
+        changes.filter(|change| *change > now).min()
     }
 
     /// True if some replica could start the request now.
--- a/crates/scheduling/src/replica_record.rs
+++ b/crates/scheduling/src/replica_record.rs
@@ -5,14 +5,7 @@
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 
-/// Life cycle of a replica or adapter in the pool. Its memory counts in every stage.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum LifecycleStage {
-    Loading,
-    Ready,
-    Draining,
-    Unloading,
-}
+use crate::LifecycleStage;
 
 /// Why a replica drains.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -57,6 +50,8 @@
     pub(crate) ready_at: MonotonicTime,
     pub(crate) last_busy: MonotonicTime,
     pub(crate) used: bool,
+    /// No unload before this, because the server refused one.
+    pub(crate) unload_after: MonotonicTime,
 }
 
 /// An adapter on one replica.
@@ -83,6 +78,7 @@
             ready_at: now,
             last_busy: now,
             used: false,
+            unload_after: MonotonicTime::ZERO,
         }
     }
 
@@ -98,13 +94,23 @@
     }
 
     /// True if an unload order may be given.
-    pub(crate) fn may_unload(&self) -> bool {
+    pub(crate) fn may_unload(&self, now: MonotonicTime) -> bool {
         let acknowledged = self.drain.is_some_and(|drain| drain.acknowledged);
         let settled = self
             .adapters
             .values()
             .all(|adapter| !adapter.has_open_order());
-        self.stage == LifecycleStage::Draining && acknowledged && self.is_idle() && settled
+        let draining = self.stage == LifecycleStage::Draining;
+        draining && acknowledged && self.is_idle() && settled && now >= self.unload_after
+    }
+
+    /// The server did not unload it. A replica that a predecessor wanted unloaded is in use again.
+    pub(crate) fn return_from_unload(&mut self, unload_after: MonotonicTime) {
+        self.unload_after = unload_after;
+        self.stage = match self.drain {
+            Some(_) => LifecycleStage::Draining,
+            None => LifecycleStage::Ready,
+        };
     }
 
     pub(crate) fn has_adapter(&self, adapter: Option<&Name>) -> bool {
--- a/crates/scheduling/src/server_record.rs
+++ b/crates/scheduling/src/server_record.rs
@@ -1,10 +1,11 @@
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 
 use crate::CacheLevel;
-use crate::replica_record::LifecycleStage;
+use crate::LifecycleStage;
 use crate::replica_record::ReplicaRecord;
 
 /// A backend server in the pool.
@@ -23,10 +24,13 @@
     pub(crate) replicas: BTreeMap<Name, ReplicaRecord>,
     /// Time of the last confirmed change; older observations do not contradict it.
     pub(crate) confirmed_at: MonotonicTime,
+    /// When the newest observation was asked for.
+    pub(crate) observed_at: MonotonicTime,
+    /// Failed loads by model or adapter.
     pub(crate) failures: BTreeMap<Name, LoadFailure>,
 }
 
-/// Failed loads of one model on one server.
+/// Failed loads of one model or adapter on one server.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct LoadFailure {
     pub(crate) count: u32,
@@ -59,8 +63,20 @@
     }
 
     pub(crate) fn may_load(&self, model: &str, now: MonotonicTime) -> bool {
-        let failure = self.failures.get(model);
-        let paused = failure.is_some_and(|failure| failure.retry_at > now);
-        self.observed && !self.leaving && !paused && !self.replicas.contains_key(model)
+        let usable = self.observed && !self.leaving;
+        usable && !self.is_paused(model, now) && !self.replicas.contains_key(model)
+    }
+
+    /// True if a load of this model or adapter failed a short while ago.
+    pub(crate) fn is_paused(&self, name: &str, now: MonotonicTime) -> bool {
+        let failure = self.failures.get(name);
+        failure.is_some_and(|failure| failure.retry_at > now)
+    }
+
+    pub(crate) fn record_failure(&mut self, name: &Name, pause: Duration, now: MonotonicTime) {
+        let failure = self.failures.entry(name.clone()).or_default();
+        let factor = 1_u32 << failure.count.min(6);
+        failure.retry_at = now + pause.saturating_mul(factor);
+        failure.count += 1;
     }
 }
--- /dev/null
+++ b/crates/scheduling/src/slot_limits.rs
@@ -0,0 +1,45 @@
+use zinniahinge_types::DispatchRequest;
+use zinniahinge_types::PriorityClass;
+
+use crate::ModelDispatcher;
+use crate::QueueOrder;
+use crate::ticket_book::TicketBook;
+
+/// Slots that one account and the batch class may use.
+pub(crate) struct SlotLimits {
+    free: u32,
+    reserved: u32,
+    batch_limit: u32,
+    even_share: u32,
+}
+
+impl SlotLimits {
+    pub(crate) fn of(dispatcher: &ModelDispatcher) -> Self {
+        let slots = dispatcher.replicas.ready_slots();
+        let in_flight = u32::try_from(dispatcher.tickets.len()).unwrap_or(u32::MAX);
+        let held = dispatcher.tickets.accounts();
+        let unseen = held.filter(|account| !dispatcher.recent_accounts.contains_key(*account));
+        let accounts = unseen.count() + dispatcher.recent_accounts.len();
+        let accounts = u32::try_from(accounts).unwrap_or(u32::MAX).max(1);
+        let fair = dispatcher.settings.queue_order == QueueOrder::Fair;
+        let percent = if fair {
+            dispatcher.settings.reserve_percent
+        } else {
+            0
+        };
+        Self {
+            free: slots.saturating_sub(in_flight),
+            reserved: slots * percent / 100,
+            batch_limit: slots - slots * percent / 100,
+            even_share: slots.div_ceil(accounts),
+        }
+    }
+
+    pub(crate) fn admits(&self, request: &DispatchRequest, tickets: &TicketBook) -> bool {
+        let batch = request.class == PriorityClass::Batch;
+        if batch && tickets.batch() >= self.batch_limit {
+            return false;
+        }
+        self.free > self.reserved || tickets.of_account(&request.account) < self.even_share
+    }
+}
