Keep routes inside their service, add batch deadline

Cause: the entry process takes the first service whose document has a matching route, so a document could take or open another service's paths. The check now holds group routes to /r/<service> and model API routes to /v1. Ruled out: a check over all documents at once, because acceptance sees only one of them.

The chat path is the same for all classes, so a long deadline for requests that may wait needs a field of its own: batch_deadline_ms.

A name that was rejected is no longer reported again as missing where it is used; the fault table covers this.

--- a/crates/document/src/diff.rs
+++ b/crates/document/src/diff.rs
@@ -187,6 +187,7 @@
             idempotent,
             class,
             deadline,
+            batch_deadline,
             target,
         } = route;
         // Routes that share a prefix are told apart by their order in the document.
@@ -203,6 +204,8 @@
         self.put(&entry, "idempotent", idempotent);
         self.put(&entry, "class", class_name(*class));
         self.put_millis(&entry, "deadline_ms", *deadline);
+        let batch_millis = batch_deadline.map(|time| time.as_millis());
+        self.put_optional(&entry, "batch_deadline_ms", batch_millis);
         match target {
             RouteTarget::ModelApi => self.put(&entry, "target", "model-api"),
             RouteTarget::Group(group) => self.put(&entry, "target", format_args!("group {group}")),
--- a/crates/document/src/read.rs
+++ b/crates/document/src/read.rs
@@ -252,6 +252,8 @@
     let idempotent = table.required("idempotent", "true if a request may be sent again");
     let deadline = table.required("deadline_ms", "milliseconds from arrival");
     let deadline = deadline.and_then(|v| v.integer(1..=MAX_DEADLINE_MS, "ms"));
+    let batch_deadline = table.optional("batch_deadline_ms");
+    let batch_deadline = batch_deadline.and_then(|v| v.integer(1..=MAX_DEADLINE_MS, "ms"));
     ServiceRoute {
         prefix: read_prefix(table),
         methods: read_methods(table),
@@ -259,6 +261,7 @@
         idempotent: idempotent.and_then(|v| v.boolean()).unwrap_or_default(),
         class: read_class(table, "class"),
         deadline: Duration::from_millis(deadline.unwrap_or_default()),
+        batch_deadline: batch_deadline.map(Duration::from_millis),
         target: read_target(table, kind, group),
     }
 }
--- a/crates/document/src/rules.rs
+++ b/crates/document/src/rules.rs
@@ -5,6 +5,7 @@
 use std::hash::Hash;
 
 use zinniahinge_types::Name;
+use zinniahinge_types::PriorityClass;
 
 use crate::ClientAccount;
 use crate::FaultKind;
@@ -21,6 +22,9 @@
 /// Most digests of one account: every one is compared on every request.
 const MAX_DIGESTS: usize = 16;
 
+/// Paths of the OpenAI-compatible interface.
+const MODEL_API_ROOT: &str = "/v1";
+
 /// Reports every broken rule.
 pub(crate) fn check_rules(document: &ServiceDocument, sink: &FaultSink<'_>) {
     let rules = RuleCheck { document, sink };
@@ -166,6 +170,8 @@
     fn check_routes(&self) {
         for (index, route) in self.document.routes.iter().enumerate() {
             self.check_target(index, route);
+            self.check_prefix_root(index, route);
+            self.check_batch_deadline(index, route);
             for (other, earlier) in self.document.routes[..index].iter().enumerate() {
                 self.check_overlap((index, route), (other, earlier));
             }
@@ -189,6 +195,34 @@
         }
     }
 
+    /// Each service has its own paths, so that no team's document can take another's requests.
+    fn check_prefix_root(&self, index: usize, route: &ServiceRoute) {
+        let ServiceDocument { service, kind, .. } = self.document;
+        let root = match (&route.target, kind) {
+            (RouteTarget::Group(_), _) => format!("/r/{service}"),
+            (RouteTarget::ModelApi, ServiceKind::Models) => MODEL_API_ROOT.to_owned(),
+            // The target itself is the fault.
+            (RouteTarget::ModelApi, ServiceKind::Plain) => return,
+        };
+        let rest = route.prefix.strip_prefix(&*root);
+        let is_inside = rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('/'));
+        if !is_inside && self.is_read("kind") && self.is_read("service") {
+            let field = format!("routes[{index}].prefix");
+            let problem = "the prefix is outside of the service's paths".to_owned();
+            let expected = format!("`{root}` or a path below it");
+            self.fault(FaultKind::InvalidValue, &field, problem, &expected);
+        }
+    }
+
+    fn check_batch_deadline(&self, index: usize, route: &ServiceRoute) {
+        if route.deadline_for(PriorityClass::Batch) < route.deadline {
+            let field = format!("routes[{index}].batch_deadline_ms");
+            let problem = "batch requests have less time than others".to_owned();
+            let expected = format!("at least {}", route.deadline.as_millis());
+            self.fault(FaultKind::InvalidValue, &field, problem, &expected);
+        }
+    }
+
     fn check_overlap(&self, late: (usize, &ServiceRoute), early: (usize, &ServiceRoute)) {
         let prefix_field = |index: usize| format!("routes[{index}].prefix");
         if !self.is_read(&prefix_field(late.0)) || !self.is_read(&prefix_field(early.0)) {
@@ -318,19 +352,29 @@
 
     // ----
 
+    /// True also if the name of some model was rejected, because that may be the missing one.
     fn has_model(&self, name: &Name) -> bool {
-        self.document.models.iter().any(|model| model.name == *name)
+        let mut models = self.document.models.iter().enumerate();
+        models.any(|(index, model)| {
+            model.name == *name || !self.is_read(&format!("models[{index}].name"))
+        })
     }
 
+    /// As [`Self::has_model`] for adapters.
     fn has_adapter(&self, base: &Name, name: &Name) -> bool {
-        let mut adapters = self.document.adapters.iter();
-        adapters.any(|adapter| adapter.base == *base && adapter.name == *name)
+        let mut adapters = self.document.adapters.iter().enumerate();
+        adapters.any(|(index, adapter)| {
+            let is_rejected = |field| !self.is_read(&format!("adapters[{index}].{field}"));
+            let is_same = adapter.base == *base && adapter.name == *name;
+            is_same || is_rejected("base") || is_rejected("name")
+        })
     }
 
+    /// As [`Self::has_model`] for routes.
     fn has_route(&self, prefix: &Name) -> bool {
-        self.document
-            .routes
-            .iter()
-            .any(|route| route.prefix == *prefix)
+        let mut routes = self.document.routes.iter().enumerate();
+        routes.any(|(index, route)| {
+            route.prefix == *prefix || !self.is_read(&format!("routes[{index}].prefix"))
+        })
     }
 }
--- a/crates/document/src/service_route.rs
+++ b/crates/document/src/service_route.rs
@@ -20,11 +20,21 @@
     pub class: PriorityClass,
     /// Time from arrival until the request is refused or cut.
     pub deadline: Duration,
+    /// The same for requests of class [`PriorityClass::Batch`], if they may wait longer.
+    pub batch_deadline: Option<Duration>,
     /// What serves the requests.
     pub target: RouteTarget,
 }
 
 impl ServiceRoute {
+    /// Time that a request of `class` has.
+    pub fn deadline_for(&self, class: PriorityClass) -> Duration {
+        match (class, self.batch_deadline) {
+            (PriorityClass::Batch, Some(batch_deadline)) => batch_deadline,
+            _ => self.deadline,
+        }
+    }
+
     /// Whether the route lists `method`.
     pub fn allows(&self, method: &str) -> bool {
         self.methods.iter().any(|allowed| **allowed == *method)
