--- a/crates/standins/src/fault_set.rs
+++ b/crates/standins/src/fault_set.rs
@@ -23,9 +23,9 @@
     LeaseLapse,
     /// Nothing proceeds, as in a stopped process.
     Pause,
-    /// The process restarts with empty memory in the middle of a load.
+    /// The process restarts with empty memory in the middle of a load, and is down for `delay_ms`.
     DieInLoad,
-    /// Cache events appear later by `delay_ms`, and with `probability` not at all.
+    /// The events that are hit appear later by `delay_ms`, or never if that is 0.
     LateEvents,
     /// Answers are not of the protocol. The request takes effect.
     Garbage,
--- a/crates/standins/src/reply.rs
+++ b/crates/standins/src/reply.rs
@@ -1,5 +1,7 @@
 //! Answers of the stand-ins.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use futures::Stream;
 use futures::StreamExt;
@@ -20,6 +22,10 @@
 /// Frames of a stream that are sent before an early close.
 const FRAMES_BEFORE_CLOSE: usize = 3;
 
+/// Time between the last chunk and an early close. The HTTP library discards what it has not sent
+/// yet when a body fails.
+const FLUSH_TIME: Duration = Duration::from_millis(20);
+
 /// Chunks that wait for a slow client.
 const CHUNKS_IN_FLIGHT: usize = 16;
 
@@ -126,7 +132,11 @@
         }
         None => whole.take(FRAMES_BEFORE_CLOSE).right_stream(),
     };
-    let end = futures::stream::iter((!clean).then(|| Err(BodyError::from("closed early"))));
+    let end = futures::stream::once(async {
+        tokio::time::sleep(FLUSH_TIME).await;
+        Err(BodyError::from("closed early"))
+    });
+    let end = futures::stream::iter((!clean).then_some(end)).flatten();
     let frames = kept.chain(end).map(|chunk| chunk.map(Frame::data));
     Response::from_parts(parts, Body::from_stream(frames))
 }
--- a/crates/standins/src/stand_in_server.rs
+++ b/crates/standins/src/stand_in_server.rs
@@ -39,8 +39,8 @@
 /// Pause between attempts to listen again after a refusal.
 const REBIND_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Paths that only tests use and that no fault hits.
-const EXEMPT_PATHS: [&str; 2] = ["/counters", "/runs"];
+/// Paths that only tests use and that no fault hits: counts, and changes of the host list.
+const EXEMPT_PREFIXES: [&str; 3] = ["/counters", "/runs", "/hosts/"];
 
 /// A stand-in that listens. It runs until the runtime ends.
 #[derive(Clone, Debug)]
@@ -54,7 +54,7 @@
 impl StandInServer {
     /// Listens on `listen` and answers with `handler`, subject to `faults`.
     ///
-    /// `GET /seen` and `/faults` are answered here. They and [`EXEMPT_PATHS`] are exempt from
+    /// `GET /seen` and `/faults` are answered here. They and test-only paths are exempt from
     /// faults, except that nobody can connect while the listening socket is closed.
     pub async fn start<H, F>(
         listen: SocketAddr,
@@ -93,6 +93,12 @@
     }
 }
 
+fn is_exempt(path: &str) -> bool {
+    EXEMPT_PREFIXES
+        .iter()
+        .any(|prefix| path.starts_with(prefix))
+}
+
 /// Closes the connection that the current request came on, without an answer.
 ///
 /// The HTTP library turns every error into an answer, so the connection's task is unwound. The
@@ -196,7 +202,7 @@
                 ok_reply(&json!({}))
             }
             ("/seen", &Method::GET) => ok_reply(&self.seen.report()),
-            (path, _) if EXEMPT_PATHS.contains(&path) => (self.handler)(request).await,
+            (path, _) if is_exempt(path) => (self.handler)(request).await,
             _ => self.answer_subject_to_faults(request).await,
         })
     }
