Break open streams when a stand-in goes down; keep failed loads out of the cache

Cause: an engine that was down went on with the streams it had open, which a dead process does not. A load that failed at the weight store left its checkpoint marked as cached in memory, so the next load was too quick; found by the new test of loads through the store.

Streams and watches now break when a down fault hits every request; a fault with a count, a share or a path leaves them alone. Digests of headers are kept as bytes, can be asked for singly and can be cleared, because a load run adds some per request. Both names of the token limit may be present. A refusal of the key-value service counts as having heard from it.

--- a/crates/kv/src/gateway_transport.rs
+++ b/crates/kv/src/gateway_transport.rs
@@ -89,7 +89,11 @@
     {
         let body = encode_request(request)?;
         let sent = Instant::now();
-        let answer = self.try_endpoints(kind, path, body, read_answer).await?;
+        let answer = self.try_endpoints(kind, path, body, read_answer).await;
+        if matches!(answer, Err(KvError::Rejected { .. })) {
+            self.note_heard(sent);
+        }
+        let answer = answer?;
         let decoded = serde_json::from_slice(&answer).map_err(|e| self.unknown_outcome(e))?;
         self.note_heard(sent);
         Ok(decoded)
--- a/crates/standins/src/engine_answer.rs
+++ b/crates/standins/src/engine_answer.rs
@@ -20,7 +20,10 @@
     #[serde(default)]
     pub stream_options: Option<StreamOptions>,
     /// Limit of the answer, in tokens.
-    #[serde(default, alias = "max_completion_tokens")]
+    #[serde(default)]
+    pub max_completion_tokens: Option<u64>,
+    /// Older name of [`ChatRequest::max_completion_tokens`], which takes precedence.
+    #[serde(default)]
     pub max_tokens: Option<u64>,
     /// The last message is the beginning of the answer, which is to be continued.
     #[serde(default)]
@@ -78,6 +81,11 @@
         self.model.split_once(':').map_or(&self.model, |(m, _)| m)
     }
 
+    /// Limit of the answer in tokens, if one is stated.
+    pub fn token_limit(&self) -> Option<u64> {
+        self.max_completion_tokens.or(self.max_tokens)
+    }
+
     /// Adapter, if one is named.
     pub fn adapter(&self) -> Option<&str> {
         self.model.split_once(':').map(|(_, adapter)| adapter)
--- a/crates/standins/src/engine_memory.rs
+++ b/crates/standins/src/engine_memory.rs
@@ -200,14 +200,17 @@
         counts.peak_replicas = counts.peak_replicas.max(1);
     }
 
-    /// Removes a replica with its adapters; its checkpoint stays in the host's memory.
+    /// Removes a replica with its adapters. The checkpoint of one that was loaded stays in the
+    /// host's memory.
     pub fn remove_replica(&mut self, model: &str) {
         let Some(replica) = self.replicas.remove(model) else {
             return;
         };
         let adapter_bytes: u64 = replica.adapters.values().map(|a| a.bytes).sum();
         self.return_bytes(replica.bytes + adapter_bytes);
-        self.keep_checkpoint(checkpoint_name(model, &replica.version));
+        if replica.phase != EnginePhase::Loading {
+            self.keep_checkpoint(checkpoint_name(model, &replica.version));
+        }
     }
 
     /// Counts of `model`.
--- a/crates/standins/src/fault_set.rs
+++ b/crates/standins/src/fault_set.rs
@@ -11,9 +11,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FaultKind {
-    /// Connections are closed without an answer, or refused if `refuse` is set.
+    /// Connections are closed without an answer, or refused if `refuse` is set. Open streams break
+    /// if the fault hits every request.
     Down,
-    /// Answers come later by `delay_ms`; the weight store also divides its speed by `factor`.
+    /// Answers come later by `delay_ms`. The weight store divides its speed by `factor`, and the
+    /// engine the speed at which it makes tokens.
     Slow,
     /// The request takes effect and its connection is closed without an answer.
     LostAnswer,
@@ -56,7 +58,7 @@
     /// Only requests whose path starts with this are hit.
     #[serde(default)]
     pub path: Option<String>,
-    /// For [`FaultKind::Slow`] at the weight store: divisor of its speed.
+    /// For [`FaultKind::Slow`] at the weight store and the engine: divisor of the speed.
     #[serde(default)]
     pub factor: Option<f64>,
     /// For [`FaultKind::Down`]: the listening socket is closed, too. Needs `duration_ms`.
@@ -170,6 +172,11 @@
         Some(fault.hit())
     }
 
+    /// Whether every request is closed without an answer now.
+    pub fn is_down(&self) -> bool {
+        self.lock().iter().any(ActiveFault::is_down)
+    }
+
     /// Whether the listening socket shall be closed now.
     pub fn refuses(&self) -> bool {
         self.lock().iter().any(|fault| fault.request.refuse)
@@ -214,6 +221,18 @@
         self.request.kind == kind && path.starts_with(prefix)
     }
 
+    fn is_down(&self) -> bool {
+        let FaultRequest {
+            kind,
+            probability,
+            count,
+            path,
+            ..
+        } = &self.request;
+        let hits_all = *probability == 1.0 && count.is_none() && path.is_none();
+        *kind == FaultKind::Down && hits_all
+    }
+
     fn hit(&self) -> FaultHit {
         FaultHit {
             delay: Duration::from_millis(self.request.delay_ms),
--- a/crates/standins/src/kv_service.rs
+++ b/crates/standins/src/kv_service.rs
@@ -371,7 +371,7 @@
         let interval = self.service.settings.progress_interval;
         loop {
             self.service.faults.wait_resume().await;
-            if self.service.faults.peek(FaultKind::Down).is_some() {
+            if self.service.faults.is_down() {
                 let _ = sender.send(Err(BodyError::from("service is down"))).await;
                 return;
             }
--- a/crates/standins/src/seen_set.rs
+++ b/crates/standins/src/seen_set.rs
@@ -1,5 +1,7 @@
 use std::collections::BTreeSet;
+use std::collections::HashSet;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 
 use serde::Serialize;
 use sha2::Digest;
@@ -11,9 +13,20 @@
 /// digests of their values and of the words in them. Tests look for the digest of a caller's key.
 #[derive(Debug, Default)]
 pub struct SeenSet {
-    report: Mutex<SeenReport>,
+    record: Mutex<SeenRecord>,
 }
 
+#[derive(Debug, Default)]
+struct SeenRecord {
+    requests: u64,
+    header_names: BTreeSet<String>,
+    query_names: BTreeSet<String>,
+    digests: HashSet<ValueDigest>,
+}
+
+/// SHA-256 of a value.
+type ValueDigest = [u8; 32];
+
 /// Answer of `GET /seen`.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct SeenReport {
@@ -30,36 +43,62 @@
 impl SeenSet {
     /// Records the headers and the query of a request.
     pub fn record(&self, request: &ServedRequest) {
-        let mut report = self.report.lock().unwrap_or_else(|e| e.into_inner());
-        report.requests += 1;
+        let mut record = self.lock();
+        record.requests += 1;
         for (name, value) in &request.headers {
-            report.header_names.insert(name.to_string());
-            record_value(&mut report.digests, value.as_bytes());
+            record.header_names.insert(name.to_string());
+            record_value(&mut record.digests, value.as_bytes());
         }
         for (name, value) in &request.query {
-            report.query_names.insert(name.clone());
-            record_value(&mut report.digests, value.as_bytes());
+            record.query_names.insert(name.clone());
+            record_value(&mut record.digests, value.as_bytes());
         }
     }
 
     /// Everything recorded so far.
     pub fn report(&self) -> SeenReport {
-        let report = self.report.lock().unwrap_or_else(|e| e.into_inner());
-        report.clone()
+        let record = self.lock();
+        SeenReport {
+            requests: record.requests,
+            header_names: record.header_names.clone(),
+            query_names: record.query_names.clone(),
+            digests: record.digests.iter().map(write_hex).collect(),
+        }
+    }
+
+    /// Whether a value with this digest, in hexadecimal, was seen.
+    pub fn contains(&self, digest: &str) -> bool {
+        self.lock().digests.iter().any(|d| write_hex(d) == digest)
+    }
+
+    /// Forgets everything; every request adds digests of values that do not come again.
+    pub fn clear(&self) {
+        *self.lock() = SeenRecord::default();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, SeenRecord> {
+        self.record.lock().unwrap_or_else(|e| e.into_inner())
     }
 }
 
 /// SHA-256 of `data` in hexadecimal.
 pub fn hex_digest(data: &[u8]) -> String {
-    let digest = Sha256::digest(data);
+    write_hex(&digest_value(data))
+}
+
+fn digest_value(value: &[u8]) -> ValueDigest {
+    Sha256::digest(value).into()
+}
+
+fn write_hex(digest: &ValueDigest) -> String {
     digest.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
 /// Records the value and its words, so that a key inside `Bearer KEY` or `name=KEY; ...` is found.
-fn record_value(digests: &mut BTreeSet<String>, value: &[u8]) {
-    digests.insert(hex_digest(value));
+fn record_value(digests: &mut HashSet<ValueDigest>, value: &[u8]) {
+    digests.insert(digest_value(value));
     let is_separator = |byte: &u8| b" ,;=\"".contains(byte);
     for word in value.split(is_separator).filter(|word| !word.is_empty()) {
-        digests.insert(hex_digest(word));
+        digests.insert(digest_value(word));
     }
 }
--- a/crates/standins/src/stand_in_server.rs
+++ b/crates/standins/src/stand_in_server.rs
@@ -54,7 +54,7 @@
 impl StandInServer {
     /// Listens on `listen` and answers with `handler`, subject to `faults`.
     ///
-    /// `GET /seen` and `/faults` are answered here. They and test-only paths are exempt from
+    /// `/seen` and `/faults` are answered here. They and test-only paths are exempt from
     /// faults, except that nobody can connect while the listening socket is closed.
     pub async fn start<H, F>(
         listen: SocketAddr,
@@ -201,7 +201,11 @@
                 self.faults.clear();
                 ok_reply(&json!({}))
             }
-            ("/seen", &Method::GET) => ok_reply(&self.seen.report()),
+            ("/seen", &Method::GET) => self.report_seen(&request),
+            ("/seen", &Method::DELETE) => {
+                self.seen.clear();
+                ok_reply(&json!({}))
+            }
             (path, _) if is_exempt(path) => (self.handler)(request).await,
             _ => self.answer_subject_to_faults(request).await,
         })
@@ -223,6 +227,14 @@
         }
     }
 
+    /// All that was seen, or whether a `digest` in the query was.
+    fn report_seen(&self, request: &ServedRequest) -> Response {
+        match request.query_value("digest") {
+            Some(digest) => ok_reply(&json!({ "seen": self.seen.contains(digest) })),
+            None => ok_reply(&self.seen.report()),
+        }
+    }
+
     async fn answer_subject_to_faults(&self, request: ServedRequest) -> Response {
         let faults = &self.faults;
         let path = request.path.clone();
--- a/crates/standins/tests/engine_chat.rs
+++ b/crates/standins/tests/engine_chat.rs
@@ -154,6 +154,31 @@
     }
 }
 
+/// Guards against an engine that goes down but finishes the streams it had open.
+#[tokio::test]
+async fn open_stream_breaks_when_the_engine_goes_down() {
+    let settings = EngineSettings {
+        token_time: Duration::from_millis(50),
+        ..quick_settings()
+    };
+    let engine = start_loaded(settings).await;
+    let go_down = async {
+        tokio::time::sleep(Duration::from_millis(120)).await;
+        let mut fault = FaultRequest::new(FaultKind::Down);
+        fault.duration_ms = Some(200);
+        fault.refuse = true;
+        engine.add(fault);
+    };
+    let (broken, ()) = tokio::join!(engine.post(PATH, chat("a b c", true)), go_down);
+    assert_that!(broken.is_whole, eq(false));
+    assert_that!(broken.text().contains("[DONE]"), eq(false));
+    let state = engine.send(Method::GET, "/v1/state", &[], "").await;
+    assert_that!(state.is_none(), eq(true));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let again = engine.post(PATH, chat("a b c", true)).await;
+    assert_that!(again.text().contains("[DONE]"), eq(true));
+}
+
 /// Guards against a crossed answer that looks like the caller's own.
 #[tokio::test]
 async fn crossed_answer_belongs_to_the_other_request() {
@@ -231,6 +256,8 @@
         let digest = json!(hex_digest(key.as_bytes()));
         assert_that!(digests.contains(&digest), eq(true), "{key}");
     }
+    let query = format!("/seen?digest={}", hex_digest(b"key-2"));
+    assert_that!(engine.get(&query).await.json()["seen"], eq(&json!(true)));
     let absent = json!(hex_digest(b"key-4"));
     assert_that!(digests.contains(&absent), eq(false));
 }
--- a/crates/standins/tests/engine_orders.rs
+++ b/crates/standins/tests/engine_orders.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use googletest::prelude::*;
@@ -11,10 +12,14 @@
 use zinniahinge_standins::EngineSettings;
 use zinniahinge_standins::FaultKind;
 use zinniahinge_standins::FaultRequest;
+use zinniahinge_standins::FaultSet;
 use zinniahinge_standins::FencingMode;
+use zinniahinge_standins::StoreSettings;
+use zinniahinge_standins::WeightStore;
 
 use crate::common::TestServer;
 use crate::common::start_engine;
+use crate::common::start_server;
 
 fn quick_settings() -> EngineSettings {
     EngineSettings {
@@ -177,6 +182,40 @@
     assert_that!(after["cache"], eq(&json!({ "a@1": "disk" })));
 }
 
+/// Guards against loads that bypass the weight store, and against a failed load that keeps memory.
+#[tokio::test]
+async fn remote_load_goes_through_the_weight_store() {
+    let faults = Arc::new(FaultSet::new(WeightStore::FAULTS));
+    let store = WeightStore::new(
+        StoreSettings {
+            // A load at full speed takes 100 ms.
+            loads_per_second: 40.0,
+            ..StoreSettings::default()
+        },
+        faults.clone(),
+    );
+    let counted = store.clone();
+    let server = start_server(faults, move |request| store.clone().handle(request)).await;
+    let engine = start_engine(EngineSettings {
+        store: Some(server.server.address),
+        ..quick_settings()
+    })
+    .await;
+    server.add_fault(FaultKind::Down);
+    assert_that!(load(&engine, "a", 10, "o1", 1).await, eq(502));
+    let failed = state(&engine).await;
+    assert_that!(failed["memory_used_bytes"], eq(&json!(0)));
+    assert_that!(failed["cache"], eq(&json!({})));
+    for (order_id, source) in [("o2", "remote"), ("o4", "memory")] {
+        let order = load_order("a", 10, order_id, 1);
+        let loaded = engine.post("/v1/load_model", order).await.json();
+        assert_that!(loaded["source"], eq(&json!(source)));
+        let unload = json!({ "model": "a", "order_id": format!("{order_id}u"), "fence": 1 });
+        engine.post("/v1/unload_model", unload).await;
+    }
+    assert_that!(counted.report().finished, eq(1));
+}
+
 /// Guards against adapters that are used before they are loaded or unloaded while in use.
 #[tokio::test]
 async fn adapter_needs_its_model_and_takes_memory() {
