Do not load a second replica on a report from before the first was known

Cause: a run of the whole path loaded the demo model on both engines for one request. The planner scaled out 5 ms after the load because the last report still counted the request that had waited for it. Ruled out: a longer scale-out wait; a cold load takes longer than any useful wait. Before: 2 loads for one request, the new test fails. After: 1 load, the test passes. Conclusion: scale-out needs a report that knows the present replica list.

--- a/crates/scheduling/src/pool_load.rs
+++ b/crates/scheduling/src/pool_load.rs
@@ -220,6 +220,10 @@
         if ready == 0 {
             return true;
         }
+        if demand.applied_version < demand.list_version {
+            // The waiting requests were reported before their dispatcher knew the present replicas.
+            return false;
+        }
         let servable = self.servable_count(model, demand);
         let limit = f64::from(slots) * self.settings.scale_out_backlog;
         // Requests that wait beside free slots have no replica left that they may use.
