--- a/crates/control/src/config_follower.rs
+++ b/crates/control/src/config_follower.rs
@@ -6,12 +6,12 @@
 
 use bytes::Bytes;
 use futures::StreamExt;
-use serde::Deserialize;
 use slog::Logger;
 use slog::info;
 use slog::warn;
 use tokio_util::sync::CancellationToken;
 use zinniahinge_authority::MemberEntry;
+use zinniahinge_document::DocumentRecord;
 use zinniahinge_kv::KvClient;
 use zinniahinge_kv::KvEntry;
 use zinniahinge_kv::WatchChange;
@@ -34,12 +34,6 @@
 /// Pause before the records are listed again after an error.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
-/// Value of a document record.
-#[derive(Deserialize)]
-struct DocumentRecord {
-    text: Name,
-}
-
 /// Lists and watches the records.
 pub struct ConfigFollower {
     /// Key-value service.
@@ -192,7 +186,7 @@
     }
 
     fn observe_document(&self, service: Name, revision: Revision, value: &[u8]) {
-        let Ok(DocumentRecord { text }) = serde_json::from_slice(value) else {
+        let Ok(DocumentRecord { text, .. }) = DocumentRecord::from_json(value) else {
             warn!(self.logger, "document record not understood"; "service" => &*service);
             return;
         };
--- a/crates/entry/src/filters/authentication.rs
+++ b/crates/entry/src/filters/authentication.rs
@@ -2,7 +2,6 @@
 
 use zinniahinge_document::ClientAccount;
 use zinniahinge_document::RouteAccess;
-use zinniahinge_document::ServiceRoute;
 use zinniahinge_types::Name;
 
 use crate::entry_snapshot::EntrySnapshot;
@@ -35,14 +34,9 @@
 }
 
 fn is_open(context: &RequestContext) -> bool {
-    route_of(context).is_some_and(|route| route.access == RouteAccess::Open)
-}
-
-fn route_of(context: &RequestContext) -> Option<&ServiceRoute> {
-    match context.target.as_ref()? {
-        RequestTarget::Model { route, .. } => route.as_ref(),
-        RequestTarget::Plain { route, .. } => Some(route),
-    }
+    context
+        .route()
+        .is_some_and(|route| route.access == RouteAccess::Open)
 }
 
 /// A host that may have missed a withdrawal must not let keyed requests through.
@@ -83,14 +77,17 @@
 }
 
 fn check_grant(account: &ClientAccount, context: &RequestContext) -> Result<()> {
-    let allowed = match context.target.as_ref() {
+    let route_allowed = context
+        .route()
+        .is_none_or(|route| account.may_use_route(&route.prefix));
+    let target_allowed = match context.target.as_ref() {
         Some(RequestTarget::Model { call, .. }) => {
             account.may_use_model(&call.model, call.adapter.as_deref())
         }
-        Some(RequestTarget::Plain { route, .. }) => account.may_use_route(&route.prefix),
+        Some(RequestTarget::Plain { .. }) => true,
         None => false,
     };
-    if allowed {
+    if route_allowed && target_allowed {
         return Ok(());
     }
     let detail = "the client account may not use this model or route";
--- a/crates/entry/src/filters/deadline.rs
+++ b/crates/entry/src/filters/deadline.rs
@@ -11,7 +11,6 @@
 use crate::problem::RequestProblem;
 use crate::problem::Result;
 use crate::request_context::RequestContext;
-use crate::request_context::RequestTarget;
 
 /// Header with which a caller shortens the deadline, in milliseconds.
 const TIMEOUT_HEADER: &str = "x-request-timeout-ms";
@@ -21,24 +20,20 @@
 
 /// Sets the deadline and the class.
 pub(super) fn apply(state: &EntryState, context: &mut RequestContext) -> FilterVerdict {
-    let (allowed, route_class) = route_terms(state, context);
+    let route = context.route().cloned();
+    let asked_class = read_class(context)?;
+    let route_class = route
+        .as_ref()
+        .map_or(PriorityClass::Normal, |route| route.class);
+    let class = limit_class(state, context, asked_class.unwrap_or(route_class));
+    let default = state.limits.default_deadline;
+    let allowed = route.map_or(default, |route| route.deadline_for(class));
     let asked = read_timeout(context)?;
+    context.class = class;
     context.deadline = context.arrived + asked.map_or(allowed, |asked| asked.min(allowed));
-    let class = read_class(context)?.unwrap_or(route_class);
-    context.class = limit_class(state, context, class);
     Ok(FilterStep::Continue)
 }
 
-fn route_terms(state: &EntryState, context: &RequestContext) -> (Duration, PriorityClass) {
-    match context.target.as_ref() {
-        Some(RequestTarget::Plain { route, .. }) => (route.deadline, route.class),
-        Some(RequestTarget::Model {
-            route: Some(route), ..
-        }) => (route.deadline, route.class),
-        _ => (state.limits.default_deadline, PriorityClass::Normal),
-    }
-}
-
 fn limit_class(
     state: &EntryState,
     context: &RequestContext,
--- a/crates/entry/src/plain_forward.rs
+++ b/crates/entry/src/plain_forward.rs
@@ -37,6 +37,8 @@
     pub state: Arc<EntryState>,
     /// The request.
     pub context: Arc<RequestContext>,
+    /// Service whose document defines the route.
+    pub service: Name,
     /// Route.
     pub route: ServiceRoute,
     /// Group of backend servers.
@@ -150,9 +152,10 @@
 
     fn backend_call(&self, server: &ServerEntry) -> BackendCall {
         let context = &self.context;
+        let own_path = service_path(&context.path, &self.service);
         let path = match &context.query {
-            Some(query) => format!("{}?{query}", context.path),
-            None => context.path.to_string(),
+            Some(query) => format!("{own_path}?{query}"),
+            None => own_path.to_owned(),
         };
         BackendCall {
             address: server.address.clone(),
@@ -199,6 +202,18 @@
     }
 }
 
+/// Path as the service knows it: the part after `/r/<service>`, under which callers reach it.
+fn service_path<'a>(path: &'a str, service: &str) -> &'a str {
+    let rest = path
+        .strip_prefix("/r/")
+        .and_then(|rest| rest.strip_prefix(service));
+    match rest {
+        Some("") => "/",
+        Some(rest) if rest.starts_with('/') => rest,
+        _ => path,
+    }
+}
+
 fn stored_answer(answer: &PlainAnswer) -> StoredAnswer {
     let content_type = answer.parts.headers.get(http::header::CONTENT_TYPE);
     let content_type = content_type
--- a/crates/entry/src/request_context.rs
+++ b/crates/entry/src/request_context.rs
@@ -138,6 +138,14 @@
         }
     }
 
+    /// Route of the document, if there is one for the request.
+    pub fn route(&self) -> Option<&ServiceRoute> {
+        match self.target.as_ref()? {
+            RequestTarget::Model { route, .. } => route.as_ref(),
+            RequestTarget::Plain { route, .. } => Some(route),
+        }
+    }
+
     /// Time left until the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/entry/src/request_handler.rs
+++ b/crates/entry/src/request_handler.rs
@@ -112,20 +112,21 @@
             .await
         }
         Some(RequestTarget::Plain {
-            service: _,
+            service,
             route,
             group,
         }) => {
-            PlainForward {
-                state: state.clone(),
+            let state = state.clone();
+            let forward = PlainForward {
+                state,
                 context: shared,
+                service,
                 route,
                 group,
                 charge,
                 claim,
-            }
-            .run()
-            .await
+            };
+            forward.run().await
         }
         None => {
             let detail = "no route for this path";
--- a/crates/entry/src/snapshot_follower.rs
+++ b/crates/entry/src/snapshot_follower.rs
@@ -92,7 +92,7 @@
             .map(|host| &host.control)
             .filter(|control| **control != self.own_control)
             .collect();
-        if failures % 2 == 0 || others.is_empty() {
+        if failures.is_multiple_of(2) || others.is_empty() {
             return self.own_control.clone();
         }
         others[(failures / 2) % others.len()].clone()
--- a/crates/peer/src/key_ring_file.rs
+++ b/crates/peer/src/key_ring_file.rs
@@ -1,6 +1,7 @@
 //! Key ring that follows a file, so that keys rotate while traffic runs.
 
 use std::fs;
+use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -66,15 +67,15 @@
     }
 }
 
-fn read(path: &PathBuf) -> Result<String> {
+fn read(path: &Path) -> Result<String> {
     fs::read_to_string(path).map_err(|error| key_ring_error(path, error.to_string()))
 }
 
-fn parse(path: &PathBuf, text: &str) -> Result<KeyRing> {
+fn parse(path: &Path, text: &str) -> Result<KeyRing> {
     KeyRing::parse(text).map_err(|cause| key_ring_error(path, cause))
 }
 
-fn key_ring_error(path: &PathBuf, cause: String) -> PeerError {
+fn key_ring_error(path: &Path, cause: String) -> PeerError {
     PeerError::KeyRing {
         path: path.display().to_string(),
         cause,
