Send a booking to the next owner when its shard moves while it is recorded

Ruled out: losing the record; nothing is written under a former owner. After: the reply is 'not owner', the entry process asks the next owner. Conclusion: an outcome that says where to ask next must not become a refusal.

--- a/crates/control/src/idempotency_service.rs
+++ b/crates/control/src/idempotency_service.rs
@@ -122,9 +122,14 @@
         attempt: RequestId,
     ) -> BeginReply {
         let key = record.key.clone();
-        if !self.make_durable(shard, &record).await {
-            self.with_table(shard, |table, _now| table.abandon(&key, attempt));
-            return BeginReply::Unavailable;
+        match self.make_durable(shard, &record).await {
+            RecordOutcome::Written => {}
+            // The sender asks the next owner; nothing was written under this one.
+            RecordOutcome::NotOwner => return BeginReply::NotOwner,
+            RecordOutcome::Unavailable => {
+                self.with_table(shard, |table, _now| table.abandon(&key, attempt));
+                return BeginReply::Unavailable;
+            }
         }
         match self.with_table(shard, |table, _now| table.recorded(&key, attempt)) {
             Some(RecordedDecision::Run) => BeginReply::Run,
@@ -134,18 +139,13 @@
     }
 
     /// Writes the record to the service or, while that is out, copies it to the guardian.
-    async fn make_durable(&self, shard: ShardId, record: &IdempotencyRecord) -> bool {
-        match self.write(shard, record).await {
-            RecordOutcome::Written => true,
-            RecordOutcome::NotOwner => false,
-            RecordOutcome::Unavailable => {
-                let copied = self.copy_to_guardian(shard, record).await;
-                if copied {
-                    self.add_backlog(shard, record.clone());
-                }
-                copied
-            }
+    async fn make_durable(&self, shard: ShardId, record: &IdempotencyRecord) -> RecordOutcome {
+        let outcome = self.write(shard, record).await;
+        if outcome == RecordOutcome::Unavailable && self.copy_to_guardian(shard, record).await {
+            self.add_backlog(shard, record.clone());
+            return RecordOutcome::Written;
         }
+        outcome
     }
 
     /// Takes the end of a request in.
