--- a/crates/authority/src/assignment_planner.rs
+++ b/crates/authority/src/assignment_planner.rs
@@ -6,7 +6,6 @@
 use smallvec::SmallVec;
 use zinniahinge_types::Assignment;
 use zinniahinge_types::HostId;
-use zinniahinge_types::HostState;
 use zinniahinge_types::Incarnation;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Revision;
@@ -18,8 +17,13 @@
 use crate::AuthoritySettings;
 use crate::MemberTable;
 use crate::OwnStanding;
+use crate::ShardGain;
 use crate::WriteOutcome;
-use crate::preferred_host;
+use crate::known_assignment::InFlightWrite;
+use crate::known_assignment::KnownAssignment;
+use crate::preferred_owners::PreferredOwners;
+use crate::shard_handover::ReleaseWrite;
+use crate::shard_handover::ShardHandover;
 
 /// Handovers at a time while the host keeps running; few, so that most shards stay available.
 const MAX_HANDOVERS: usize = 4;
@@ -38,6 +42,9 @@
     next_read: MonotonicTime,
     next_write: MonotonicTime,
     in_flight: Option<InFlightWrite>,
+    /// Newest assignment seen while a handover is written; applied after the write's answer, which
+    /// tells whether the shards went to their successors in between.
+    deferred: Option<KnownAssignment>,
     /// Writes bound to this revision or an earlier one may still take effect.
     unresolved: Option<Revision>,
     /// Shards in claims that may still take effect or just did.
@@ -49,47 +56,6 @@
     gained: Vec<ShardGain>,
 }
 
-/// Shard that the host acquired.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ShardGain {
-    /// Shard.
-    pub shard: ShardId,
-    /// Assignment revision at which it was seen.
-    pub revision: Revision,
-    /// Owner in the assignment known before, if one was known.
-    pub previous: Option<ShardOwner>,
-    /// True if the host claimed the shard itself: staged state must not be used.
-    pub claimed: bool,
-}
-
-#[derive(Clone, Debug)]
-struct KnownAssignment {
-    revision: Revision,
-    assignment: Assignment,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct InFlightWrite {
-    expected: Revision,
-    sent_at: MonotonicTime,
-}
-
-#[derive(Clone, Debug)]
-struct ShardHandover {
-    to: ShardOwner,
-    frozen_at: Revision,
-    since: MonotonicTime,
-    staged: bool,
-}
-
-/// Preferred owners of all shards, recomputed when the set of live hosts changes.
-#[derive(Clone, Debug, Default)]
-struct PreferredOwners {
-    live: Vec<HostId>,
-    owners: Vec<HostId>,
-    since: MonotonicTime,
-}
-
 impl AssignmentPlanner {
     /// A planner that knows no assignment.
     pub fn new(host: HostId, incarnation: Incarnation, settings: AuthoritySettings) -> Self {
@@ -101,6 +67,7 @@
             next_read: MonotonicTime::ZERO,
             next_write: MonotonicTime::ZERO,
             in_flight: None,
+            deferred: None,
             unresolved: None,
             claiming: BTreeSet::new(),
             handovers: BTreeMap::new(),
@@ -158,6 +125,20 @@
     /// The assignment was read or a watch reported it. A missing record has revision 0.
     pub fn assignment_observed(&mut self, revision: Revision, assignment: Assignment) {
         self.reread = false;
+        if self.in_flight.is_some_and(|write| write.releases) {
+            let deferred = self.deferred.as_ref();
+            if deferred.is_none_or(|deferred| deferred.revision < revision) {
+                self.deferred = Some(KnownAssignment {
+                    revision,
+                    assignment,
+                });
+            }
+            return;
+        }
+        self.apply(revision, assignment);
+    }
+
+    fn apply(&mut self, revision: Revision, assignment: Assignment) {
         if self
             .known
             .as_ref()
@@ -192,9 +173,17 @@
             self.in_flight = None;
         }
         match outcome {
-            WriteOutcome::Written { revision } => self.assignment_observed(revision, assignment),
-            WriteOutcome::Conflict | WriteOutcome::Unknown => self.read_again(now),
+            WriteOutcome::Written { revision } => self.apply(revision, assignment),
+            WriteOutcome::Conflict => {
+                self.settle_releases(ReleaseWrite::None);
+                self.read_again(now);
+            }
+            WriteOutcome::Unknown => {
+                self.settle_releases(ReleaseWrite::Unknown);
+                self.read_again(now);
+            }
         }
+        self.apply_deferred();
     }
 
     /// The successor holds the state of `shard` that was frozen at `frozen_at`.
@@ -249,7 +238,9 @@
             .is_some_and(|write| now.since(write.sent_at) >= limit)
         {
             self.in_flight = None;
+            self.settle_releases(ReleaseWrite::Unknown);
             self.read_again(now);
+            self.apply_deferred();
         }
     }
 
@@ -267,7 +258,7 @@
         members: &MemberTable,
         now: MonotonicTime,
     ) -> Vec<AssignmentAction> {
-        let settled = now.since(self.preferred.since) >= self.settings.settle_time();
+        let settled = self.preferred.settled_for(now) >= self.settings.settle_time();
         if !own.leaving && !settled {
             return Vec::new();
         }
@@ -304,6 +295,7 @@
             frozen_at,
             since: now,
             staged: false,
+            write: ReleaseWrite::None,
         };
         self.handovers.insert(shard, handover);
         AssignmentAction::HandOver {
@@ -340,9 +332,12 @@
         if claimed.is_empty() && released.is_empty() && !self.needs_newer_revision(known, members) {
             return None;
         }
+        self.mark_sent(&released);
+        let releases = !released.is_empty();
         self.in_flight = Some(InFlightWrite {
             expected,
             sent_at: now,
+            releases,
         });
         self.unresolved = Some(expected);
         self.claiming.extend(claimed.iter().copied());
@@ -402,7 +397,7 @@
             .iter()
             .filter(|(_, handover)| {
                 let slow = !handover.staged && now.since(handover.since) >= limit;
-                slow || !is_live(&handover.to, members)
+                slow || !members.is_live(&handover.to.host, handover.to.incarnation)
             })
             .map(|(shard, _)| *shard)
             .collect();
@@ -421,24 +416,68 @@
     // Record
 
     fn note_gains(&mut self, revision: Revision, assignment: &Assignment) {
-        for shard in 0..SHARD_COUNT {
-            let before = self
-                .known
-                .as_ref()
-                .and_then(|known| known.assignment.owner(shard));
-            let is_gain = assignment.owner(shard) == Some(&self.owner);
-            if is_gain && before != Some(&self.owner) {
-                self.gained.retain(|gain| gain.shard != shard);
-                self.gained.push(ShardGain {
-                    shard,
-                    revision,
-                    previous: before.cloned(),
-                    claimed: self.claiming.contains(&shard),
-                });
+        for shard in (0..SHARD_COUNT).filter(|id| assignment.owner(*id) == Some(&self.owner)) {
+            let Some(previous) = self.previous_owner(shard) else {
+                continue;
+            };
+            self.handovers.remove(&shard);
+            self.gained.retain(|gain| gain.shard != shard);
+            let claimed = self.claiming.contains(&shard);
+            self.gained.push(ShardGain {
+                shard,
+                revision,
+                previous,
+                claimed,
+            });
+        }
+    }
+
+    /// Owner before a newer assignment names this host, or `None` if it stayed the owner. A shard
+    /// whose handover has an unknown result may have gone to the successor and come back since.
+    fn previous_owner(&self, shard: ShardId) -> Option<Option<ShardOwner>> {
+        let known = self.known.as_ref();
+        if !known.is_some_and(|known| self.is_own(shard, known)) {
+            return Some(
+                known
+                    .and_then(|known| known.assignment.owner(shard))
+                    .cloned(),
+            );
+        }
+        let handover = self.handovers.get(&shard)?;
+        (handover.write != ReleaseWrite::None).then(|| Some(handover.to.clone()))
+    }
+
+    fn mark_sent(&mut self, released: &[ShardId]) {
+        for shard in released {
+            if let Some(handover) = self.handovers.get_mut(shard)
+                && handover.write == ReleaseWrite::None
+            {
+                handover.write = ReleaseWrite::Sent;
             }
         }
     }
 
+    fn settle_releases(&mut self, write: ReleaseWrite) {
+        let sent = self
+            .handovers
+            .values_mut()
+            .filter(|open| open.write == ReleaseWrite::Sent);
+        for handover in sent {
+            handover.write = write;
+        }
+    }
+
+    fn apply_deferred(&mut self) {
+        if self.in_flight.is_none()
+            && let Some(KnownAssignment {
+                revision,
+                assignment,
+            }) = self.deferred.take()
+        {
+            self.apply(revision, assignment);
+        }
+    }
+
     fn drop_lost_handovers(&mut self) {
         let Some(known) = &self.known else {
             return;
@@ -459,27 +498,3 @@
         self.next_read = now;
     }
 }
-
-impl PreferredOwners {
-    fn update(&mut self, members: &MemberTable, now: MonotonicTime) {
-        let same = self.live.iter().eq(members.live().map(|(host, _)| host));
-        if same {
-            return;
-        }
-        self.live = members.live().map(|(host, _)| host.clone()).collect();
-        self.owners = (0..SHARD_COUNT)
-            .filter_map(|shard| preferred_host(&format!("shard/{shard}"), &self.live).cloned())
-            .collect();
-        self.since = now;
-    }
-
-    fn owner(&self, shard: ShardId) -> Option<&HostId> {
-        self.owners.get(usize::from(shard))
-    }
-}
-
-fn is_live(owner: &ShardOwner, members: &MemberTable) -> bool {
-    members.get(&owner.host).is_some_and(|entry| {
-        entry.record.incarnation == owner.incarnation && entry.record.state == HostState::Live
-    })
-}
--- a/crates/authority/src/host_authority.rs
+++ b/crates/authority/src/host_authority.rs
@@ -17,10 +17,18 @@
 use crate::OwnStanding;
 use crate::WriteOutcome;
 use crate::choose_guardian;
+use crate::own_record::PendingWrite;
+use crate::own_record::RecordView;
 
 /// Heartbeats that wait for a reply; an older one could not extend the authority any more.
 const MAX_HEARTBEATS: usize = 8;
 
+#[derive(Clone, Copy, Debug)]
+struct SentHeartbeat {
+    sequence: u64,
+    sent_at: MonotonicTime,
+}
+
 /// Decides when one incarnation of a host has authority, which heartbeat and renewal it sends, and
 /// when it changes its guardian.
 #[derive(Clone, Debug)]
@@ -54,32 +62,6 @@
     renew_now: bool,
 }
 
-/// Own record as last known.
-#[derive(Clone, Debug)]
-enum RecordView {
-    Unread,
-    Absent,
-    Known {
-        revision: Revision,
-        record: HostRecord,
-    },
-}
-
-#[derive(Clone, Debug)]
-struct PendingWrite {
-    renewal: u64,
-    sent_at: MonotonicTime,
-    record: HostRecord,
-    /// False once the result is unknown; a read resolves it.
-    in_flight: bool,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct SentHeartbeat {
-    sequence: u64,
-    sent_at: MonotonicTime,
-}
-
 impl HostAuthority {
     /// Largest number of actions from one tick.
     pub const MAX_ACTIONS: usize = 4;
@@ -300,11 +282,7 @@
         if is_joining && (self.must_wait_for_tombstone() || !members.is_loaded()) {
             return None;
         }
-        let expected = match &self.record {
-            RecordView::Unread => return None,
-            RecordView::Absent => 0,
-            RecordView::Known { revision, .. } => *revision,
-        };
+        let expected = self.record.expected()?;
         if !self.is_renewal_due(now, members) {
             return None;
         }
@@ -377,7 +355,8 @@
 
     /// Whether the guardian stops by plan and another host can follow it.
     fn can_leave_guardian(&self, members: &MemberTable) -> bool {
-        self.guardian().is_some_and(|guardian| {
+        let guardian = self.guardian().filter(|_| self.phase == HostPhase::Member);
+        guardian.is_some_and(|guardian| {
             is_leaving(guardian, members)
                 && choose_guardian(&self.host, &self.address, Some(guardian), members).is_some()
         })
@@ -464,22 +443,14 @@
     }
 
     fn accept_earlier(&mut self, revision: Revision, record: HostRecord) {
-        let newer = match &self.record {
-            RecordView::Known {
-                revision: known, ..
-            } => *known <= revision,
-            RecordView::Unread | RecordView::Absent => true,
-        };
+        let newer = self.known().is_none_or(|(known, _)| known <= revision);
         if self.phase == HostPhase::Joining && newer {
             self.record = RecordView::Known { revision, record };
         }
     }
 
     fn known(&self) -> Option<(Revision, &HostRecord)> {
-        match &self.record {
-            RecordView::Known { revision, record } => Some((*revision, record)),
-            RecordView::Unread | RecordView::Absent => None,
-        }
+        self.record.known()
     }
 
     fn is_writing(&self) -> bool {
--- a/crates/authority/src/member_table.rs
+++ b/crates/authority/src/member_table.rs
@@ -128,6 +128,13 @@
             .filter(|(_, entry)| entry.record.state == HostState::Live)
     }
 
+    /// Whether `incarnation` of `host` may take shards.
+    pub fn is_live(&self, host: &str, incarnation: Incarnation) -> bool {
+        self.get(host).is_some_and(|entry| {
+            entry.record.incarnation == incarnation && entry.record.state == HostState::Live
+        })
+    }
+
     /// Whether `host` is known to be dead or deleted; false before the table is loaded.
     pub fn is_dead(&self, host: &str) -> bool {
         match self.get(host) {
--- /dev/null
+++ b/crates/authority/tests/state_machine.rs
@@ -0,0 +1,130 @@
+//! Random runs of three simulated hosts under delay, loss, duplication, pauses, crashes, restarts and
+//! outages of the key-value service. The properties are those of the specification; each step of
+//! [`World::run`] checks them.
+
+mod world;
+
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+use proptest_state_machine::prop_state_machine;
+
+use world::HOSTS;
+use world::World;
+
+/// Steps without faults until all hosts have authority and all shards an owner: 30 s.
+const RECOVERY_STEPS: u64 = 600;
+
+/// One change to the simulated world.
+#[derive(Clone, Debug)]
+pub enum Fault {
+    /// Nothing for some steps.
+    Run(u64),
+    /// A host stops for some steps.
+    Pause(usize, u64),
+    /// A process ends.
+    Kill(usize),
+    /// A new process follows.
+    Restart(usize),
+    /// A planned stop begins.
+    Stop(usize),
+    /// The key-value service is up or down.
+    Service(bool),
+    /// Messages are lost, duplicated and slow, per mille.
+    Loss(u64),
+}
+
+/// The faults themselves need no model: the properties are absolute.
+#[derive(Clone, Debug)]
+pub struct FaultPlan {
+    seed: u64,
+}
+
+impl ReferenceStateMachine for FaultPlan {
+    type State = Self;
+    type Transition = Fault;
+
+    fn init_state() -> BoxedStrategy<Self::State> {
+        any::<u64>().prop_map(|seed| Self { seed }).boxed()
+    }
+
+    fn transitions(_: &Self::State) -> BoxedStrategy<Self::Transition> {
+        prop_oneof![
+            6 => (10..120_u64).prop_map(Fault::Run),
+            3 => (0..HOSTS, 20..200_u64).prop_map(|(id, steps)| Fault::Pause(id, steps)),
+            1 => (0..HOSTS).prop_map(Fault::Kill),
+            2 => (0..HOSTS).prop_map(Fault::Restart),
+            1 => (0..HOSTS).prop_map(Fault::Stop),
+            2 => any::<bool>().prop_map(Fault::Service),
+            2 => (0..300_u64).prop_map(Fault::Loss),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: Self::State, _: &Self::Transition) -> Self::State {
+        state
+    }
+}
+
+impl StateMachineTest for World {
+    type SystemUnderTest = Self;
+    type Reference = FaultPlan;
+
+    fn init_test(plan: &FaultPlan) -> Self {
+        let mut world = Self::new(plan.seed);
+        world.run(100);
+        world.check_progress();
+        world
+    }
+
+    fn apply(mut world: Self, _: &FaultPlan, fault: Fault) -> Self {
+        match fault {
+            Fault::Run(steps) => world.run(steps),
+            Fault::Pause(id, steps) => {
+                world.nodes[id].paused = true;
+                world.run(steps);
+                world.nodes[id].paused = false;
+                // The paused host uses its shards before anything else happens.
+                world.check();
+                world.run(1);
+            }
+            Fault::Kill(id) => world.kill(id),
+            Fault::Restart(id) => world.restart(id),
+            Fault::Stop(id) => world.nodes[id].authority.leave(),
+            Fault::Service(up) => world.service_up = up,
+            Fault::Loss(per_mille) => world.loss = per_mille,
+        }
+        world
+    }
+
+    fn teardown(mut world: Self, _: FaultPlan) {
+        world.service_up = true;
+        world.loss = 0;
+        // With one host running, dead hosts may form a guardian cycle; their restart resolves it.
+        for id in 0..HOSTS {
+            if !world.nodes[id].running || world.nodes[id].authority.standing(world.now(id)).leaving
+            {
+                world.restart(id);
+            }
+        }
+        world.run(RECOVERY_STEPS);
+        world.check_progress();
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(Config {
+        cases: 64,
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        max_shrink_iters: 200,
+        .. Config::default()
+    })]
+
+    /// Guards against two holders of a shard, a tombstoned incarnation that acts, a resumption from
+    /// old state, and a fleet that does not recover.
+    #[test]
+    fn properties_hold_under_faults(sequential 5..40 => World);
+}
--- /dev/null
+++ b/crates/authority/tests/world/mod.rs
@@ -0,0 +1,664 @@
+//! Simulated hosts, network and key-value service in simulated time.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use zinniahinge_authority::*;
+use zinniahinge_types::*;
+
+pub const STEP_MS: u64 = 50;
+pub const HOSTS: usize = 3;
+
+/// One simulated process with everything it decides by.
+pub struct Node {
+    pub authority: HostAuthority,
+    pub guardian: GuardianWatch,
+    pub planner: AssignmentPlanner,
+    pub staged: StagedShards,
+    pub members: MemberTable,
+    pub incarnation: Incarnation,
+    pub running: bool,
+    pub paused: bool,
+    /// Clock rate in thousandths; within the drift allowance.
+    rate: u64,
+    seen: usize,
+    /// Private copy of the state of each own shard: the number of changes to it.
+    state: BTreeMap<ShardId, u64>,
+}
+
+enum Message {
+    Heartbeat {
+        from: usize,
+        sequence: u64,
+        beat: ReceivedHeartbeat,
+    },
+    Reply {
+        incarnation: Incarnation,
+        sequence: u64,
+        acknowledged: bool,
+    },
+    WriteHost {
+        from: usize,
+        renewal: Option<u64>,
+        host: HostId,
+        expected: Revision,
+        record: HostRecord,
+    },
+    WriteHostDone {
+        incarnation: Incarnation,
+        renewal: u64,
+        outcome: WriteOutcome,
+    },
+    ReadHost {
+        from: usize,
+    },
+    ReadHostDone {
+        revision: Revision,
+        record: Option<HostRecord>,
+    },
+    WriteAssignment {
+        from: usize,
+        incarnation: Incarnation,
+        expected: Revision,
+        assignment: Assignment,
+    },
+    WriteAssignmentDone {
+        incarnation: Incarnation,
+        expected: Revision,
+        assignment: Assignment,
+        outcome: WriteOutcome,
+    },
+    ReadAssignment {
+        from: usize,
+    },
+    ReadAssignmentDone {
+        incarnation: Incarnation,
+        revision: Revision,
+        assignment: Assignment,
+    },
+    Handover {
+        from: usize,
+        request: HandoverRequest,
+    },
+    HandoverDone {
+        incarnation: Incarnation,
+        shard: ShardId,
+        frozen_at: Revision,
+        ack: PeerAck,
+    },
+}
+
+/// Where a message goes: a host or the key-value service.
+#[derive(Clone, Copy, PartialEq)]
+enum Target {
+    Host(usize),
+    Service,
+}
+
+pub struct World {
+    pub nodes: Vec<Node>,
+    pub service_up: bool,
+    /// Probability of loss and of duplication, per mille.
+    pub loss: u64,
+    now_ms: u64,
+    revision: Revision,
+    hosts: BTreeMap<HostId, MemberEntry>,
+    assignment: (Revision, Assignment),
+    /// Changes of host records in revision order.
+    log: Vec<(HostId, MemberEntry)>,
+    /// True state of each shard: the number of changes to it, whoever made them.
+    truth: BTreeMap<ShardId, u64>,
+    net: Vec<(u64, Target, Arc<Message>)>,
+    random: u64,
+    pub deaths: u64,
+    pub resumed: u64,
+}
+
+pub fn host(index: usize) -> HostId {
+    format!("host-{index}").into()
+}
+
+fn index(host: &str) -> usize {
+    host.trim_start_matches("host-").parse().expect("host name")
+}
+
+pub fn address(index: usize) -> HostAddress {
+    HostAddress {
+        control: format!("127.0.0.1:{}", 9000 + index).into(),
+        place: format!("place-{index}").into(),
+        region: "region".into(),
+    }
+}
+
+impl Node {
+    fn new(id: usize, incarnation: Incarnation) -> Self {
+        let settings = AuthoritySettings::default();
+        Self {
+            authority: HostAuthority::new(host(id), incarnation, address(id), settings),
+            guardian: GuardianWatch::new(settings),
+            planner: AssignmentPlanner::new(host(id), incarnation, settings),
+            staged: StagedShards::new(incarnation),
+            members: MemberTable::new(),
+            incarnation,
+            running: true,
+            paused: false,
+            rate: [995, 1000, 1005][id % 3],
+            seen: 0,
+            state: BTreeMap::new(),
+        }
+    }
+
+    pub fn may_act(&self, shard: ShardId, now: MonotonicTime) -> Option<Revision> {
+        let authority = self.running && self.authority.has_authority(now);
+        self.planner.fencing_number(shard, authority)
+    }
+}
+
+impl World {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            nodes: (0..HOSTS).map(|id| Node::new(id, 1)).collect(),
+            service_up: true,
+            loss: 0,
+            now_ms: 1000,
+            revision: 1,
+            hosts: BTreeMap::new(),
+            assignment: (0, Assignment::default()),
+            log: Vec::new(),
+            truth: BTreeMap::new(),
+            net: Vec::new(),
+            random: seed,
+            deaths: 0,
+            resumed: 0,
+        }
+    }
+
+    pub fn now(&self, id: usize) -> MonotonicTime {
+        MonotonicTime::from_millis(self.now_ms * self.nodes[id].rate / 1000)
+    }
+
+    pub fn is_tombstoned(&self, id: usize) -> bool {
+        self.hosts.get(&host(id)).is_some_and(|entry| {
+            let MemberEntry { record, .. } = entry;
+            let same = record.incarnation == self.nodes[id].incarnation;
+            record.incarnation > self.nodes[id].incarnation
+                || same && record.state == HostState::Dead
+        })
+    }
+
+    pub fn kill(&mut self, id: usize) {
+        self.nodes[id].running = false;
+    }
+
+    /// Starts a new process on the host; its address is free, so the old one has ended.
+    pub fn restart(&mut self, id: usize) {
+        self.nodes[id] = Node::new(id, self.nodes[id].incarnation + 1);
+    }
+
+    pub fn run(&mut self, steps: u64) {
+        for _ in 0..steps {
+            self.now_ms += STEP_MS;
+            self.deliver_due();
+            for id in 0..self.nodes.len() {
+                if self.nodes[id].running && !self.nodes[id].paused {
+                    self.follow_records(id);
+                    self.tick(id);
+                    self.use_shards(id);
+                }
+                self.check();
+            }
+        }
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Properties, named as in the specification
+
+    pub fn check(&self) {
+        for shard in 0..SHARD_COUNT {
+            let holders = (0..self.nodes.len())
+                .filter(|id| self.nodes[*id].may_act(shard, self.now(*id)).is_some())
+                .count();
+            assert!(
+                holders <= 1,
+                "never two holders: shard {shard} has {holders}"
+            );
+        }
+        for id in 0..self.nodes.len() {
+            let acts =
+                self.nodes[id].running && self.nodes[id].authority.has_authority(self.now(id));
+            assert!(
+                !acts || !self.is_tombstoned(id),
+                "a tombstone never acts: {id}"
+            );
+        }
+    }
+
+    pub fn check_progress(&self) {
+        let running: Vec<usize> = (0..HOSTS).filter(|id| self.nodes[*id].running).collect();
+        for id in &running {
+            assert!(
+                self.nodes[*id].authority.has_authority(self.now(*id)),
+                "progress: {id}"
+            );
+        }
+        for shard in 0..SHARD_COUNT {
+            let held = running
+                .iter()
+                .any(|id| self.nodes[*id].may_act(shard, self.now(*id)).is_some());
+            assert!(held, "progress: shard {shard} has no holder");
+        }
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Hosts
+
+    fn tick(&mut self, id: usize) {
+        let now = self.now(id);
+        let node = &mut self.nodes[id];
+        let incarnation = node.incarnation;
+        let host_actions = node.authority.tick(now, &node.members);
+        let own = node.authority.standing(now);
+        let guardian_actions = node.guardian.tick(&own, &node.members, now);
+        let shard_actions = node.planner.tick(&own, &node.members, now);
+        for action in host_actions {
+            match action {
+                HostAction::SendHeartbeat {
+                    to,
+                    sequence,
+                    record_revision,
+                } => {
+                    let beat = ReceivedHeartbeat {
+                        host: host(id),
+                        incarnation,
+                        record_revision,
+                    };
+                    let message = Message::Heartbeat {
+                        from: id,
+                        sequence,
+                        beat,
+                    };
+                    self.send(Target::Host(index(&to)), message);
+                }
+                HostAction::WriteRecord {
+                    renewal,
+                    expected,
+                    record,
+                } => {
+                    let renewal = Some(renewal);
+                    let message = Message::WriteHost {
+                        from: id,
+                        renewal,
+                        host: host(id),
+                        expected,
+                        record,
+                    };
+                    self.send(Target::Service, message);
+                }
+                HostAction::ReadRecord => {
+                    self.send(Target::Service, Message::ReadHost { from: id })
+                }
+                HostAction::Rejoin { above } => {
+                    self.nodes[id] = Node::new(id, above + 1);
+                    return;
+                }
+                HostAction::Stopped => self.nodes[id].running = false,
+            }
+        }
+        for action in guardian_actions {
+            let (GuardianAction::DeclareDead {
+                host,
+                expected,
+                record,
+            }
+            | GuardianAction::TakeOver {
+                host,
+                expected,
+                record,
+            }) = action;
+            let message = Message::WriteHost {
+                from: id,
+                renewal: None,
+                host,
+                expected,
+                record,
+            };
+            self.send(Target::Service, message);
+        }
+        for action in shard_actions {
+            match action {
+                AssignmentAction::HandOver {
+                    shard,
+                    to,
+                    frozen_at,
+                } => {
+                    let state = self.nodes[id]
+                        .state
+                        .get(&shard)
+                        .copied()
+                        .unwrap_or_default();
+                    let request = HandoverRequest {
+                        host: host(id),
+                        incarnation,
+                        to_incarnation: to.incarnation,
+                        assignment: frozen_at,
+                        shard,
+                        state: state.to_be_bytes().to_vec(),
+                    };
+                    self.send(
+                        Target::Host(index(&to.host)),
+                        Message::Handover { from: id, request },
+                    );
+                }
+                AssignmentAction::WriteAssignment {
+                    expected,
+                    assignment,
+                    ..
+                } => {
+                    let message = Message::WriteAssignment {
+                        from: id,
+                        incarnation,
+                        expected,
+                        assignment,
+                    };
+                    self.send(Target::Service, message);
+                }
+                AssignmentAction::ReadAssignment => {
+                    self.send(Target::Service, Message::ReadAssignment { from: id });
+                }
+            }
+        }
+        if own.leaving && self.nodes[id].planner.is_drained() {
+            self.nodes[id].authority.stop();
+        }
+    }
+
+    /// Starts acquired shards, then changes every shard that the host may act for.
+    fn use_shards(&mut self, id: usize) {
+        let now = self.now(id);
+        for gain in self.nodes[id].planner.take_gained() {
+            let staged = self.nodes[id].staged.take(&gain);
+            let truth = self.truth.get(&gain.shard).copied().unwrap_or_default();
+            if let Some(staged) = staged {
+                let state = u64::from_be_bytes(staged.state.try_into().expect("eight bytes"));
+                assert_eq!(
+                    state, truth,
+                    "resumes only from the final state: shard {}",
+                    gain.shard
+                );
+                self.resumed += 1;
+            }
+            self.nodes[id].state.insert(gain.shard, truth);
+        }
+        for shard in 0..SHARD_COUNT {
+            if self.nodes[id].may_act(shard, now).is_some() {
+                let truth = self.truth.entry(shard).or_default();
+                let state = self.nodes[id].state.entry(shard).or_default();
+                assert_eq!(
+                    state, truth,
+                    "an owner acts on the final state: shard {shard}"
+                );
+                *state += 1;
+                *truth += 1;
+            }
+        }
+    }
+
+    fn follow_records(&mut self, id: usize) {
+        if !self.service_up {
+            return;
+        }
+        let now = self.now(id);
+        let node = &mut self.nodes[id];
+        if !node.members.is_loaded() {
+            let list: Vec<_> = self
+                .hosts
+                .iter()
+                .map(|(h, e)| (h.clone(), e.clone()))
+                .collect();
+            node.members.load(self.revision, list).expect("few hosts");
+            node.seen = self.log.len();
+        }
+        for (changed, entry) in &self.log[node.seen..] {
+            let record = Some(entry.record.clone());
+            node.members
+                .observe(changed.clone(), entry.revision, record)
+                .expect("few hosts");
+            if *changed == host(id) {
+                node.authority
+                    .record_observed(entry.revision, Some(entry.record.clone()), now);
+            }
+        }
+        node.seen = self.log.len();
+        node.members.advance(self.revision);
+        if self.random().is_multiple_of(4) {
+            let (revision, assignment) = self.assignment.clone();
+            self.nodes[id]
+                .planner
+                .assignment_observed(revision, assignment);
+        }
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Network and key-value service
+
+    fn random(&mut self) -> u64 {
+        self.random = self
+            .random
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        self.random >> 33
+    }
+
+    fn send(&mut self, target: Target, message: Message) {
+        let message = Arc::new(message);
+        let copies = match self.random() % 1000 {
+            roll if roll < self.loss => 0,
+            roll if roll < 2 * self.loss => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let slow = self.random() % 1000 < self.loss;
+            let delay = self.random() % if slow { 4000 } else { 60 };
+            self.net
+                .push((self.now_ms + delay, target, message.clone()));
+        }
+    }
+
+    fn deliver_due(&mut self) {
+        let mut due = Vec::new();
+        let mut later = Vec::new();
+        for entry in std::mem::take(&mut self.net) {
+            let waits = matches!(entry.1, Target::Host(to) if self.nodes[to].paused);
+            if entry.0 > self.now_ms || waits {
+                later.push(entry)
+            } else {
+                due.push(entry)
+            }
+        }
+        self.net = later;
+        for (_, target, message) in due {
+            match target {
+                Target::Host(to) if self.nodes[to].running => self.deliver_to_host(to, &message),
+                Target::Service if self.service_up => self.deliver_to_service(&message),
+                _ => {}
+            }
+        }
+    }
+
+    fn deliver_to_host(&mut self, to: usize, message: &Message) {
+        let now = self.now(to);
+        let node = &mut self.nodes[to];
+        let mine = node.incarnation;
+        match message {
+            Message::Heartbeat {
+                from,
+                sequence,
+                beat,
+            } => {
+                let own = node.authority.standing(now);
+                let verdict = node
+                    .guardian
+                    .heartbeat_received(beat, &own, &node.members, now);
+                let acknowledged = verdict == HeartbeatVerdict::Acknowledge;
+                let (incarnation, sequence) = (beat.incarnation, *sequence);
+                let reply = Message::Reply {
+                    incarnation,
+                    sequence,
+                    acknowledged,
+                };
+                self.send(Target::Host(*from), reply);
+            }
+            Message::Reply {
+                incarnation,
+                sequence,
+                acknowledged,
+            } if *incarnation == mine => {
+                node.authority
+                    .heartbeat_answered(*sequence, *acknowledged, now);
+            }
+            Message::WriteHostDone {
+                incarnation,
+                renewal,
+                outcome,
+            } if *incarnation == mine => {
+                node.authority.write_finished(*renewal, *outcome, now);
+            }
+            Message::ReadHostDone { revision, record } => {
+                node.authority
+                    .record_observed(*revision, record.clone(), now);
+            }
+            Message::WriteAssignmentDone {
+                incarnation,
+                expected,
+                assignment,
+                outcome,
+            } if *incarnation == mine => {
+                node.planner
+                    .write_finished(*expected, assignment.clone(), *outcome, now);
+            }
+            Message::ReadAssignmentDone {
+                incarnation,
+                revision,
+                assignment,
+            } if *incarnation == mine => {
+                node.planner
+                    .assignment_observed(*revision, assignment.clone());
+            }
+            Message::Handover { from, request } => {
+                let ack = node.staged.stage(request.clone());
+                let HandoverRequest {
+                    incarnation,
+                    shard,
+                    assignment: frozen_at,
+                    ..
+                } = *request;
+                let done = Message::HandoverDone {
+                    incarnation,
+                    shard,
+                    frozen_at,
+                    ack,
+                };
+                self.send(Target::Host(*from), done);
+            }
+            Message::HandoverDone {
+                incarnation,
+                shard,
+                frozen_at,
+                ack,
+            } if *incarnation == mine => {
+                if *ack == PeerAck::Accepted {
+                    node.planner.state_staged(*shard, *frozen_at);
+                } else {
+                    node.planner.staging_failed(*shard, *frozen_at);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn deliver_to_service(&mut self, message: &Message) {
+        match message {
+            Message::WriteHost {
+                from,
+                renewal,
+                host,
+                expected,
+                record,
+            } => {
+                let at = self.hosts.get(host).map_or(0, |entry| entry.revision);
+                let outcome = if at == *expected {
+                    self.write_host(host, record.clone())
+                } else {
+                    WriteOutcome::Conflict
+                };
+                if let Some(renewal) = *renewal {
+                    let incarnation = record.incarnation;
+                    let done = Message::WriteHostDone {
+                        incarnation,
+                        renewal,
+                        outcome,
+                    };
+                    self.send(Target::Host(*from), done);
+                }
+            }
+            Message::ReadHost { from } => {
+                let entry = self.hosts.get(&host(*from));
+                let revision = entry.map_or(self.revision, |entry| entry.revision);
+                let record = entry.map(|entry| entry.record.clone());
+                self.send(
+                    Target::Host(*from),
+                    Message::ReadHostDone { revision, record },
+                );
+            }
+            Message::WriteAssignment {
+                from,
+                incarnation,
+                expected,
+                assignment,
+            } => {
+                let mut outcome = WriteOutcome::Conflict;
+                if self.assignment.0 == *expected {
+                    self.revision += 1;
+                    self.assignment = (self.revision, assignment.clone());
+                    outcome = WriteOutcome::Written {
+                        revision: self.revision,
+                    };
+                }
+                let incarnation = *incarnation;
+                let (expected, assignment) = (*expected, assignment.clone());
+                let done = Message::WriteAssignmentDone {
+                    incarnation,
+                    expected,
+                    assignment,
+                    outcome,
+                };
+                self.send(Target::Host(*from), done);
+            }
+            Message::ReadAssignment { from } => {
+                let (revision, assignment) = self.assignment.clone();
+                let incarnation = self.nodes[*from].incarnation;
+                let done = Message::ReadAssignmentDone {
+                    incarnation,
+                    revision,
+                    assignment,
+                };
+                self.send(Target::Host(*from), done);
+            }
+            _ => {}
+        }
+    }
+
+    fn write_host(&mut self, host: &HostId, record: HostRecord) -> WriteOutcome {
+        self.revision += 1;
+        self.deaths += u64::from(record.state == HostState::Dead);
+        let entry = MemberEntry {
+            revision: self.revision,
+            record,
+        };
+        self.hosts.insert(host.clone(), entry.clone());
+        self.log.push((host.clone(), entry));
+        WriteOutcome::Written {
+            revision: self.revision,
+        }
+    }
+}
