Keep shards unused until their gain is taken; cut hosts off in the simulation

Cause: with hosts cut off from the key-value service or from their peers, the simulation found a handover of a shard that its owner had acquired but not yet resumed: the successor resumed from an empty state ("resumes only from the final state: left 0, right 99"). The planner could order a handover in the same tick as the acquisition. A shard now has no fencing number and is not handed over before the caller has taken its gain.

Also: the successor of a dead guardian is looked up from that guardian's own guardian on. Before, the check that the guardian is dead could be removed without effect, because the look-up repeated it.

Ruled out: leaving the order to the caller; nothing would show a caller that polls in another order that it lost state.

--- a/crates/authority/src/assignment_planner.rs
+++ b/crates/authority/src/assignment_planner.rs
@@ -81,11 +81,10 @@
     // Queries
 
     /// Fencing number under which the host may act for `shard` now, if it may. `has_authority` must
-    /// be taken at the moment of use. The number is the newest known assignment revision.
+    /// be taken at the moment of use. A shard whose gain was not taken yet has no number. The number is the newest known assignment revision.
     pub fn fencing_number(&self, shard: ShardId, has_authority: bool) -> Option<Revision> {
         let known = self.known.as_ref()?;
-        let may_act =
-            has_authority && self.is_own(shard, known) && !self.handovers.contains_key(&shard);
+        let may_act = has_authority && self.is_own(shard, known) && self.is_in_use(shard);
         may_act.then_some(known.revision)
     }
 
@@ -114,7 +113,8 @@
             .map(|known| (known.revision, &known.assignment))
     }
 
-    /// Shards acquired since the last call. Start or recover each before acting for it.
+    /// Shards acquired since the last call. Resume or recover each before acting for it, and answer a
+    /// handover of one that is not ready with `staging_failed`.
     pub fn take_gained(&mut self) -> Vec<ShardGain> {
         std::mem::take(&mut self.gained)
     }
@@ -273,7 +273,7 @@
         let free = limit.saturating_sub(self.handovers.len());
         let revision = known.revision;
         let due: Vec<(ShardId, ShardOwner)> = (0..SHARD_COUNT)
-            .filter(|shard| self.is_own(*shard, known) && !self.handovers.contains_key(shard))
+            .filter(|shard| self.is_own(*shard, known) && self.is_in_use(*shard))
             .filter(|shard| self.given_up.get(shard).is_none_or(|at| *at < revision))
             .filter_map(|shard| Some((shard, self.successor(shard, members)?)))
             .take(free)
@@ -489,6 +489,12 @@
         self.gained.retain(|gain| is_own(&gain.shard));
     }
 
+    /// Whether an own shard was started and is not frozen. Before the start there is no state that a
+    /// successor could resume from.
+    fn is_in_use(&self, shard: ShardId) -> bool {
+        !self.handovers.contains_key(&shard) && self.gained.iter().all(|gain| gain.shard != shard)
+    }
+
     fn is_own(&self, shard: ShardId, known: &KnownAssignment) -> bool {
         known.assignment.owner(shard) == Some(&self.owner)
     }
--- a/crates/authority/src/guardian_watch.rs
+++ b/crates/authority/src/guardian_watch.rs
@@ -326,7 +326,12 @@
 /// hashing if the chain ends or is a cycle of dead hosts. Any choice is safe; a single one avoids
 /// conflicting writes.
 fn successor(host: &HostId, entry: &MemberEntry, members: &MemberTable) -> Option<HostId> {
-    let mut next = entry.record.guardian.clone();
+    let dead = entry
+        .record
+        .guardian
+        .as_ref()
+        .and_then(|guardian| members.get(guardian));
+    let mut next = dead.and_then(|guardian| guardian.record.guardian.clone());
     for _ in 0..members.iter().count() {
         let Some(guardian) = next else { break };
         match members.get(&guardian) {
--- a/crates/authority/tests/state_machine.rs
+++ b/crates/authority/tests/state_machine.rs
@@ -32,6 +32,8 @@
     Stop(usize),
     /// The key-value service is up or down.
     Service(bool),
+    /// A host is cut off from the key-value service and from its peers.
+    Cut(usize, bool, bool),
     /// Messages are lost, duplicated and slow, per mille.
     Loss(u64),
 }
@@ -58,6 +60,7 @@
             2 => (0..HOSTS).prop_map(Fault::Restart),
             1 => (0..HOSTS).prop_map(Fault::Stop),
             2 => any::<bool>().prop_map(Fault::Service),
+            4 => (0..HOSTS, any::<bool>(), any::<bool>()).prop_map(|(id, kv, peers)| Fault::Cut(id, kv, peers)),
             2 => (0..300_u64).prop_map(Fault::Loss),
         ]
         .boxed()
@@ -94,6 +97,10 @@
             Fault::Restart(id) => world.restart(id),
             Fault::Stop(id) => world.nodes[id].authority.leave(),
             Fault::Service(up) => world.service_up = up,
+            Fault::Cut(id, service, peers) => {
+                world.nodes[id].cut_service = service;
+                world.nodes[id].cut_peers = peers;
+            }
             Fault::Loss(per_mille) => world.loss = per_mille,
         }
         world
@@ -104,6 +111,8 @@
         world.loss = 0;
         // With one host running, dead hosts may form a guardian cycle; their restart resolves it.
         for id in 0..HOSTS {
+            world.nodes[id].cut_service = false;
+            world.nodes[id].cut_peers = false;
             if !world.nodes[id].running || world.nodes[id].authority.standing(world.now(id)).leaving
             {
                 world.restart(id);
--- a/crates/authority/tests/tables/assignment_planner.rs
+++ b/crates/authority/tests/tables/assignment_planner.rs
@@ -25,6 +25,7 @@
 fn planner(owner: &ShardOwner) -> AssignmentPlanner {
     let mut planner = AssignmentPlanner::new("h".into(), 5, AuthoritySettings::default());
     planner.assignment_observed(50, all(owner));
+    planner.take_gained();
     planner
 }
 
@@ -165,6 +166,21 @@
     expect_that!(planner.fencing_number(shard, true), none());
 }
 
+/// UNSTARTED: an empty state is handed over because the shard's own state was not read yet.
+#[gtest]
+fn shard_is_not_used_or_handed_over_before_its_gain_is_taken() {
+    let mut planner = AssignmentPlanner::new("h".into(), 5, AuthoritySettings::default());
+    planner.assignment_observed(50, all(&owner("h", 5)));
+    planner.tick(&standing("h"), &two_hosts(), ms(0));
+    expect_eq!(
+        find_handover(&planner.tick(&standing("h"), &two_hosts(), ms(SETTLED_MS))),
+        None
+    );
+    expect_that!(planner.fencing_number(0, true), none());
+    planner.take_gained();
+    expect_that!(planner.fencing_number(0, true), some(eq(50)));
+}
+
 /// UNSTAGED: the successor recovers although the owner had the state.
 #[gtest]
 fn writes_a_handover_only_after_staging() {
@@ -202,6 +218,22 @@
     expect_false!(planner.is_frozen(shard));
 }
 
+/// A shard stays frozen for a successor that died.
+#[gtest]
+fn handover_to_a_dead_host_is_given_up() {
+    let mut planner = planner(&owner("h", 5));
+    let shard = freeze(&mut planner, 10_000);
+    let dead = members(
+        70,
+        vec![
+            entry("h", 40, "g", HostState::Live),
+            entry("g", 61, "h", HostState::Dead),
+        ],
+    );
+    planner.tick(&standing("h"), &dead, ms(10_050));
+    expect_that!(planner.fencing_number(shard, true), some(eq(50)));
+}
+
 /// SAME_REVISION: state of a given-up handover passes for the state of the next one.
 #[gtest]
 fn given_up_handover_is_repeated_under_a_newer_revision() {
@@ -211,6 +243,7 @@
     only.owners[usize::from(shard)] = Some(owner("h", 5));
     let mut planner = AssignmentPlanner::new("h".into(), 5, AuthoritySettings::default());
     planner.assignment_observed(50, only);
+    planner.take_gained();
     expect_eq!(freeze(&mut planner, 10_000), shard);
     planner.staging_failed(shard, 50);
     expect_that!(planner.fencing_number(shard, true), some(eq(50)));
@@ -254,7 +287,6 @@
     } in cases
     {
         let mut planner = planner(&owner("h", 5));
-        planner.take_gained();
         let shard = freeze(&mut planner, 10_000);
         planner.state_staged(shard, 50);
         let (expected, written) = find_write(&mut planner, 10_300).expect("a write");
--- a/crates/authority/tests/tables/guardian_watch.rs
+++ b/crates/authority/tests/tables/guardian_watch.rs
@@ -276,10 +276,17 @@
 fn guardian_is_on_another_place_and_closes_no_short_cycle() {
     let mut near = entry("near", 11, "far", HostState::Live);
     near.1.record.address.place = "place-of-h".into();
+    // "other" watches more hosts than the others, so only the cycles speak for it.
+    let mut busy = entry("busy", 16, "other", HostState::Live);
+    busy.1.record.address.place = "place-of-h".into();
+    let mut busier = entry("busier", 17, "other", HostState::Live);
+    busier.1.record.address.place = "place-of-h".into();
     let table = members(
         20,
         vec![
             near,
+            busy,
+            busier,
             entry("far", 12, "cycle", HostState::Live),
             entry("cycle", 13, "h", HostState::Live),
             entry("other", 14, "near", HostState::Live),
--- a/crates/authority/tests/world/mod.rs
+++ b/crates/authority/tests/world/mod.rs
@@ -19,6 +19,10 @@
     pub incarnation: Incarnation,
     pub running: bool,
     pub paused: bool,
+    /// Whether messages between the host and the key-value service are lost.
+    pub cut_service: bool,
+    /// Whether messages between the host and other hosts are lost.
+    pub cut_peers: bool,
     /// Clock rate in thousandths; within the drift allowance.
     rate: u64,
     seen: usize,
@@ -142,6 +146,8 @@
             incarnation,
             running: true,
             paused: false,
+            cut_service: false,
+            cut_peers: false,
             rate: [995, 1000, 1005][id % 3],
             seen: 0,
             state: BTreeMap::new(),
@@ -404,7 +410,7 @@
     }
 
     fn follow_records(&mut self, id: usize) {
-        if !self.service_up {
+        if !self.service_up || self.nodes[id].cut_service {
             return;
         }
         let now = self.now(id);
@@ -477,6 +483,9 @@
         }
         self.net = later;
         for (_, target, message) in due {
+            if self.is_cut(target, &message) {
+                continue;
+            }
             match target {
                 Target::Host(to) if self.nodes[to].running => self.deliver_to_host(to, &message),
                 Target::Service if self.service_up => self.deliver_to_service(&message),
@@ -485,6 +494,23 @@
         }
     }
 
+    fn is_cut(&self, target: Target, message: &Message) -> bool {
+        match message {
+            Message::Heartbeat { from, .. } | Message::Handover { from, .. } => {
+                let to = matches!(target, Target::Host(to) if self.nodes[to].cut_peers);
+                to || self.nodes[*from].cut_peers
+            }
+            Message::Reply { .. } | Message::HandoverDone { .. } => {
+                matches!(target, Target::Host(to) if self.nodes[to].cut_peers)
+            }
+            Message::WriteHost { from, .. }
+            | Message::ReadHost { from }
+            | Message::WriteAssignment { from, .. }
+            | Message::ReadAssignment { from } => self.nodes[*from].cut_service,
+            _ => matches!(target, Target::Host(to) if self.nodes[to].cut_service),
+        }
+    }
+
     fn deliver_to_host(&mut self, to: usize, message: &Message) {
         let now = self.now(to);
         let node = &mut self.nodes[to];
