--- a/crates/authority/src/assignment_planner.rs
+++ b/crates/authority/src/assignment_planner.rs
@@ -290,13 +290,7 @@
         frozen_at: Revision,
         now: MonotonicTime,
     ) -> AssignmentAction {
-        let handover = ShardHandover {
-            to: to.clone(),
-            frozen_at,
-            since: now,
-            staged: false,
-            write: ReleaseWrite::None,
-        };
+        let handover = ShardHandover::new(to.clone(), frozen_at, now);
         self.handovers.insert(shard, handover);
         AssignmentAction::HandOver {
             shard,
@@ -332,7 +326,11 @@
         if claimed.is_empty() && released.is_empty() && !self.needs_newer_revision(known, members) {
             return None;
         }
-        self.mark_sent(&released);
+        for shard in &released {
+            self.handovers
+                .entry(*shard)
+                .and_modify(ShardHandover::mark_sent);
+        }
         let releases = !released.is_empty();
         self.in_flight = Some(InFlightWrite {
             expected,
@@ -447,24 +445,10 @@
         (handover.write != ReleaseWrite::None).then(|| Some(handover.to.clone()))
     }
 
-    fn mark_sent(&mut self, released: &[ShardId]) {
-        for shard in released {
-            if let Some(handover) = self.handovers.get_mut(shard)
-                && handover.write == ReleaseWrite::None
-            {
-                handover.write = ReleaseWrite::Sent;
-            }
-        }
-    }
-
     fn settle_releases(&mut self, write: ReleaseWrite) {
-        let sent = self
-            .handovers
+        self.handovers
             .values_mut()
-            .filter(|open| open.write == ReleaseWrite::Sent);
-        for handover in sent {
-            handover.write = write;
-        }
+            .for_each(|handover| handover.settle(write));
     }
 
     fn apply_deferred(&mut self) {
--- a/crates/authority/src/shard_handover.rs
+++ b/crates/authority/src/shard_handover.rs
@@ -19,6 +19,33 @@
     pub(crate) write: ReleaseWrite,
 }
 
+impl ShardHandover {
+    /// A handover that starts at `now`; nothing was sent.
+    pub(crate) fn new(to: ShardOwner, frozen_at: Revision, now: MonotonicTime) -> Self {
+        Self {
+            to,
+            frozen_at,
+            since: now,
+            staged: false,
+            write: ReleaseWrite::None,
+        }
+    }
+
+    /// Notes that a write that names the successor is sent.
+    pub(crate) fn mark_sent(&mut self) {
+        if self.write == ReleaseWrite::None {
+            self.write = ReleaseWrite::Sent;
+        }
+    }
+
+    /// Notes the result of the write that was sent last. An unknown result stays unknown.
+    pub(crate) fn settle(&mut self, write: ReleaseWrite) {
+        if self.write == ReleaseWrite::Sent {
+            self.write = write;
+        }
+    }
+}
+
 /// Whether a write that hands the shard over may have taken effect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ReleaseWrite {
