Cover late, foreign and frozen messages at the idempotency table

Cause: removing guards one at a time showed four that no test noticed: the phase and the attempt in recorded and finish, the attempt of joined records, and the fraction that a full bucket saved up; also messages to an exported table. Conclusion: each has a test now that fails without it.

--- a/crates/limits/tests/idempotency_table.rs
+++ b/crates/limits/tests/idempotency_table.rs
@@ -359,6 +359,42 @@
     );
 }
 
+/// Guards against late messages of another attempt, or of an earlier phase, changing a record.
+#[gtest]
+fn late_and_foreign_messages_change_nothing() {
+    let mut table = IdempotencyTable::new(settings());
+    begin(&mut table, 0, 1, 0);
+    let foreign = table.recorded(&key(0), RequestId(2));
+    expect_that!(foreign, eq(RecordedDecision::Withdrawn));
+    table.recorded(&key(0), RequestId(1));
+    let outcome = || FinishOutcome::Answer(answer(3));
+    let foreign = table.finish(&key(0), &[0; 32], RequestId(2), outcome(), at(1));
+    expect_that!(foreign, none());
+    expect_that!(finish(&mut table, 8), some(anything()));
+    expect_that!(finish(&mut table, 3), none());
+    let late = table.recorded(&key(0), RequestId(1));
+    expect_that!(late, eq(RecordedDecision::Withdrawn));
+    expect_that!(table.abandon(&key(0), RequestId(1)), eq(false));
+    let decision = begin(&mut table, 0, 1, 1);
+    expect_that!(decision, eq(&BeginDecision::Stored(answer(8).into())));
+}
+
+/// Guards against a former owner that takes messages after its state was copied, and against a key
+/// that is stuck because its record was being written during the copy.
+#[gtest]
+fn an_exported_table_changes_nothing_and_drops_unwritten_records() {
+    let mut table = running();
+    begin(&mut table, 1, 2, 0);
+    let state = table.export(at(1));
+    expect_that!(table.abandon(&key(0), RequestId(1)), eq(false));
+    expect_that!(finish(&mut table, 8), none());
+    let unwritten = table.recorded(&key(1), RequestId(2));
+    expect_that!(unwritten, eq(RecordedDecision::Frozen));
+    let mut moved = IdempotencyTable::import(settings(), state, at(1));
+    expect_that!(begin(&mut moved, 1, 2, 1), eq(&BeginDecision::Record));
+    expect_that!(finish(&mut moved, 8), some(anything()));
+}
+
 /// Guards against forgetting keys inside the window and against unbounded memory.
 #[gtest]
 fn a_full_table_refuses_new_keys_and_keeps_old_ones() {
@@ -393,16 +429,17 @@
         phase,
     };
     let mut table = IdempotencyTable::new(settings());
-    let records = vec![
-        record(1, RecordPhase::Running),
-        record(2, RecordPhase::Running),
-    ];
-    table.recover(records, true, at(0));
-    expect_that!(table.abandon(&key(0), RequestId(1)), eq(false));
-    expect_that!(
-        begin(&mut table, 0, 3, 1),
-        eq(&BeginDecision::OutcomeUnknown)
-    );
+    for (first, second) in [(2, 1), (1, 2)] {
+        table = IdempotencyTable::new(settings());
+        let records = [first, second].map(|attempt| record(attempt, RecordPhase::Running));
+        table.recover(records.to_vec(), true, at(0));
+        expect_that!(table.abandon(&key(0), RequestId(1)), eq(false));
+        expect_that!(table.abandon(&key(0), RequestId(2)), eq(false));
+        let decision = begin(&mut table, 0, 3, 549);
+        expect_that!(decision, eq(&BeginDecision::OutcomeUnknown));
+        let decision = begin(&mut table.clone(), 0, 3, 550);
+        expect_that!(decision, eq(&BeginDecision::Record));
+    }
     let answered = RecordPhase::Answered(answer(4).into());
     table.recover(vec![record(2, answered.clone())], true, at(1));
     expect_that!(begin(&mut table, 0, 3, 1), pat!(BeginDecision::Stored(_)));
--- a/crates/limits/tests/token_bucket.rs
+++ b/crates/limits/tests/token_bucket.rs
@@ -111,10 +111,11 @@
     bucket.set_limits(BucketLimits::new(1, 100), at(0));
     expect_that!(bucket.remaining(at(0)), eq(50));
     let mut bucket = full(1, 1);
-    let now = at(0) + Duration::from_nanos(1500);
-    bucket.charge(GrantId(1), 1, now);
+    bucket.charge(GrantId(1), 1, at(0));
+    bucket.remaining(at(0) + Duration::from_nanos(1500));
+    bucket.charge(GrantId(2), 1, at(2000));
     expect_that!(
-        bucket.time_to_cover(1, now),
+        bucket.time_to_cover(1, at(2000)),
         some(eq(Duration::from_secs(1)))
     );
 }
