Ignore failed log writes; serve events in pages of 500

Cause: slog's fuse panics on a failed write, so a closed standard error would have stopped the process; writing 10,000 events in one answer would occupy a thread that serves requests. Ruled out: a separate thread for /events; small pages need no further thread. After: tests log to a closed destination and read 700 events over several answers. Conclusion: both settled.

--- a/crates/telemetry/src/admin_routes.rs
+++ b/crates/telemetry/src/admin_routes.rs
@@ -15,8 +15,9 @@
 use crate::MetricsRegistry;
 use crate::wall_clock_us;
 
-/// Events in one answer of `/events`. A reader asks again after the last one.
-const MAX_EVENTS_PER_READ: usize = 10_000;
+/// Events in one answer of `/events`; a reader asks again after the last one. Serializing them
+/// occupies a thread that also serves requests, so the number is kept small.
+const MAX_EVENTS_PER_READ: usize = 500;
 
 /// Whether a process takes requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/telemetry/src/log_settings.rs
+++ b/crates/telemetry/src/log_settings.rs
@@ -1,5 +1,6 @@
 use std::io;
 use std::str::FromStr;
+use std::sync::Mutex;
 
 use bpaf::Parser;
 use slog::Drain;
@@ -7,6 +8,7 @@
 use slog::LevelFilter;
 use slog::Logger;
 use slog::o;
+use slog_async::Async;
 use slog_async::AsyncGuard;
 
 use crate::SettingFaults;
@@ -115,28 +117,34 @@
     ///
     /// Keep the guard until the process ends; dropping it writes the waiting lines.
     pub fn logger(&self, process: &str) -> (Logger, AsyncGuard) {
-        let drain = match self.format {
+        self.logger_to(process, io::stderr())
+    }
+
+    /// [`Self::logger`] to another destination.
+    ///
+    /// Failed writes are ignored: a closed standard error must not stop a process.
+    pub fn logger_to<W>(&self, process: &str, destination: W) -> (Logger, AsyncGuard)
+    where
+        W: io::Write + Send + 'static,
+    {
+        let (drain, guard) = match self.format {
             LogFormat::Text => {
-                let decorator = slog_term::PlainDecorator::new(io::stderr());
-                let drain = slog_term::FullFormat::new(decorator).build().fuse();
-                self.wrap(drain)
-            }
-            LogFormat::Json => {
-                let drain = slog_json::Json::default(io::stderr());
-                self.wrap(std::sync::Mutex::new(drain).fuse())
+                let decorator = slog_term::PlainDecorator::new(destination);
+                self.wrap(slog_term::FullFormat::new(decorator).build())
             }
+            LogFormat::Json => self.wrap(Mutex::new(slog_json::Json::default(destination))),
         };
-        let (drain, guard) = drain;
-        let logger = Logger::root(drain.fuse(), o!("process" => process.to_owned()));
+        let drain = drain.ignore_res();
+        let logger = Logger::root(drain, o!("process" => process.to_owned()));
         (logger, guard)
     }
 
-    fn wrap<D>(&self, drain: D) -> (slog_async::Async, AsyncGuard)
+    fn wrap<D>(&self, drain: D) -> (Async, AsyncGuard)
     where
-        D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
+        D: Drain + Send + 'static,
     {
-        let drain = LevelFilter::new(drain, self.level).fuse();
-        slog_async::Async::new(drain.map(slog::Fuse))
+        let drain = LevelFilter::new(drain, self.level).ignore_res();
+        Async::new(drain)
             .chan_size(CHANNEL_LINES)
             .build_with_guard()
     }
--- a/crates/telemetry/tests/settings.rs
+++ b/crates/telemetry/tests/settings.rs
@@ -1,12 +1,16 @@
 //! Guards the settings: every fault is reported in one run, with exit code 2.
 
 use std::ffi::OsString;
+use std::io;
+use std::sync::Arc;
+use std::sync::Mutex;
 
 use bpaf::Parser;
 use googletest::prelude::*;
 use zinniahinge_telemetry::CommonSettings;
 use zinniahinge_telemetry::EXIT_BAD_SETTINGS;
 use zinniahinge_telemetry::LogFormat;
+use zinniahinge_telemetry::LogSettings;
 use zinniahinge_telemetry::ParseExit;
 use zinniahinge_telemetry::SettingFaults;
 use zinniahinge_telemetry::common_arguments;
@@ -81,3 +85,53 @@
         contains_substring("ZINNIAHINGE_HOST")
     );
 }
+
+/// Collects what is written; fails while `closed`.
+#[derive(Clone, Default)]
+struct Destination {
+    closed: bool,
+    text: Arc<Mutex<Vec<u8>>>,
+}
+
+impl io::Write for Destination {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if self.closed {
+            return Err(io::ErrorKind::BrokenPipe.into());
+        }
+        self.text.lock().expect("not poisoned").write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against lines below the level, lines without the process, lines lost at the end, and a
+/// closed destination that stops the process.
+#[gtest]
+fn logs_are_written_in_the_chosen_form() {
+    for (format, expected) in [
+        (LogFormat::Json, "\"process\":\"entry/a\""),
+        (LogFormat::Text, "process: entry/a"),
+    ] {
+        for closed in [false, true] {
+            let destination = Destination {
+                closed,
+                ..Destination::default()
+            };
+            let settings = LogSettings {
+                format,
+                level: slog::Level::Warning,
+            };
+            let (logger, guard) = settings.logger_to("entry/a", destination.clone());
+            slog::warn!(logger, "shown");
+            slog::info!(logger, "hidden");
+            drop(logger);
+            drop(guard);
+            let text = destination.text.lock().unwrap().clone();
+            let text = String::from_utf8(text).unwrap();
+            expect_that!(text.contains(expected), eq(!closed), "{text}");
+            expect_that!(text, not(contains_substring("hidden")));
+        }
+    }
+}
--- a/crates/telemetry/tests/trace_context.rs
+++ b/crates/telemetry/tests/trace_context.rs
@@ -3,68 +3,49 @@
 use googletest::prelude::*;
 use zinniahinge_telemetry::TraceContext;
 
+const TRACE: &str = "4bf92f3577b34da6a3ce929d0e0e4736";
+const PARENT: &str = "00f067aa0ba902b7";
+const GOOD: &str = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01";
+const ZEROS: &str = "00000000000000000000000000000000";
+
+/// A good header with one part replaced.
 struct HeaderCase {
     guards: &'static str,
-    header: &'static str,
+    part: &'static str,
+    replacement: &'static str,
     valid: bool,
 }
 
-const GOOD: &str = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01";
-
 #[gtest]
 fn headers_are_accepted_or_refused() {
-    let case = |guards, header, valid| HeaderCase {
+    let case = |guards, part, replacement, valid| HeaderCase {
         guards,
-        header,
+        part,
+        replacement,
         valid,
     };
     let cases = [
-        case("a good header refused", GOOD, true),
-        case("an empty header", "", false),
-        case("a truncated header", &GOOD[..54], false),
-        case(
-            "the version ff",
-            "ff-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01",
-            false,
-        ),
-        case(
-            "a zero trace id",
-            "00-00000000000000000000000000000000-00f067aa0ba902b7-01",
-            false,
-        ),
-        case(
-            "a zero parent id",
-            "00-4bf92f3577b34da6a3ce929d0e0e4736-0000000000000000-01",
-            false,
-        ),
-        case(
-            "uppercase digits",
-            "00-4BF92F3577B34DA6A3CE929D0E0E4736-00f067aa0ba902b7-01",
-            false,
-        ),
-        case(
-            "a sign inside a number",
-            "00-+bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01",
-            false,
-        ),
-        case(
-            "more fields in version 00",
-            "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01-x",
-            false,
-        ),
+        case("a good header refused", "", "", true),
+        case("an empty header", GOOD, "", false),
+        case("a truncated header", GOOD, &GOOD[..54], false),
+        case("the version ff", "00-4", "ff-4", false),
+        case("a zero trace id", TRACE, ZEROS, false),
+        case("a zero parent id", PARENT, &ZEROS[..16], false),
+        case("uppercase digits", "4bf92f", "4BF92F", false),
+        case("a sign inside a number", "4bf92f", "+bf92f", false),
+        case("more fields in version 00", "-01", "-01-x", false),
+        case("a longer last field", "-01", "-012", false),
         case(
             "later versions refused",
+            GOOD,
             "01-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01-x",
             true,
         ),
-        case(
-            "a cut inside a character",
-            "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-0é",
-            false,
-        ),
+        case("a cut inside a character", "-01", "-0é", false),
     ];
     for case in cases {
-        let parsed = TraceContext::parse(case.header);
+        let header = GOOD.replacen(case.part, case.replacement, 1);
+        let parsed = TraceContext::parse(&header);
         expect_that!(
             parsed.is_some(),
             eq(case.valid),
--- a/crates/timeline/tests/merge.rs
+++ b/crates/timeline/tests/merge.rs
@@ -69,81 +69,62 @@
         ];
         stream("entry", ahead_us, &steps)
     };
+    let case = |guards, streams, steps: &[usize], contradictions| OrderCase {
+        guards,
+        streams,
+        expected: steps.iter().map(|step| request[*step]).collect(),
+        contradictions,
+    };
+    let control = |ahead_us, queued_us, dispatched_us| {
+        let steps = [(queued_us, request[1], 1), (dispatched_us, request[2], 1)];
+        stream("control", ahead_us, &steps)
+    };
+    // Events of one process, 1 µs apart.
+    let single = |trace, steps: &[usize]| {
+        let steps = steps
+            .iter()
+            .zip(1..)
+            .map(|(step, at_us)| (at_us, request[*step], trace));
+        vec![stream("entry", 0, &steps.collect::<Vec<_>>())]
+    };
+    let set_back = vec![stream(
+        "entry",
+        0,
+        &[(2000, request[0], 0), (500, request[4], 0)],
+    )];
+    let in_order = [0, 1, 2, 3, 4];
     let cases = [
-        OrderCase {
-            guards: "raw wall clocks of processes compared",
-            streams: vec![
-                entry(0),
-                stream(
-                    "control",
-                    9_000,
-                    &[(10_100, request[1], 1), (10_200, request[2], 1)],
-                ),
-            ],
-            expected: request.to_vec(),
-            contradictions: 0,
-        },
-        OrderCase {
-            guards: "an offset error that shows a request queued before it was admitted",
-            streams: vec![
-                entry(0),
-                stream("control", 0, &[(990, request[1], 1), (1450, request[2], 1)]),
-            ],
-            expected: request.to_vec(),
-            contradictions: 0,
-        },
-        OrderCase {
-            guards: "a wall clock that was set back reordering one process",
-            streams: vec![stream(
-                "entry",
-                0,
-                &[(2000, request[0], 0), (500, LoadFinished, 0)],
-            )],
-            expected: vec![request[0], LoadFinished],
-            contradictions: 0,
-        },
-        OrderCase {
-            guards: "a retry forced before the first dispatch",
-            streams: vec![stream(
-                "entry",
-                0,
-                &[
-                    (1, request[0], 1),
-                    (2, request[1], 1),
-                    (3, request[2], 1),
-                    (4, request[1], 1),
-                    (5, request[2], 1),
-                    (6, request[4], 1),
-                ],
-            )],
-            expected: [0, 1, 2, 1, 2, 4].map(|step| request[step]).to_vec(),
-            contradictions: 0,
-        },
-        OrderCase {
-            guards: "requests that share a trace id ordered as one",
-            streams: vec![stream(
-                "entry",
-                0,
-                &[
-                    (1, request[0], 1),
-                    (2, request[4], 1),
-                    (3, request[0], 1),
-                    (4, request[4], 1),
-                ],
-            )],
-            expected: [0, 4, 0, 4].map(|step| request[step]).to_vec(),
-            contradictions: 0,
-        },
-        OrderCase {
-            guards: "a contradiction that is hidden or never ends",
-            streams: vec![stream(
-                "entry",
-                0,
-                &[(1, request[4], 1), (2, request[0], 1)],
-            )],
-            expected: vec![request[4], request[0]],
-            contradictions: 1,
-        },
+        case(
+            "raw clocks",
+            vec![entry(0), control(9000, 10_100, 10_200)],
+            &in_order,
+            0,
+        ),
+        case(
+            "queued before admitted",
+            vec![entry(0), control(0, 990, 1450)],
+            &in_order,
+            0,
+        ),
+        case(
+            "a clock set back reordering one process",
+            set_back,
+            &[0, 4],
+            0,
+        ),
+        case(
+            "a retry moved before",
+            single(1, &[0, 1, 2, 1, 2, 4]),
+            &[0, 1, 2, 1, 2, 4],
+            0,
+        ),
+        case(
+            "a shared trace id",
+            single(1, &[0, 4, 0, 4]),
+            &[0, 4, 0, 4],
+            0,
+        ),
+        case("a hidden contradiction", single(1, &[4, 0]), &[4, 0], 1),
     ];
     for case in cases {
         let timeline = MergedTimeline::merge(case.streams, Vec::new());
--- a/crates/timeline/tests/program.rs
+++ b/crates/timeline/tests/program.rs
@@ -55,10 +55,19 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn live_processes_are_merged_and_missing_ones_are_named() {
-    let entry = Arc::new(EventLog::new("entry/a".into(), 64));
+    let entry = Arc::new(EventLog::new("entry/a".into(), 1024));
     let control = Arc::new(EventLog::new("control/a".into(), 4));
     let trace = TraceId(0xabc);
     entry.record(EventKind::RequestAdmitted, Some(trace), "model", "");
+    // More events than one answer of `/events` holds.
+    for index in 0..700 {
+        entry.record(
+            EventKind::LoadFinished,
+            None,
+            "model",
+            format!("load-{index}"),
+        );
+    }
     for index in 0..5 {
         control.record(EventKind::LoadOrdered, None, index.to_string(), "");
     }
@@ -83,6 +92,12 @@
                 "ms  ",
             ],
         },
+        RunCase {
+            guards: "events after the first answer lost",
+            arguments: format!("{both} --since 1m"),
+            code: 0,
+            shown: &["load-699"],
+        },
         RunCase {
             guards: "a missing process hidden",
             arguments: format!("{both} --process {closed_address} --format json"),
