Bound the cost of abandoned keys in a full idempotency table

Cause: a table at its limit went through all keys on each begin. After: stale places are removed when they are half of the order, so the cost per abandoned key is constant. Tests pass unchanged; the cost itself is not measured.

--- a/crates/limits/src/idempotency_table.rs
+++ b/crates/limits/src/idempotency_table.rs
@@ -15,6 +15,10 @@
 use crate::RecordPhase;
 use crate::RecordedDecision;
 
+/// Length of the order below which removing stale places is not worth its cost. Beyond, it runs when
+/// half of the places are stale, so its cost per abandoned key is constant.
+const MIN_ORDER_LEN: usize = 64;
+
 /// Idempotency records of one shard.
 ///
 /// Every use of a key carries an attempt id, the id of the request at the entry process. It tells
@@ -93,9 +97,6 @@
         if self.in_doubt(now) {
             return BeginDecision::OutcomeUnknown;
         }
-        if self.order.len() >= self.settings.max_entries {
-            self.drop_stale_order();
-        }
         if self.entries.len() >= self.settings.max_entries {
             return BeginDecision::Full;
         }
@@ -199,6 +200,9 @@
             return false;
         }
         self.remove(key);
+        if self.order.len() > 2 * self.entries.len() + MIN_ORDER_LEN {
+            self.drop_stale_order();
+        }
         true
     }
 
@@ -400,7 +404,7 @@
         }
     }
 
-    /// Abandoned keys leave their place in the order behind; this bounds their number.
+    /// Removes the places that abandoned keys left in the order.
     fn drop_stale_order(&mut self) {
         let entries = &self.entries;
         self.order.retain(|(expires_at, key)| {
