Test that handed-over states survive MessagePack

Cause: HandoverRequest carries the state of a shard as MessagePack. After: bucket and idempotency states come back equal, with 128-bit ids and answers. Conclusion: the states can be sent as they are.

--- a/crates/limits/tests/idempotency_table.rs
+++ b/crates/limits/tests/idempotency_table.rs
@@ -14,6 +14,7 @@
 use zinniahinge_limits::IdempotencyKey;
 use zinniahinge_limits::IdempotencyRecord;
 use zinniahinge_limits::IdempotencySettings;
+use zinniahinge_limits::IdempotencyState;
 use zinniahinge_limits::IdempotencyTable;
 use zinniahinge_limits::RecordPhase;
 use zinniahinge_limits::RecordedDecision;
@@ -388,6 +389,12 @@
     let state = table.export(at(1));
     expect_that!(table.abandon(&key(0), RequestId(1)), eq(false));
     expect_that!(finish(&mut table, 8), none());
+    let bytes = rmp_serde::to_vec_named(&state).unwrap();
+    expect_that!(
+        rmp_serde::from_slice::<IdempotencyState>(&bytes),
+        ok(eq(&state)),
+        "the form that is handed over"
+    );
     let unwritten = table.recorded(&key(1), RequestId(2));
     expect_that!(unwritten, eq(RecordedDecision::Frozen));
     let mut moved = IdempotencyTable::import(settings(), state, at(1));
--- a/crates/limits/tests/token_bucket.rs
+++ b/crates/limits/tests/token_bucket.rs
@@ -6,6 +6,7 @@
 use zinniahinge_limits::BaselineStaticSplit;
 use zinniahinge_limits::BucketLimits;
 use zinniahinge_limits::BucketQueue;
+use zinniahinge_limits::BucketState;
 use zinniahinge_limits::ChargeDecision;
 use zinniahinge_limits::RetryBudget;
 use zinniahinge_limits::SubmitDecision;
@@ -138,6 +139,12 @@
         eq(ChargeDecision::IdReused)
     );
     let state = bucket.export(at(3));
+    let bytes = rmp_serde::to_vec_named(&state).unwrap();
+    expect_that!(
+        rmp_serde::from_slice::<BucketState>(&bytes),
+        ok(eq(&state)),
+        "the form that is handed over"
+    );
     let mut moved = TokenBucket::import(state, at(0));
     expect_that!(
         moved.charge(GrantId(1), 60, at(1)),
