Make tokens of the engine stand-in without delay when none is set

Cause: a sleep of zero waits for the next tick of the timer, up to 1 ms. Latencies that an entry process adds are below that, so a measurement against the stand-in would show 0 or 1 ms for both ways. Ruled out: random pauses between requests, which only turn the error into noise. Conclusion: a time of zero does not sleep; other times are unchanged.

--- a/crates/standins/src/engine_chat.rs
+++ b/crates/standins/src/engine_chat.rs
@@ -247,7 +247,11 @@
         let faults = self.place.engine.faults();
         let slowdown = faults.peek(FaultKind::Slow);
         let factor = slowdown.map_or(1.0, |hit| hit.factor);
-        tokio::time::sleep(time.mul_f64(factor)).await;
+        // A sleep of zero still waits for the next tick of the timer, up to 1 ms, which would hide
+        // added latencies below it from measurements.
+        if !time.is_zero() {
+            tokio::time::sleep(time.mul_f64(factor)).await;
+        }
         faults.wait_resume().await;
         !self.place.is_lost() && !faults.is_down()
     }
