Add load generator with checked answers and overhead measurement

Open-loop arrivals from a seed (Poisson, Zipf mix), latency from the planned time of sending, and a comparison of every answer with the one that follows from its request. The subcommand overhead calls the engine and the entry process in turn on the same connections.

The tests found that the histogram's saturating method clamps to its initial range; the plain method resizes. No measurement has been made yet.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,43 @@
-//! Placeholder for the crate's modules.
+//! Load generator and experiments. Test support only.
+
+mod arrival_plan;
+mod bench_document;
+mod bench_error;
+mod bench_fleet;
+mod call_result;
+mod chat_client;
+mod latency_record;
+mod load_command;
+mod load_report;
+mod load_run;
+mod overhead_report;
+mod overhead_run;
+mod process_usage;
+
+pub use arrival_plan::ArrivalSettings;
+pub use arrival_plan::PlannedArrival;
+pub use arrival_plan::plan_arrivals;
+pub use bench_document::BENCH_GROUP;
+pub use bench_document::BENCH_KEY;
+pub use bench_document::bench_document;
+pub use bench_error::BenchError;
+pub use bench_fleet::BenchFleet;
+pub use bench_fleet::FleetPlan;
+pub use call_result::CallResult;
+pub use chat_client::CallRecord;
+pub use chat_client::ChatCall;
+pub use chat_client::ChatClient;
+pub use latency_record::LatencyRecord;
+pub use latency_record::LatencySummary;
+pub use load_command::LoadArguments;
+pub use load_command::LoadCommand;
+pub use load_command::load_arguments;
+pub use load_report::LoadReport;
+pub use load_run::LoadPlan;
+pub use load_run::LoadRecord;
+pub use overhead_report::OverheadReport;
+pub use overhead_report::OverheadRow;
+pub use overhead_report::StreamMemory;
+pub use overhead_run::OverheadPlan;
+pub use process_usage::ProcessUsage;
+pub use process_usage::file_limit;
