Close the listening socket of a stopping process

The HTTP library looks for the end of service only between two accepted connections. It served one more connection of a peer after it had told the open ones to close, and then waited its full limit for that one. The admin server of the entry process could wait in the same way.

Ruled out: the handover (complete after 0.4 s) and the resignation of authority (0.04 s later), by the time stamps in the log.

Now the listener stops with a cancellation token and closes its socket, so that peers see at once that nobody listens.

--- a/crates/control/src/control_process.rs
+++ b/crates/control/src/control_process.rs
@@ -16,7 +16,6 @@
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
-use volo::net::incoming::DefaultIncoming;
 use volo_http::server::Server;
 use zinniahinge_kv::KvClient;
 use zinniahinge_kv::KvError;
@@ -26,6 +25,7 @@
 use zinniahinge_peer::PeerCounters;
 use zinniahinge_peer::PeerError;
 use zinniahinge_peer::PeerGate;
+use zinniahinge_peer::StoppableListener;
 use zinniahinge_telemetry::AdminSource;
 use zinniahinge_telemetry::EventLog;
 use zinniahinge_telemetry::MetricError;
@@ -123,14 +123,17 @@
     let router = add_admin_routes(peer_router(&gate, &services), source);
     info!(logger, "listening"; "address" => %address);
     let stop_logger = logger.clone();
+    let accepting = token.child_token();
+    let listener = StoppableListener::new(listener, accepting.clone());
     let server = Server::new(router).register_shutdown_hook(move || {
         Box::pin(async move {
             info!(stop_logger, "stopping");
             stopping.store(true, Ordering::Release);
             controller.leave(settings.drain_limit).await;
+            accepting.cancel();
         })
     });
-    let served = server.run(DefaultIncoming::from(listener)).await;
+    let served = server.run(listener).await;
     token.cancel();
     info!(logger, "stopped");
     served.map_err(|error| ControlError::Http(error.to_string()))
--- a/crates/entry/src/entry_process.rs
+++ b/crates/entry/src/entry_process.rs
@@ -22,6 +22,7 @@
 use zinniahinge_peer::PeerClient;
 use zinniahinge_peer::PeerCounters;
 use zinniahinge_peer::PeerError;
+use zinniahinge_peer::StoppableListener;
 use zinniahinge_telemetry::AdminSource;
 use zinniahinge_telemetry::EventLog;
 use zinniahinge_telemetry::MetricError;
@@ -162,12 +163,11 @@
 ) -> Result<tokio::task::JoinHandle<()>> {
     let listener = bind(address).await?;
     let router: Router = add_admin_routes(Router::new(), source);
+    let listener = StoppableListener::new(listener, token.clone());
     let server = Server::new(router)
         .register_shutdown_hook(move || Box::pin(async move { token.cancelled().await }));
     Ok(tokio::spawn(async move {
-        let _ = server
-            .run(volo::net::incoming::DefaultIncoming::from(listener))
-            .await;
+        let _ = server.run(listener).await;
     }))
 }
 
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -11,6 +11,7 @@
 mod peer_gate;
 mod replay_filter;
 mod seal;
+mod stoppable_listener;
 mod wire;
 
 pub use counters::PeerCounters;
@@ -24,5 +25,6 @@
 pub use peer_gate::PeerGate;
 pub use peer_gate::RejectReason;
 pub use replay_filter::ReplayFilter;
+pub use stoppable_listener::StoppableListener;
 pub use wire::MAX_MESSAGE_BYTES;
 pub use wire::PROTOCOL_VERSION;
