--- a/crates/fleet/src/child_process.rs
+++ b/crates/fleet/src/child_process.rs
@@ -155,7 +155,7 @@
         })
     }
 
-    fn ended(&self, status: ExitStatus) -> FleetError {
+    pub(crate) fn ended(&self, status: ExitStatus) -> FleetError {
         FleetError::Ended {
             name: self.spec.name.clone(),
             status: status.to_string(),
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -42,6 +42,35 @@
         &self.folder_path
     }
 
+    /// File of the peer keys that all processes read.
+    pub fn peer_keys(&self) -> PathBuf {
+        self.folder_path.join("peer-keys")
+    }
+
+    /// How the process with this name was started.
+    pub fn spec(&self, name: &str) -> Result<&ProgramSpec> {
+        let mut specs = self.processes.iter().map(ChildProcess::spec);
+        let spec = specs.find(|spec| spec.name == name);
+        spec.ok_or_else(|| FleetError::UnknownName {
+            name: name.to_owned(),
+        })
+    }
+
+    /// URL of a path that the process serves to others.
+    pub fn url(&self, name: &str, path: &str) -> Result<String> {
+        Ok(format!("http://{}{path}", self.spec(name)?.address))
+    }
+
+    /// URL of an admin path of the process.
+    pub fn admin_url(&self, name: &str, path: &str) -> Result<String> {
+        Ok(format!("http://{}{path}", self.spec(name)?.admin))
+    }
+
+    /// All processes in the order of their start.
+    pub fn all(&self) -> impl Iterator<Item = &ChildProcess> {
+        self.processes.iter()
+    }
+
     /// Starts one more process.
     pub fn start(&mut self, spec: ProgramSpec) -> Result<&mut ChildProcess> {
         let process = ChildProcess::start(spec, &self.folder_path)?;
@@ -65,6 +94,19 @@
         self.processes.iter().filter(of_kind)
     }
 
+    /// Stops all processes gracefully, the last started ones first, `limit` for each.
+    pub async fn stop(mut self, limit: Duration) -> Result<()> {
+        let mut processes = std::mem::take(&mut self.processes);
+        while let Some(mut process) = processes.pop() {
+            process.terminate()?;
+            let status = process.wait_exit(limit).await?;
+            if !status.success() {
+                return Err(process.ended(status));
+            }
+        }
+        Ok(())
+    }
+
     /// Waits until all processes are ready, `limit` for all together.
     pub async fn wait_ready(&mut self, limit: Duration) -> Result<()> {
         let started = Instant::now();
--- a/crates/fleet/src/fleet_builder.rs
+++ b/crates/fleet/src/fleet_builder.rs
@@ -13,14 +13,15 @@
 use crate::fleet_error::system;
 use crate::free_addresses;
 
-/// Describes a fleet: one key-value service, one host list, backend servers, and hosts with a
-/// control and an entry process each.
+/// Describes a fleet: one key-value service, one host list, at most one weight store, backend
+/// servers, and hosts with a control and an entry process each.
 ///
-/// Names are `kv`, `hostlist`, `engine-1`, `service-1`, `control-1`, `entry-1` and so on; hosts are
-/// `host-1` and so on. Hosts take the places in turn.
+/// Names are `kv`, `hostlist`, `store`, `engine-1`, `service-1`, `control-1`, `entry-1` and so on;
+/// hosts are `host-1` and so on. Hosts take the places in turn.
 #[derive(Clone, Debug)]
 pub struct FleetBuilder {
     hosts: usize,
+    has_store: bool,
     engines: usize,
     services: usize,
     region: String,
@@ -33,6 +34,7 @@
     fn default() -> Self {
         Self {
             hosts: 1,
+            has_store: false,
             engines: 0,
             services: 0,
             region: "region-1".to_owned(),
@@ -61,6 +63,12 @@
         self
     }
 
+    /// Adds a weight store, from which the engines load.
+    pub fn with_store(mut self) -> Self {
+        self.has_store = true;
+        self
+    }
+
     /// Sets the number of plain service servers.
     pub fn with_services(mut self, services: usize) -> Self {
         self.services = services;
@@ -90,7 +98,7 @@
     /// Starts all processes, stand-ins first. Does not wait until they are ready.
     pub fn start(&self) -> Result<Fleet> {
         let mut fleet = Fleet::new()?;
-        let peer_keys = fleet.folder().join("peer-keys");
+        let peer_keys = fleet.peer_keys();
         write_peer_keys(&peer_keys)?;
         for spec in self.specs(&peer_keys)? {
             fleet.start(spec)?;
@@ -104,7 +112,7 @@
             Some(dir) => dir.clone(),
             None => default_program_dir()?,
         };
-        let count = 2 + self.engines + self.services + 3 * self.hosts;
+        let count = 2 + usize::from(self.has_store) + self.engines + self.services + 3 * self.hosts;
         let addresses = free_addresses(count)?;
         let plan = FleetPlan {
             builder: self,
@@ -115,6 +123,9 @@
     }
 }
 
+/// Position of the weight store among the stand-ins, after the key-value service and the host list.
+const STORE_INDEX: usize = 2;
+
 /// Values that the processes of one fleet share.
 struct FleetPlan<'a> {
     builder: &'a FleetBuilder,
@@ -134,9 +145,12 @@
             (ProgramKind::Kv, "kv".to_owned()),
             (ProgramKind::HostList, "hostlist".to_owned()),
         ];
-        let kinds = kinds.into_iter().chain(engines).chain(services);
+        let store = self.builder.has_store;
+        let store = store.then(|| (ProgramKind::Store, "store".to_owned()));
+        let kinds = kinds.into_iter().chain(store);
+        let kinds = kinds.chain(engines).chain(services);
         for ((kind, name), address) in kinds.zip(standins) {
-            specs.push(self.standin(kind, name, *address));
+            specs.push(self.standin(kind, name, *address, standins));
         }
         for (index, addresses) in hosts.chunks_exact(3).enumerate() {
             let control = self.control(index, addresses[0], standins[0], standins[1]);
@@ -146,8 +160,17 @@
         specs
     }
 
-    fn standin(&self, kind: ProgramKind, name: String, address: SocketAddr) -> ProgramSpec {
-        let arguments = vec!["--listen".to_owned(), address.to_string()];
+    fn standin(
+        &self,
+        kind: ProgramKind,
+        name: String,
+        address: SocketAddr,
+        standins: &[SocketAddr],
+    ) -> ProgramSpec {
+        let mut arguments = vec!["--listen".to_owned(), address.to_string()];
+        if kind == ProgramKind::Engine && self.builder.has_store {
+            arguments.extend(["--store".to_owned(), standins[STORE_INDEX].to_string()]);
+        }
         let ready = ReadyCheck::Connect(address);
         self.spec(kind, name, arguments, address, address, ready)
     }
@@ -231,9 +254,13 @@
     }
 }
 
-/// Writes one random key of 32 bytes in hex.
-fn write_peer_keys(path: &Path) -> Result<()> {
+/// A line for the file of peer keys: `id` and a random key.
+pub fn peer_key_line(id: &str) -> String {
     let key: [u8; 32] = rand::random();
     let digits: String = key.iter().map(|byte| format!("{byte:02x}")).collect();
-    fs::write(path, digits + "\n").map_err(system("write the peer keys"))
+    format!("{id}:{digits}\n")
+}
+
+fn write_peer_keys(path: &Path) -> Result<()> {
+    fs::write(path, peer_key_line("fleet-1")).map_err(system("write the peer keys"))
 }
--- a/crates/fleet/src/fleet_error.rs
+++ b/crates/fleet/src/fleet_error.rs
@@ -56,6 +56,22 @@
         /// Last lines of its output.
         log: String,
     },
+    /// A request of a test got no answer.
+    #[error("{url}: {cause}")]
+    Request {
+        /// Where it went.
+        url: String,
+        /// Why.
+        cause: String,
+    },
+    /// A command ended with a failure, or a stand-in or process answered with one.
+    #[error("{what} failed: {output}")]
+    Command {
+        /// What was attempted.
+        what: String,
+        /// Output or answer.
+        output: String,
+    },
     /// No process has this name.
     #[error("no process is called {name}")]
     UnknownName {
--- a/crates/fleet/src/program_kind.rs
+++ b/crates/fleet/src/program_kind.rs
@@ -5,6 +5,8 @@
     Kv,
     /// Stand-in of the host list.
     HostList,
+    /// Stand-in of the weight store.
+    Store,
     /// Stand-in of a model engine.
     Engine,
     /// Stand-in of a plain service.
@@ -21,6 +23,7 @@
         match self {
             Self::Kv => "standin-kv",
             Self::HostList => "standin-hostlist",
+            Self::Store => "standin-store",
             Self::Engine => "standin-engine",
             Self::Service => "standin-service",
             Self::Control => "zinniahinge-control",
--- a/crates/standins/src/bin/standin-service.rs
+++ b/crates/standins/src/bin/standin-service.rs
@@ -1,6 +1,7 @@
 //! Plain service with lookups and bookings.
 
 use std::net::SocketAddr;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -28,6 +29,28 @@
     /// Time of a booking, in milliseconds
     #[bpaf(argument("MS"), fallback(5))]
     booking_ms: u64,
+    /// Print each booking as `ran BODY`: on or off
+    #[bpaf(argument("MODE"), fallback(PrintMode::Off))]
+    print_runs: PrintMode,
+}
+
+/// Value of a flag that is on or off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PrintMode {
+    On,
+    Off,
+}
+
+impl FromStr for PrintMode {
+    type Err = String;
+
+    fn from_str(s: &str) -> std::result::Result<Self, String> {
+        match s {
+            "on" => Ok(Self::On),
+            "off" => Ok(Self::Off),
+            _ => Err(format!("{s} is neither on nor off")),
+        }
+    }
 }
 
 #[tokio::main(worker_threads = 2)]
@@ -38,6 +61,7 @@
         slots: flags.slots,
         lookup_time: Duration::from_millis(flags.lookup_ms),
         booking_time: Duration::from_millis(flags.booking_ms),
+        print_runs: flags.print_runs == PrintMode::On,
     });
     let handler = move |request| service.clone().handle(request);
     let server = StandInServer::start(flags.listen, faults, handler).await;
--- a/crates/standins/src/plain_service.rs
+++ b/crates/standins/src/plain_service.rs
@@ -32,6 +32,8 @@
     pub lookup_time: Duration,
     /// Time of a booking.
     pub booking_time: Duration,
+    /// Whether each booking is printed as `ran BODY`, so that the count outlives a kill.
+    pub print_runs: bool,
 }
 
 impl Default for PlainSettings {
@@ -40,6 +42,7 @@
             slots: 64,
             lookup_time: Duration::from_millis(1),
             booking_time: Duration::from_millis(5),
+            print_runs: false,
         }
     }
 }
@@ -91,6 +94,7 @@
     pub async fn handle(self: Arc<Self>, request: ServedRequest) -> Response {
         let request_id = request.headers.get(REQUEST_ID).cloned();
         let mut reply = match (&request.method, request.path.as_str()) {
+            (&Method::GET, "/about") => ok_reply(&json!({ "service": "plain" })),
             (&Method::GET, "/runs") => ok_reply(&self.runs()),
             (&Method::GET, "/v1/state") => ok_reply(&self.state()),
             (&Method::GET, path) if path == "/status" || path.starts_with("/status/") => {
@@ -135,6 +139,9 @@
         let work = async move {
             self.work(self.settings.booking_time).await;
             let text = String::from_utf8_lossy(&body).into_owned();
+            if self.settings.print_runs {
+                println!("ran {text}");
+            }
             let mut runs = self.runs.lock().unwrap_or_else(|e| e.into_inner());
             let run = runs.entry(text).or_default();
             *run += 1;
