--- a/crates/scheduling/src/demand_record.rs
+++ b/crates/scheduling/src/demand_record.rs
@@ -14,6 +14,8 @@
     pub(crate) reported: bool,
     /// Version of the last list that was sent to the dispatcher.
     pub(crate) sent_version: u64,
+    /// Newest list version that the dispatcher has applied.
+    pub(crate) applied_version: u64,
     /// Version of the last change of the model's replica list.
     pub(crate) list_version: u64,
     pub(crate) gaps: GapHistogram,
--- a/crates/scheduling/src/pool_handover.rs
+++ b/crates/scheduling/src/pool_handover.rs
@@ -255,6 +255,8 @@
         reported: snapshot.reported,
         reported_at: time_before(now, snapshot.report_age),
         sent_version: snapshot.sent_version,
+        // The first report after the handover tells it.
+        applied_version: 0,
         list_version: snapshot.list_version,
         gaps: snapshot.gaps,
         last_active: inactive_for.map(|inactive_for| time_before(now, inactive_for)),
