Choose plain service servers by their load and place

Cause: the entry process picked plain servers at random within its place, whatever their load, and kept sending to one that failed. An answer that ran but was not kept was reported as unknown. Before: random choice. After: power of two choices on own in-flight counts, near place first, ejection after failures; the not-kept answer is reported as run. Conclusion: uses the chooser of the scheduling crate; its tests cover the choice.

--- a/crates/control/src/idempotency_service.rs
+++ b/crates/control/src/idempotency_service.rs
@@ -104,9 +104,8 @@
             }
             Some(BeginDecision::Run) => BeginReply::Run,
             Some(BeginDecision::Stored(answer)) => BeginReply::Stored((*answer).clone()),
-            Some(BeginDecision::RanAnswerNotKept | BeginDecision::OutcomeUnknown) => {
-                BeginReply::OutcomeUnknown
-            }
+            Some(BeginDecision::RanAnswerNotKept) => BeginReply::AnswerNotKept,
+            Some(BeginDecision::OutcomeUnknown) => BeginReply::OutcomeUnknown,
             Some(BeginDecision::InProgress) => BeginReply::InProgress,
             Some(BeginDecision::Mismatch) => BeginReply::Mismatch,
             Some(BeginDecision::Full) => BeginReply::Unavailable,
--- a/crates/entry/src/entry_process.rs
+++ b/crates/entry/src/entry_process.rs
@@ -39,6 +39,7 @@
 use crate::entry_state::EntryState;
 use crate::filters::standard_chain;
 use crate::owner_client::OwnerClient;
+use crate::plain_servers::PlainServers;
 use crate::request_handler::handle;
 use crate::request_handler::list_models;
 use crate::snapshot_follower::SnapshotFollower;
@@ -96,6 +97,7 @@
         own_control: settings.control.to_string().into(),
         client,
         cell: state.snapshot.clone(),
+        plain_servers: state.plain_servers.clone(),
         events: events.clone(),
         logger: logger.clone(),
     };
@@ -123,6 +125,7 @@
         host: settings.common.host.clone(),
         place: settings.common.place.clone(),
         limits: settings.limits.clone(),
+        plain_servers: Arc::new(PlainServers::new(settings.common.place.clone())),
         owners: OwnerClient::new(client, snapshot.clone()),
         snapshot,
         backends,
--- a/crates/entry/src/entry_state.rs
+++ b/crates/entry/src/entry_state.rs
@@ -13,6 +13,7 @@
 use crate::entry_snapshot::SnapshotCell;
 use crate::filter_chain::FilterChain;
 use crate::owner_client::OwnerClient;
+use crate::plain_servers::PlainServers;
 
 /// Limits that apply to every request.
 #[derive(Clone, Debug)]
@@ -57,6 +58,8 @@
     pub limits: RequestLimits,
     /// What is in force.
     pub snapshot: Arc<SnapshotCell>,
+    /// Backend servers of plain services.
+    pub plain_servers: Arc<PlainServers>,
     /// Calls to owners.
     pub owners: OwnerClient,
     /// Calls to backend servers.
--- a/crates/entry/src/filters/idempotency.rs
+++ b/crates/entry/src/filters/idempotency.rs
@@ -108,6 +108,11 @@
                     .with_retry_after(state.limits.retry_after),
             )
         }
+        Ok(BeginReply::AnswerNotKept) => {
+            let detail = "an earlier request with this idempotency key ran; its answer was too large to keep";
+            Err(RequestProblem::not_run(ProblemKind::OutcomeUnknown, detail)
+                .with_ran(RanState::Yes))
+        }
         Ok(BeginReply::OutcomeUnknown) => {
             let detail = "an earlier request with this idempotency key may have run; its answer is not known";
             Err(RequestProblem::not_run(ProblemKind::OutcomeUnknown, detail)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod model_forward;
 pub mod owner_client;
 pub mod plain_forward;
+pub mod plain_servers;
 pub mod problem;
 pub mod request_context;
 pub mod request_handler;
--- a/crates/entry/src/plain_forward.rs
+++ b/crates/entry/src/plain_forward.rs
@@ -5,10 +5,9 @@
 use volo_http::body::Body;
 use volo_http::response::Response;
 use zinniahinge_document::ServiceRoute;
+use zinniahinge_scheduling::ChosenServer;
 use zinniahinge_types::EventKind;
 use zinniahinge_types::Name;
-use zinniahinge_types::ServerEntry;
-use zinniahinge_types::ServerState;
 use zinniahinge_types::StoredAnswer;
 
 use crate::backend_client::BackendCall;
@@ -95,7 +94,7 @@
         let mut excluded: Vec<Name> = Vec::new();
         loop {
             check_account(&self.state, &self.context)?;
-            let Some(server) = self.pick_server(&excluded) else {
+            let Some(server) = self.state.plain_servers.choose(&self.group, &excluded) else {
                 let detail = "no backend server is available for this route";
                 return Err(
                     RequestProblem::not_run(ProblemKind::NoBackendServer, detail)
@@ -103,13 +102,17 @@
                 );
             };
             let failure = match self.attempt(&server).await {
-                Ok(answer) => return Ok(answer),
+                Ok(answer) => {
+                    server.record_success();
+                    return Ok(answer);
+                }
                 Err(failure) => failure,
             };
-            self.note_failure(&server, failure);
-            excluded.push(server.server.clone());
+            server.record_failure(self.state.plain_servers.now());
+            self.note_failure(server.server(), failure);
+            excluded.push(server.server().clone());
             if !self.may_retry(failure, excluded.len()) {
-                return Err(failure.into_problem(&server.server));
+                return Err(failure.into_problem(server.server()));
             }
         }
     }
@@ -125,12 +128,12 @@
 
     async fn attempt(
         &mut self,
-        server: &ServerEntry,
+        server: &ChosenServer,
     ) -> std::result::Result<PlainAnswer, BackendFailure> {
         let call = self.backend_call(server);
         self.record(
             EventKind::RequestDispatched,
-            format!("server {}", server.server),
+            format!("server {}", server.server()),
         );
         let sent = if self.route.idempotent {
             self.state.backends.send(call).await
@@ -150,7 +153,7 @@
         Ok(PlainAnswer { parts, body })
     }
 
-    fn backend_call(&self, server: &ServerEntry) -> BackendCall {
+    fn backend_call(&self, server: &ChosenServer) -> BackendCall {
         let context = &self.context;
         let own_path = service_path(&context.path, &self.service);
         let path = match &context.query {
@@ -158,7 +161,7 @@
             None => own_path.to_owned(),
         };
         BackendCall {
-            address: server.address.clone(),
+            address: server.address().clone(),
             method: context.method.clone(),
             path,
             headers: request_headers(&context.headers, context.key.as_ref(), context.request_id),
@@ -167,30 +170,11 @@
         }
     }
 
-    /// A live server of the group, near place first.
-    fn pick_server(&self, excluded: &[Name]) -> Option<ServerEntry> {
-        let snapshot = self.state.snapshot.load();
-        let usable = |server: &&ServerEntry| {
-            server.group == self.group
-                && server.state == ServerState::Live
-                && !excluded.contains(&server.server)
-        };
-        let servers: Vec<&ServerEntry> = snapshot.servers.iter().filter(usable).collect();
-        let near: Vec<&ServerEntry> = servers
-            .iter()
-            .copied()
-            .filter(|server| server.place == self.state.place)
-            .collect();
-        let pool = if near.is_empty() { servers } else { near };
-        let index = rand::random_range(0..pool.len().max(1));
-        pool.get(index).map(|server| ServerEntry::clone(server))
-    }
-
-    fn note_failure(&self, server: &ServerEntry, failure: BackendFailure) {
+    fn note_failure(&self, server: &str, failure: BackendFailure) {
         self.state.counters.backend_failure(failure);
         self.record(
             EventKind::RequestFailed,
-            format!("server {}, {failure:?}", server.server),
+            format!("server {server}, {failure:?}"),
         );
     }
 
--- a/crates/entry/src/snapshot_follower.rs
+++ b/crates/entry/src/snapshot_follower.rs
@@ -22,6 +22,7 @@
 use crate::entry_snapshot::EntrySnapshot;
 use crate::entry_snapshot::ServiceInForce;
 use crate::entry_snapshot::SnapshotCell;
+use crate::plain_servers::PlainServers;
 
 /// A control process answers a snapshot poll within a second, changed or not.
 const POLL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -37,6 +38,8 @@
     pub client: PeerClient,
     /// Where the result goes.
     pub cell: Arc<SnapshotCell>,
+    /// Servers that follow the host list.
+    pub plain_servers: Arc<PlainServers>,
     /// Events of document changes.
     pub events: Arc<EventLog>,
     /// Log.
@@ -142,6 +145,7 @@
         for document in documents {
             self.apply_document(&mut next, document);
         }
+        self.plain_servers.update(&next);
         self.cell.store(next);
         self.cell.mark_fresh(staleness);
     }
--- a/crates/types/src/limit_message.rs
+++ b/crates/types/src/limit_message.rs
@@ -91,6 +91,8 @@
     Run,
     /// The request ran; this is its answer.
     Stored(StoredAnswer),
+    /// The request ran; its answer was too large to keep.
+    AnswerNotKept,
     /// The first use has not finished.
     InProgress,
     /// The request may have run; its answer is lost.
