Specify that a shard is started before it is handed over; mutation evidence

Cause: the simulation found a handover of a shard that its owner had not resumed yet; assignment.pml started a shard in the step that gained it and could not show this. The start is now a step of its own (guard UNSTARTED).

--- a/spec/assignment.pml
+++ b/spec/assignment.pml
@@ -1,8 +1,9 @@
 /* One shard, two hosts, the assignment record and the engine that the owner gives orders to.
    Authority is abstract, as authority.pml proves it: an incarnation has none once it has a tombstone.
    The shard's state is abstract too: a staged copy is fresh until an owner acts again.
-   It is not modelled whom a staged copy came from or was meant for: the checks in the code that compare
-   these are not needed for the properties. With -DORDERS the orders to the engine are modelled instead of the staged state. */
+   It is not modelled whom a staged copy came from or was meant for: the checks in the code that
+   compare these are not needed for the properties.
+   With -DORDERS the orders to the engine are modelled instead of the staged state. */
 #ifndef MAX_REV
 #define MAX_REV 4   /* revisions of the assignment while faults happen */
 #endif
@@ -42,6 +43,11 @@
 #else
 #define NO_OPEN_WRITE(h) (!wOpen[h])
 #endif
+#ifdef M_UNSTARTED       /* a shard is handed over before its own state was resumed or recovered */
+#define STARTED(h) true
+#else
+#define STARTED(h) ready[h]
+#endif
 #ifdef M_UNSTAGED        /* the assignment is handed over before the successor has the state */
 #define STAGED(h) true
 #else
@@ -95,6 +101,9 @@
 /* What each host knows of the assignment; 0: nothing yet */
 byte kRev[2] = 1, kOwn[2] = 0, kInc[2] = 1;
 
+/* Whether the state of the own shard was resumed or recovered */
+bool ready[2] = false;
+
 /* Handover by the owner */
 bool frozen[2] = false, hStaged[2] = false;
 byte frozenAt[2] = 0, frozenTo[2] = 0;
@@ -130,7 +139,7 @@
 bool claimed = false; /* only within a step */
 
 #define OWNS(h) (kRev[h] > 0 && kOwn[h] == h && SAME_INC(h))
-#define MAY_ACT(h) (OWNS(h) && HAS_AUTHORITY(h) && NOT_FROZEN(h))
+#define MAY_ACT(h) (OWNS(h) && ready[h] && HAS_AUTHORITY(h) && NOT_FROZEN(h))
 
 /* Never two holders of the shard, and no holder with a tombstone. */
 inline check() {
@@ -150,13 +159,14 @@
            assert(sFresh[me]) /* resumes only from the state that the previous owner ended with */
         :: else
         fi;
-        thaw(me); SET_TENURE(me, toRev); sRev[me] = 0; sFresh[me] = false
+        thaw(me); ready[me] = false; SET_TENURE(me, toRev); sRev[me] = 0; sFresh[me] = false
      :: else
      fi;
      gaveUp[me] = false; kRev[me] = toRev; kOwn[me] = toOwn; kInc[me] = toInc;
      if :: wOpen[me] && wExp[me] < toRev -> close_write(me) :: else fi;
      if
-     :: !(toOwn == me && toInc == inc[me]) -> thaw(me); SET_TENURE(me, 0)
+     :: !(toOwn == me && toInc == inc[me]) ->
+        thaw(me); ready[me] = false; SET_TENURE(me, 0)
      :: else
      fi
   :: else
@@ -205,13 +215,13 @@
   :: else
   fi;
   mRev[1 - h] = frozenAt[h]; mFrom[1 - h] = inc[h];
-  mFresh[1 - h] = true
+  mFresh[1 - h] = ready[h]
 }
 inline keep_state(h) { sRev[h] = mRev[h]; sFresh[h] = mFresh[h] }
 /* A new process of host h: the open write of the old one may land before this or never. */
 inline rejoin(h) {
   inc[h] = inc[h] + 1; dead[h] = false; kRev[h] = 0; kOwn[h] = NOBODY; kInc[h] = 0;
-  SET_TENURE(h, 0); thaw(h); gaveUp[h] = false; sRev[h] = 0; sFresh[h] = false;
+  ready[h] = false; SET_TENURE(h, 0); thaw(h); gaveUp[h] = false; sRev[h] = 0; sFresh[h] = false;
   close_write(h)
 }
 inline late_message() {
@@ -232,9 +242,10 @@
   :: else
   fi
 }
-inline write_round(h) { land(h); learn(h, rev, own, ownInc) }
+inline write_round(h) { land(h); learn(h, rev, own, ownInc); ready[h] = OWNS(h) }
 inline host_round(h) {
   learn(h, rev, own, ownInc);
+  ready[h] = OWNS(h);
   if
   :: !isUp[h]
   :: isUp[h] && wOpen[h] -> write_round(h)
@@ -267,7 +278,8 @@
  :: d_step { !calm && wOpen[h] && !wDone[h] && AT_EXPECTED(h) && rev < MAX_REV -> land(h) }
  :: d_step { !calm && wOpen[h] && !wDone[h] && rev != wExp[h] -> close_write(h) }
  /* handover: freeze, send, lose, deliver with or without acknowledgement, write, give up */
- :: d_step { !calm && OWNS(h) && !dead[h] && !frozen[h] && !wOpen[h] && NEW_REVISION(h) ->
+ :: d_step { !calm && OWNS(h) && STARTED(h) && !dead[h] && !frozen[h] && !wOpen[h] &&
+      NEW_REVISION(h) ->
       freeze(h) }
  :: d_step { !calm && !STAGES && frozen[h] && !hStaged[h] -> hStaged[h] = true }
  :: d_step { !calm && STAGES && frozen[h] && !hStaged[h] -> send_state(h) }
@@ -280,6 +292,7 @@
  :: d_step { !calm && frozen[h] && NO_OPEN_WRITE(h) && GIVES_UP -> give_up(h) }
  :: d_step { !calm && OWNS(h) && !dead[h] && !frozen[h] && !wOpen[h] && gaveUp[h] ->
       open_write(h, false, false) }
+ :: d_step { !calm && OWNS(h) && !ready[h] && !dead[h] && !frozen[h] -> ready[h] = true }
  /* use: the state changes, an order goes to the engine */
  :: d_step { !calm && STAGES && MAY_ACT(h) -> act() }
 #ifdef ORDERS
@@ -293,6 +306,7 @@
 }
 
 init {
+  ready[0] = true;
   SET_TENURE(0, 1);
   atomic { run host(0); run host(1) };
   do
--- a/spec/authority.pml
+++ b/spec/authority.pml
@@ -160,7 +160,8 @@
 
 /* Messages and writes that are open when the faults stop are lost. */
 inline stop_faults(h, g) {
-  calm = true; hUp = h; gUp = g; spared = h && !tomb && !gTry && !nTry; up = true; ack = NONE; lose_heartbeat(); close_write();
+  calm = true; hUp = h; gUp = g; spared = h && !tomb && !gTry && !nTry;
+  up = true; ack = NONE; lose_heartbeat(); close_write();
   zChange = false; zRenew = false; gFly = false; nFly = false; nPrep = false
 }
 inline guardian_tick() {
