--- a/crates/scheduling/src/pool_load.rs
+++ b/crates/scheduling/src/pool_load.rs
@@ -296,7 +296,7 @@
             server: claim.server.clone(),
             victims: Vec::new(),
             cost: 0.0,
-            free_bytes: record.free_bytes(),
+            free_bytes: record.loadable_bytes(&wish.model),
         })
     }
 
@@ -324,7 +324,8 @@
             .filter_map(|victim| Some(self.value(record, victim, self.replica(victim)?, now)))
             .sum();
         let load = spec.load_times.at(record.cache_level(&wish.model));
-        let free_bytes = record.free_bytes().saturating_sub(promised);
+        let loadable = record.loadable_bytes(&wish.model);
+        let free_bytes = loadable.saturating_sub(promised);
         let drain_s = if free_bytes < spec.bytes {
             DRAIN_COST_S
         } else {
--- a/crates/scheduling/src/server_record.rs
+++ b/crates/scheduling/src/server_record.rs
@@ -62,9 +62,20 @@
         self.cached.get(model).copied().unwrap_or_default()
     }
 
+    /// True if the model can be loaded now or as soon as an unload of it has finished.
     pub(crate) fn may_load(&self, model: &str, now: MonotonicTime) -> bool {
         let usable = self.observed && !self.leaving;
-        usable && !self.is_paused(model, now) && !self.replicas.contains_key(model)
+        let replica = self.replicas.get(model);
+        let absent = replica.is_none_or(|replica| replica.stage == LifecycleStage::Unloading);
+        usable && !self.is_paused(model, now) && absent
+    }
+
+    /// Bytes that a load of `model` can use now.
+    pub(crate) fn loadable_bytes(&self, model: &str) -> u64 {
+        if self.replicas.contains_key(model) {
+            return 0;
+        }
+        self.free_bytes()
     }
 
     /// True if a load of this model or adapter failed a short while ago.
--- a/crates/scheduling/tests/pool.rs
+++ b/crates/scheduling/tests/pool.rs
@@ -290,6 +290,31 @@
     }
 }
 
+/// Guards against a slow load elsewhere when a request comes while its model is being unloaded
+/// beside a cached checkpoint: the unload takes less time than the difference.
+#[gtest]
+fn load_waits_for_an_unload_beside_the_checkpoint() {
+    let mut planner = planner(fast_settings(), &[], 1);
+    let mut cached = observation("s0", 10 * GB, at(0));
+    cached.cached = [("m0".into(), CacheLevel::Disk)].into();
+    planner.observe_server(cached.clone(), at(0));
+    planner.observe_server(observation("s1", 10 * GB, at(0)), at(0));
+    expect_that!(load(&mut planner, "m0", at(0)), eq("s0"));
+    planner.plan(at(60_000));
+    let (version, _) = list(planner.apply_demand(demand("m0", 1 << 24, vec![]), at(60_010)));
+    cached.loaded.insert("m0".into(), LoadedModel::default());
+    cached.asked_at = at(60_020);
+    planner.observe_server(cached, at(60_020));
+    planner.apply_demand(demand("m0", version, vec![]), at(60_030));
+    let unload = planner.plan(at(60_030)).remove(0);
+    expect_that!(unload.action, eq(OrderAction::UnloadModel));
+    planner.apply_demand(demand("m0", version, vec![waiting(1)]), at(60_040));
+    expect_that!(planner.plan(at(60_040)), is_empty());
+    planner.confirm(unload.order_id, OrderResult::Done, at(60_050));
+    let order = planner.plan(at(60_060)).remove(0);
+    expect_that!(&*order.server, eq("s0"));
+}
+
 /// Guards against a hot model that stays on one replica, and against more replicas than the
 /// document allows.
 #[gtest]
