Keep the applied list version beside the sent one

Ruled out: reading the sent version instead. The question is which list the reported requests had. After a handover it is unknown until the next report, which only delays a further replica.

--- a/crates/scheduling/src/demand_record.rs
+++ b/crates/scheduling/src/demand_record.rs
@@ -12,6 +12,8 @@
     pub(crate) reported_at: MonotonicTime,
     /// False until the dispatcher's first report to this planner.
     pub(crate) reported: bool,
+    /// List version that the dispatcher had applied at its last report to this planner.
+    pub(crate) applied_version: u64,
     /// Version of the last list that was sent to the dispatcher.
     pub(crate) sent_version: u64,
     /// Version of the last change of the model's replica list.
--- a/crates/scheduling/src/pool_demand.rs
+++ b/crates/scheduling/src/pool_demand.rs
@@ -59,6 +59,7 @@
         }
         let demand = self.demands.entry(model.clone()).or_default();
         let restarted = !demand.reported || applied_version < demand.sent_version;
+        demand.applied_version = applied_version;
         demand.reported = true;
         restarted
     }
--- a/crates/scheduling/src/pool_handover.rs
+++ b/crates/scheduling/src/pool_handover.rs
@@ -254,6 +254,8 @@
         waiting: snapshot.waiting,
         reported: snapshot.reported,
         reported_at: time_before(now, snapshot.report_age),
+        // Unknown until the dispatcher reports to this planner.
+        applied_version: 0,
         sent_version: snapshot.sent_version,
         list_version: snapshot.list_version,
         gaps: snapshot.gaps,
