--- a/crates/bench/src/bench_document.rs
+++ b/crates/bench/src/bench_document.rs
@@ -35,8 +35,8 @@
 [[accounts]]
 name = "bench"
 key_digests = ["{digest}"]
-tokens_per_second = 100000000
-burst = 1000000000
+tokens_per_second = 20000000
+burst = 20000000
 class_ceiling = "urgent"
 models = ["*"]
 routes = ["*"]
--- a/crates/bench/src/overhead_run.rs
+++ b/crates/bench/src/overhead_run.rs
@@ -23,8 +23,12 @@
 /// Length of the answers, tokens.
 const ANSWER_TOKENS: u64 = 8;
 
-/// Requests in flight per replica; above any number of streams, so that nothing queues.
-const SLOTS: u32 = 20_000;
+/// Requests in flight per replica, the most that a document may state.
+const SLOTS: u32 = 4096;
+
+/// Models that held streams are spread over. Each stays below 80% of its slots, because the rest is
+/// kept for other accounts.
+const STREAM_MODELS: usize = 4;
 
 /// Time between the tokens of a held stream. Below the 30 s of silence after which an entry process
 /// gives a backend server up.
@@ -213,7 +217,7 @@
         let call = ChatCall {
             address: entry,
             key: BENCH_KEY.to_owned(),
-            model: "model-0".to_owned(),
+            model: format!("model-{}", number % STREAM_MODELS),
             text: format!("stream-{number} one two three"),
             max_tokens: 2,
             stream: true,
@@ -229,7 +233,7 @@
         .collect()
 }
 
-/// One host and one engine, with the model loaded.
+/// One host and one engine, with the models loaded.
 async fn start_fleet(token_gap: Duration) -> Result<BenchFleet> {
     let flags = [
         ("--slots", SLOTS.to_string()),
@@ -248,24 +252,30 @@
         control_arguments: Vec::new(),
         region: "region-1".to_owned(),
         places: vec!["place-1".to_owned()],
-        documents: vec![("bench.toml".to_owned(), bench_document(1, SLOTS))],
+        documents: vec![(
+            "bench.toml".to_owned(),
+            bench_document(STREAM_MODELS, SLOTS),
+        )],
     };
     let fleet = fleet.start().await?;
     let entry = fleet.addresses(ProgramKind::Entry)[0];
     let client = ChatClient::new(1)?;
-    let call = ChatCall {
-        address: entry,
-        key: BENCH_KEY.to_owned(),
-        model: "model-0".to_owned(),
-        text: "warm up".to_owned(),
-        max_tokens: 1,
-        stream: false,
-        timeout: TIMEOUT,
-    };
-    match client.call(&call).await.result {
-        CallResult::Whole => Ok(fleet),
-        result => Err(BenchError::Invalid(format!("first request: {result:?}"))),
+    for number in 0..STREAM_MODELS {
+        let call = ChatCall {
+            address: entry,
+            key: BENCH_KEY.to_owned(),
+            model: format!("model-{number}"),
+            text: "warm up".to_owned(),
+            max_tokens: 1,
+            stream: false,
+            timeout: TIMEOUT,
+        };
+        let result = client.call(&call).await.result;
+        if result != CallResult::Whole {
+            return Err(BenchError::Invalid(format!("first request: {result:?}")));
+        }
     }
+    Ok(fleet)
 }
 
 // ----------------------------------------------------------------------------------------------
