Refuse percent-encoded keys in the query and keys in the path

A key in the path was passed on, and the path of a request without a route was recorded as the subject of an event.

A percent-encoded key is refused wherever the plain one is. Requests without a route are recorded as `no route`.

--- a/crates/entry/src/caller_key.rs
+++ b/crates/entry/src/caller_key.rs
@@ -48,13 +48,44 @@
         }))
     }
 
-    /// True if `text` contains the key.
+    /// True if `text` contains the key, as it is or percent-encoded.
     pub fn occurs_in(&self, text: &[u8]) -> bool {
         let secret = self.secret.as_bytes();
-        text.windows(secret.len()).any(|window| window == secret)
+        let contains = |text: &[u8]| text.windows(secret.len()).any(|window| window == secret);
+        contains(text) || contains(&percent_decode(text))
     }
 }
 
+/// Decodes `%XX`; anything else stays as it is.
+fn percent_decode(text: &[u8]) -> Vec<u8> {
+    let mut decoded = Vec::with_capacity(text.len());
+    let mut rest = text;
+    while let [first, tail @ ..] = rest {
+        let byte = match tail {
+            [high, low, ..] if *first == b'%' => hex_byte(*high, *low),
+            _ => None,
+        };
+        decoded.push(byte.unwrap_or(*first));
+        rest = if byte.is_some() { &tail[2..] } else { tail };
+    }
+    decoded
+}
+
+fn hex_byte(high: u8, low: u8) -> Option<u8> {
+    let digit = |byte: u8| char::from(byte).to_digit(16);
+    let value = digit(high)? * 16 + digit(low)?;
+    u8::try_from(value).ok()
+}
+
+/// Refuses a request whose path carries its key; the path goes to the backend server and into logs.
+pub fn check_path(path: &str, key: Option<&CallerKey>) -> Result<()> {
+    if key.is_some_and(|key| key.occurs_in(path.as_bytes())) {
+        let detail = "send the key in the Authorization header, not in the path; replace this key";
+        return Err(RequestProblem::not_run(ProblemKind::KeyInQuery, detail));
+    }
+    Ok(())
+}
+
 /// Refuses a request whose query carries a key.
 pub fn check_query(query: Option<&str>, key: Option<&CallerKey>) -> Result<()> {
     let Some(query) = query else {
--- a/crates/entry/src/filters/route.rs
+++ b/crates/entry/src/filters/route.rs
@@ -5,6 +5,7 @@
 use zinniahinge_document::ServiceKind;
 
 use crate::caller_key::CallerKey;
+use crate::caller_key::check_path;
 use crate::caller_key::check_query;
 use crate::chat_call::ChatCall;
 use crate::entry_snapshot::EntrySnapshot;
@@ -22,6 +23,7 @@
 pub(super) fn apply(state: &EntryState, context: &mut RequestContext) -> FilterVerdict {
     let snapshot = state.snapshot.load();
     context.key = CallerKey::read(&context.headers)?;
+    check_path(&context.path, context.key.as_ref())?;
     check_query(context.query.as_deref(), context.key.as_ref())?;
     let target = if *context.path == *CHAT_PATH {
         find_model(&snapshot, context)?
--- a/crates/entry/src/request_context.rs
+++ b/crates/entry/src/request_context.rs
@@ -159,7 +159,8 @@
                 None => call.model.clone(),
             },
             Some(RequestTarget::Plain { route, .. }) => route.prefix.clone(),
-            None => self.path.clone(),
+            // The path is the caller's text and may contain a key.
+            None => "no route".into(),
         }
     }
 }
--- a/crates/fleet/src/test_client.rs
+++ b/crates/fleet/src/test_client.rs
@@ -8,6 +8,7 @@
 use http::Method;
 use http::header::AUTHORIZATION;
 use http_body_util::BodyExt;
+use volo::net::tls::TlsConnectorBuilder;
 use volo_http::body::Body;
 use volo_http::client::Client;
 use volo_http::client::ClientBuilder;
@@ -16,6 +17,7 @@
 use crate::FleetError;
 use crate::TestAnswer;
 use crate::fleet_error::Result;
+use crate::fleet_error::system;
 
 /// Longest time for one whole answer, over the longest deadline of the demo documents.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(65);
@@ -50,6 +52,23 @@
         })
     }
 
+    /// A caller that trusts only servers whose certificate was issued by `issuer` (PEM).
+    pub fn trusting(issuer: &[u8]) -> Result<Self> {
+        let connector = TlsConnectorBuilder::new()
+            .enable_default_root_certs(false)
+            .add_pem(issuer.to_vec())
+            .build()
+            .map_err(system("read a certificate"))?;
+        let mut builder = ClientBuilder::new();
+        builder.set_tls_config(connector);
+        builder.set_max_idle_per_host(0);
+        let client = builder.build().map_err(|error| failed("client", error))?;
+        Ok(Self {
+            client,
+            headers: HeaderMap::new(),
+        })
+    }
+
     /// Sends a key with each request.
     pub fn with_key(self, key: &str) -> Self {
         self.with_header(AUTHORIZATION.as_str(), &format!("Bearer {key}"))
