Do not call a request "not run" after an attempt that may have run

Cause: a model request whose first attempt failed after it was sent is queued again. Lookups of plain services had the same fault when the last of several attempts could not connect.

Bookings were not affected: a sent non-idempotent request is never repeated.

Now the forwarder remembers whether an attempt may have run, and turns "no" into "unknown".

--- a/crates/entry/src/model_forward.rs
+++ b/crates/entry/src/model_forward.rs
@@ -68,6 +68,12 @@
     /// Tries backend servers until one answers. Model requests are idempotent, so a failed attempt may be repeated
     /// on another server as long as the caller has seen nothing of the answer.
     pub async fn run(mut self) -> Result<Response> {
+        let mut may_have_run = false;
+        let result = self.try_servers(&mut may_have_run).await;
+        result.map_err(|problem| problem.after_attempts(may_have_run))
+    }
+
+    async fn try_servers(&mut self, may_have_run: &mut bool) -> Result<Response> {
         let mut excluded = Vec::new();
         for attempt in 0..MAX_ATTEMPTS {
             let ticket = self.dispatch(attempt, &excluded).await?;
@@ -76,6 +82,7 @@
                 Ok(response) => return Ok(response),
                 Err(failed) => {
                     self.note_failure(&failed);
+                    *may_have_run |= failed.failure.may_have_run();
                     let may_retry = self.state.retries.try_retry();
                     if !may_retry || self.context.time_left().is_zero() {
                         return Err(failed.failure.into_problem(&failed.server));
@@ -362,6 +369,11 @@
 }
 
 impl BackendFailure {
+    /// False only if no byte of the request was written.
+    pub fn may_have_run(self) -> bool {
+        self != Self::NotSent
+    }
+
     /// Outcome that is reported to the dispatcher.
     pub fn outcome(self) -> ReleaseOutcome {
         match self {
--- a/crates/entry/src/plain_forward.rs
+++ b/crates/entry/src/plain_forward.rs
@@ -71,7 +71,9 @@
     }
 
     async fn run_to_end(mut self) -> Result<Response> {
-        let result = self.try_servers().await;
+        let mut may_have_run = false;
+        let result = self.try_servers(&mut may_have_run).await;
+        let result = result.map_err(|problem| problem.after_attempts(may_have_run));
         if let Some(claim) = self.claim.take() {
             let answer = result.as_ref().ok().map(stored_answer);
             let ran = result
@@ -91,7 +93,7 @@
         Ok(response)
     }
 
-    async fn try_servers(&mut self) -> Result<PlainAnswer> {
+    async fn try_servers(&mut self, may_have_run: &mut bool) -> Result<PlainAnswer> {
         let mut excluded: Vec<Name> = Vec::new();
         loop {
             check_account(&self.state, &self.context)?;
@@ -107,6 +109,7 @@
                 Err(failure) => failure,
             };
             self.note_failure(&server, failure);
+            *may_have_run |= failure.may_have_run();
             excluded.push(server.server.clone());
             if !self.may_retry(failure, excluded.len()) {
                 return Err(failure.into_problem(&server.server));
--- a/crates/entry/src/problem.rs
+++ b/crates/entry/src/problem.rs
@@ -31,7 +31,7 @@
     MissingKey,
     /// The key belongs to no client account, or was withdrawn.
     InvalidKey,
-    /// The key was sent in the query, where logs would keep it.
+    /// The key was sent in the path or the query, where logs would keep it.
     KeyInQuery,
     /// The client account may not use this model or route.
     Forbidden,
@@ -165,6 +165,15 @@
         self
     }
 
+    /// Takes earlier attempts at the request into account: if one of them may have run, "not run"
+    /// would be false, whatever became of the last attempt.
+    pub fn after_attempts(mut self, may_have_run: bool) -> Self {
+        if may_have_run && self.ran == RanState::No {
+            self.ran = RanState::Unknown;
+        }
+        self
+    }
+
     /// Sets when a new attempt makes sense.
     pub fn with_retry_after(mut self, retry_after: Duration) -> Self {
         self.retry_after = Some(retry_after);
