Let the error event of a cut stream out before the connection breaks

Cause: the HTTP library discards what it has not written yet when a body fails. The error event that explains a cut was followed by the failure at once and got lost; the caller saw only the broken connection. Seen with a stream that the engine cut after three events: status 200, incomplete, no error event.

The relay now waits 50 ms between the event and the failure. The caller could tell the stream from a whole one before, too, because the chunked body was not ended.

--- a/crates/entry/src/answer_relay.rs
+++ b/crates/entry/src/answer_relay.rs
@@ -27,6 +27,10 @@
 /// Longest silence of a backend server within a stream. Tokens are 33 ms apart in 95 of 100 cases.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time between the error event and the break of the connection. The HTTP library discards what it has not written
+/// yet when a body fails, so the event would often be lost.
+const FLUSH_TIME: Duration = Duration::from_millis(50);
+
 /// A streamed answer.
 pub struct AnswerRelay {
     /// Shared state.
@@ -197,6 +201,7 @@
     let problem = RequestProblem::not_run(kind, detail).with_ran(RanState::Yes);
     let event = format!("event: error\ndata: {}\n\n", problem.to_json());
     if sender.send(Ok(Bytes::from(event))).await.is_ok() {
+        tokio::time::sleep(FLUSH_TIME).await;
         let _ = sender.send(Err(CutAnswer)).await;
     }
 }
