--- a/crates/entry/src/plain_forward.rs
+++ b/crates/entry/src/plain_forward.rs
@@ -70,7 +70,9 @@
     }
 
     async fn run_to_end(mut self) -> Result<Response> {
-        let result = self.try_servers().await;
+        let mut may_have_run = false;
+        let result = self.try_servers(&mut may_have_run).await;
+        let result = result.map_err(|problem| problem.after_attempts(may_have_run));
         if let Some(claim) = self.claim.take() {
             let answer = result.as_ref().ok().map(stored_answer);
             let ran = result
@@ -90,7 +92,7 @@
         Ok(response)
     }
 
-    async fn try_servers(&mut self) -> Result<PlainAnswer> {
+    async fn try_servers(&mut self, may_have_run: &mut bool) -> Result<PlainAnswer> {
         let mut excluded: Vec<Name> = Vec::new();
         loop {
             check_account(&self.state, &self.context)?;
@@ -110,6 +112,7 @@
             };
             server.record_failure(self.state.plain_servers.now());
             self.note_failure(server.server(), failure);
+            *may_have_run |= failure.may_have_run();
             excluded.push(server.server().clone());
             if !self.may_retry(failure, excluded.len()) {
                 return Err(failure.into_problem(server.server()));
--- a/crates/scheduling/src/pool_handover.rs
+++ b/crates/scheduling/src/pool_handover.rs
@@ -257,8 +257,6 @@
         // Unknown until the dispatcher reports to this planner.
         applied_version: 0,
         sent_version: snapshot.sent_version,
-        // The first report after the handover tells it.
-        applied_version: 0,
         list_version: snapshot.list_version,
         gaps: snapshot.gaps,
         last_active: inactive_for.map(|inactive_for| time_before(now, inactive_for)),
