--- a/crates/control/src/in_force.rs
+++ b/crates/control/src/in_force.rs
@@ -32,6 +32,8 @@
     pub documents: BTreeMap<Name, DocumentEntry>,
     /// Backend servers of the host list.
     pub servers: Vec<ServerEntry>,
+    /// False until the host list was read for the first time.
+    pub servers_known: bool,
 }
 
 impl InForceState {
@@ -102,8 +104,9 @@
     /// Replaces the host list. Returns true if it changed.
     pub fn set_servers(&self, servers: Vec<ServerEntry>) -> bool {
         self.change(|state| {
-            let is_new = state.servers != servers;
+            let is_new = !state.servers_known || state.servers != servers;
             state.servers = servers;
+            state.servers_known = true;
             is_new
         })
     }
--- a/crates/control/src/peer_routes.rs
+++ b/crates/control/src/peer_routes.rs
@@ -289,7 +289,7 @@
                 hosts: hosts
                     .map(|(host, entry)| (host.clone(), entry.record.address.clone()))
                     .collect(),
-                servers: state.servers.clone(),
+                servers: state.servers_known.then(|| state.servers.clone()),
                 staleness: self.in_force.staleness(),
             }
         })
--- a/crates/entry/src/entry_snapshot.rs
+++ b/crates/entry/src/entry_snapshot.rs
@@ -41,6 +41,8 @@
     pub hosts: BTreeMap<HostId, HostAddress>,
     /// Backend servers of the host list.
     pub servers: Vec<ServerEntry>,
+    /// False until a control process passed on the host list.
+    pub servers_known: bool,
 }
 
 impl EntrySnapshot {
--- a/crates/entry/src/snapshot_follower.rs
+++ b/crates/entry/src/snapshot_follower.rs
@@ -132,9 +132,13 @@
         } = reply;
         let mut next = EntrySnapshot {
             hosts,
-            servers,
             ..EntrySnapshot::clone(&current)
         };
+        // A control process that has just started has not read the host list; the last one is kept.
+        if let Some(servers) = servers {
+            next.servers = servers;
+            next.servers_known = true;
+        }
         if assignment_revision >= current.assignment_revision {
             next.assignment = assignment;
             next.assignment_revision = assignment_revision;
