Retry a badly answered model request at the same server, too

Cause: a server whose answer was broken or belonged to another request was excluded from the next attempt.

Ruled out: ignoring the exclusion when no other replica is ready. That would burn all attempts on a dead server instead of waiting for the load elsewhere.

Only servers that gave no answer are excluded. A server that keeps answering badly is ejected by the count of its failures, as before.

--- a/crates/entry/src/model_forward.rs
+++ b/crates/entry/src/model_forward.rs
@@ -87,7 +87,11 @@
                     if !may_retry || self.context.time_left().is_zero() {
                         return Err(failed.failure.into_problem(&failed.server));
                     }
-                    excluded.push(failed.server);
+                    // A server that answers, though badly, may hold the only replica. Excluding it would
+                    // let the request wait until its deadline for another replica that nobody loads.
+                    if !failed.failure.is_answered() {
+                        excluded.push(failed.server);
+                    }
                 }
             }
         }
@@ -369,6 +373,11 @@
 }
 
 impl BackendFailure {
+    /// True if the server answered, so that it is alive.
+    pub fn is_answered(self) -> bool {
+        matches!(self, Self::CrossedAnswer | Self::BrokenAnswer)
+    }
+
     /// False only if no byte of the request was written.
     pub fn may_have_run(self) -> bool {
         self != Self::NotSent
