--- a/crates/limits/tests/token_bucket.rs
+++ b/crates/limits/tests/token_bucket.rs
@@ -6,6 +6,7 @@
 use zinniahinge_limits::BaselineStaticSplit;
 use zinniahinge_limits::BucketLimits;
 use zinniahinge_limits::BucketQueue;
+use zinniahinge_limits::BucketState;
 use zinniahinge_limits::ChargeDecision;
 use zinniahinge_limits::RetryBudget;
 use zinniahinge_limits::SubmitDecision;
@@ -111,10 +112,11 @@
     bucket.set_limits(BucketLimits::new(1, 100), at(0));
     expect_that!(bucket.remaining(at(0)), eq(50));
     let mut bucket = full(1, 1);
-    let now = at(0) + Duration::from_nanos(1500);
-    bucket.charge(GrantId(1), 1, now);
+    bucket.charge(GrantId(1), 1, at(0));
+    bucket.remaining(at(0) + Duration::from_nanos(1500));
+    bucket.charge(GrantId(2), 1, at(2000));
     expect_that!(
-        bucket.time_to_cover(1, now),
+        bucket.time_to_cover(1, at(2000)),
         some(eq(Duration::from_secs(1)))
     );
 }
@@ -137,6 +139,12 @@
         eq(ChargeDecision::IdReused)
     );
     let state = bucket.export(at(3));
+    let bytes = rmp_serde::to_vec_named(&state).unwrap();
+    expect_that!(
+        rmp_serde::from_slice::<BucketState>(&bytes),
+        ok(eq(&state)),
+        "the form that is handed over"
+    );
     let mut moved = TokenBucket::import(state, at(0));
     expect_that!(
         moved.charge(GrantId(1), 60, at(1)),
--- a/crates/scheduling/tests/pool.rs
+++ b/crates/scheduling/tests/pool.rs
@@ -54,7 +54,10 @@
 fn load(planner: &mut PoolPlanner, model: &str, now: MonotonicTime) -> String {
     planner.apply_demand(demand(model, 0, vec![waiting(1)]), now);
     let orders = planner.plan(now);
-    let order = orders.iter().find(|order| &*order.model == model).unwrap();
+    let order = orders
+        .iter()
+        .find(|order| &*order.model == model)
+        .expect("a load is due");
     planner.confirm(order.order_id, OrderResult::Done, now);
     report(planner, model, 0, now);
     order.server.to_string()
@@ -298,6 +301,31 @@
     }
 }
 
+/// Guards against a slow load elsewhere when a request comes while its model is being unloaded
+/// beside a cached checkpoint: the unload takes less time than the difference.
+#[gtest]
+fn load_waits_for_an_unload_beside_the_checkpoint() {
+    let mut planner = planner(fast_settings(), &[], 1);
+    let mut cached = observation("s0", 10 * GB, at(0));
+    cached.cached = [("m0".into(), CacheLevel::Disk)].into();
+    planner.observe_server(cached.clone(), at(0));
+    planner.observe_server(observation("s1", 10 * GB, at(0)), at(0));
+    expect_that!(load(&mut planner, "m0", at(0)), eq("s0"));
+    planner.plan(at(60_000));
+    let (version, _) = list(planner.apply_demand(demand("m0", 1 << 24, vec![]), at(60_010)));
+    cached.loaded.insert("m0".into(), LoadedModel::default());
+    cached.asked_at = at(60_020);
+    planner.observe_server(cached, at(60_020));
+    planner.apply_demand(demand("m0", version, vec![]), at(60_030));
+    let unload = planner.plan(at(60_030)).remove(0);
+    expect_that!(unload.action, eq(OrderAction::UnloadModel));
+    planner.apply_demand(demand("m0", version, vec![waiting(1)]), at(60_040));
+    expect_that!(planner.plan(at(60_040)), is_empty());
+    planner.confirm(unload.order_id, OrderResult::Done, at(60_050));
+    let order = planner.plan(at(60_060)).remove(0);
+    expect_that!(&*order.server, eq("s0"));
+}
+
 /// Guards against a hot model that stays on one replica, and against more replicas than the
 /// document allows.
 #[gtest]
@@ -399,6 +427,39 @@
     );
 }
 
+/// Guards against an unload under the requests of a dispatcher that applied the list, granted
+/// tickets and died before it reported again: its successor reports nothing in flight.
+#[gtest]
+fn eviction_waits_for_requests_of_a_dead_dispatcher() {
+    let mut planner = planner(fast_settings(), &[10 * GB], 2);
+    load(&mut planner, "m0", at(0));
+    planner.apply_demand(demand("m0", 0, vec![]), at(100));
+    let mut seen = observation("s0", 10 * GB, at(200));
+    let mut loaded = LoadedModel {
+        running: 1,
+        ..LoadedModel::default()
+    };
+    seen.loaded.insert("m0".into(), loaded.clone());
+    planner.observe_server(seen.clone(), at(200));
+    let mut cold = waiting(1);
+    cold.waited = Duration::from_secs(3);
+    planner.apply_demand(demand("m1", 0, vec![cold]), at(70_000));
+    planner.plan(at(70_000));
+    let drained = planner.replicas().next().map(|replica| replica.stage);
+    expect_that!(drained, some(eq(LifecycleStage::Draining)));
+    let (version, _) = list(planner.apply_demand(demand("m0", 0, vec![]), at(70_010)));
+    planner.apply_demand(demand("m0", version, vec![]), at(70_020));
+    expect_that!(planner.plan(at(70_020)), is_empty());
+    loaded.running = 0;
+    seen.loaded.insert("m0".into(), loaded);
+    seen.asked_at = at(70_030);
+    planner.observe_server(seen, at(70_030));
+    let (version, _) = list(planner.apply_demand(demand("m0", version, vec![]), at(70_040)));
+    planner.apply_demand(demand("m0", version, vec![]), at(70_050));
+    let unloads = models(&planner.plan(at(70_050)), OrderAction::UnloadModel);
+    expect_that!(unloads, elements_are![eq("m0")]);
+}
+
 /// Guards against the eviction of a replica that is dearer to reload: with equal recency the one
 /// with the near checkpoint gives way.
 #[gtest]
