--- a/crates/bench/src/bin/zinniahinge-load.rs
+++ b/crates/bench/src/bin/zinniahinge-load.rs
@@ -24,6 +24,7 @@
             }
         }
         LoadCommand::Overhead { plan, json } => show(&plan.run().await?, json.as_deref())?,
+        LoadCommand::Slopes { plan, json } => show(&plan.run().await?, json.as_deref())?,
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/bench/src/chat_client.rs
+++ b/crates/bench/src/chat_client.rs
@@ -38,6 +38,8 @@
     pub stream: bool,
     /// Longest wait for the whole answer.
     pub timeout: Duration,
+    /// Trace id to send, so that the request is found in the events.
+    pub trace_id: Option<u128>,
 }
 
 /// What came of a [`ChatCall`].
@@ -128,6 +130,10 @@
         if !call.key.is_empty() {
             request = request.header(header::AUTHORIZATION, format!("Bearer {}", call.key));
         }
+        if let Some(trace_id) = call.trace_id {
+            // The span id must not be zero; its value means nothing here.
+            request = request.header("traceparent", format!("00-{trace_id:032x}-{:016x}-01", 1));
+        }
         let body = Body::from(Bytes::from(body.to_string()));
         let answer = request.body(body).send().await;
         answer.map_err(|error| match error.kind() {
--- a/crates/bench/src/load_command.rs
+++ b/crates/bench/src/load_command.rs
@@ -8,6 +8,7 @@
 
 use crate::LoadPlan;
 use crate::OverheadPlan;
+use crate::SlopePlan;
 
 /// Checked command of `zinniahinge-load`.
 #[derive(Clone, Debug)]
@@ -26,6 +27,13 @@
         /// File for the figures as JSON.
         json: Option<PathBuf>,
     },
+    /// Measures what control costs, by number of hosts.
+    Slopes {
+        /// Measurement.
+        plan: SlopePlan,
+        /// File for the figures as JSON.
+        json: Option<PathBuf>,
+    },
 }
 
 /// Flags as given, before the check.
@@ -35,6 +43,8 @@
     Load(PlainFlags),
     /// Subcommand `overhead`.
     Overhead(OverheadFlags),
+    /// Subcommand `slopes`.
+    Slopes(SlopeFlags),
 }
 
 /// Flags of a load run.
@@ -62,6 +72,16 @@
     json: Option<PathBuf>,
 }
 
+/// Flags of `slopes`.
+#[derive(Clone, Debug)]
+pub struct SlopeFlags {
+    hosts: Vec<String>,
+    window_s: Option<String>,
+    rate: Option<String>,
+    repetitions: Option<String>,
+    json: Option<PathBuf>,
+}
+
 /// Parser of the program's flags. Parses no value, because bpaf stops at its first fault.
 pub fn load_arguments() -> OptionParser<LoadArguments> {
     let overhead = overhead_flags()
@@ -69,8 +89,13 @@
         .to_options()
         .descr("Measures what an entry process adds to a warm request")
         .command("overhead");
+    let slopes = slope_flags()
+        .map(LoadArguments::Slopes)
+        .to_options()
+        .descr("Measures what control costs, by number of hosts")
+        .command("slopes");
     let plain = plain_flags().map(LoadArguments::Load);
-    bpaf::construct!([overhead, plain])
+    bpaf::construct!([overhead, slopes, plain])
         .to_options()
         .descr("Sends open-loop load and checks that every answer is whole and its own")
         .version(env!("CARGO_PKG_VERSION"))
@@ -141,6 +166,31 @@
     })
 }
 
+fn slope_flags() -> impl Parser<SlopeFlags> {
+    let hosts = text(
+        "hosts",
+        "N",
+        "Number of hosts; can be repeated (default: 3, 6, 12, 18)",
+    )
+    .many();
+    let window_s = text(
+        "window-s",
+        "S",
+        "Time at rest, and time under load (default: 10)",
+    )
+    .optional();
+    let rate = text("rate", "N", "Requests per second under load (default: 40)").optional();
+    let repetitions = text("repetitions", "N", "Repetitions (default: 1)").optional();
+    let json = json_flag();
+    bpaf::construct!(SlopeFlags {
+        hosts,
+        window_s,
+        rate,
+        repetitions,
+        json
+    })
+}
+
 fn text(name: &'static str, meta: &'static str, help: &'static str) -> impl Parser<String> {
     bpaf::long(name).help(help).argument::<String>(meta)
 }
@@ -161,6 +211,7 @@
         let command = match self {
             Self::Load(flags) => flags.check(&mut faults),
             Self::Overhead(flags) => flags.check(&mut faults),
+            Self::Slopes(flags) => flags.check(&mut faults),
         };
         faults.finish(command)
     }
@@ -235,6 +286,38 @@
     }
 }
 
+impl SlopeFlags {
+    fn check(self, faults: &mut SettingFaults) -> Option<LoadCommand> {
+        let Self {
+            hosts,
+            window_s,
+            rate,
+            repetitions,
+            json,
+        } = self;
+        let hosts = hosts.into_iter();
+        let mut hosts: Vec<usize> = hosts
+            .filter_map(|number| faults.parsed("--hosts", Some(number)))
+            .collect();
+        if hosts.contains(&0) {
+            faults.add("--hosts", "`0`: expected a number above 0");
+        }
+        if hosts.is_empty() {
+            hosts = vec![3, 6, 12, 18];
+        }
+        let window_s = positive(faults, "--window-s", window_s, 10.0);
+        let rate = positive(faults, "--rate", rate, 40.0);
+        let repetitions = faults.parsed_or("--repetitions", repetitions, 1);
+        let plan = SlopePlan {
+            hosts,
+            window: Duration::from_secs_f64(window_s?),
+            rate: rate?,
+            repetitions: repetitions?,
+        };
+        Some(LoadCommand::Slopes { plan, json })
+    }
+}
+
 /// A finite number above 0. Others would stop the arrivals or make them endless.
 fn positive(
     faults: &mut SettingFaults,
--- a/crates/bench/src/load_run.rs
+++ b/crates/bench/src/load_run.rs
@@ -101,6 +101,7 @@
             max_tokens: self.max_tokens,
             stream: self.stream,
             timeout: self.timeout,
+            trace_id: None,
         }
     }
 }
--- a/crates/bench/src/overhead_report.rs
+++ b/crates/bench/src/overhead_report.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::fmt;
 
 use serde::Serialize;
@@ -22,6 +23,8 @@
     pub direct: LatencySummary,
     /// Requests sent through the entry process.
     pub through: LatencySummary,
+    /// Requests that the entry process refused, by problem type. They have no latency.
+    pub refused: BTreeMap<String, u64>,
     /// Processor time of the entry process per request, microseconds.
     pub entry_cpu_us: f64,
     /// Processor time of the control process per request, microseconds; includes what it uses at rest.
@@ -94,6 +97,9 @@
                 row.control_cpu_us,
                 1e6 / row.control_cpu_us,
             )?;
+            if !row.refused.is_empty() {
+                writeln!(f, "      refused: {:?}", row.refused)?;
+            }
         }
         match &self.streams {
             Some(streams) => write!(f, "{streams}"),
--- a/crates/bench/tests/measures.rs
+++ b/crates/bench/tests/measures.rs
@@ -18,6 +18,8 @@
 use zinniahinge_bench::LoadRecord;
 use zinniahinge_bench::LoadReport;
 use zinniahinge_bench::ProcessUsage;
+use zinniahinge_bench::SlopeLine;
+use zinniahinge_bench::SlopePoint;
 use zinniahinge_bench::plan_arrivals;
 use zinniahinge_standins::expected_answer;
 
@@ -253,6 +255,7 @@
             max_tokens: 2,
             stream: case.stream,
             timeout: 20 * SECOND,
+            trace_id: None,
         };
         let record = client.call(&call).await;
         expect_that!(record.result, eq(&case.result), "{}", case.name);
@@ -274,3 +277,20 @@
     expect_that!(usage, some(eq(expected)));
     expect_that!(ProcessUsage::parse("7 (a) S 1", "VmRSS: 1 kB"), none());
 }
+
+// ----------------------------------------------------------------------------------------------
+// Lines
+
+/// Guards against extrapolations with a wrong line.
+#[gtest]
+fn line_goes_through_its_points() {
+    let points = [3.0, 6.0, 18.0].map(|size| SlopePoint {
+        size,
+        value: 2.0 + 0.5 * size,
+    });
+    let line = SlopeLine::fit(&points);
+    expect_that!(line.at(400.0), near(202.0, 1e-6));
+    let single = SlopeLine::fit(&points[..1]);
+    expect_that!(single.at(400.0), near(3.5, 1e-6));
+    expect_that!(SlopeLine::fit(&[]).at(1.0), eq(0.0));
+}
