--- a/crates/fleet/src/serving.rs
+++ b/crates/fleet/src/serving.rs
@@ -41,8 +41,8 @@
 impl FleetBuilder {
     /// Starts the stand-ins, registers the backend servers, starts the hosts, accepts the documents,
     /// and waits until everything is ready. A host that finds an empty host list at its start is
-    /// ready, too, but refuses requests until its next look. The engines belong to group `demo-llm`, the plain service servers to
-    /// `demo-app`.
+    /// ready, too, but refuses requests until its next look. The engines belong to group `demo-llm`,
+    /// the plain service servers to `demo-app`.
     pub async fn start_serving(&self, documents: &[&str]) -> Result<Fleet> {
         let mut fleet = Fleet::new()?;
         let specs = self.prepare(&fleet)?;
@@ -66,6 +66,19 @@
 }
 
 impl Fleet {
+    /// Waits until all stand-ins answer.
+    pub async fn wait_standins(&mut self) -> Result<()> {
+        let is_host = |kind| matches!(kind, ProgramKind::Control | ProgramKind::Entry);
+        let standins = self.all().filter(|process| !is_host(process.spec().kind));
+        let names: Vec<String> = standins
+            .map(|process| process.spec().name.clone())
+            .collect();
+        for name in names {
+            self.process(&name)?.wait_ready(READY_LIMIT).await?;
+        }
+        Ok(())
+    }
+
     /// Registers all backend servers at the host list, in place `place-1`.
     pub async fn register_servers(&self) -> Result<()> {
         for process in self.all() {
