--- a/crates/bench/src/experiment_report.rs
+++ b/crates/bench/src/experiment_report.rs
@@ -12,6 +12,9 @@
 use crate::StoreBound;
 use crate::cold_bounds;
 
+/// Slowest requests that are listed per seed.
+const SLOWEST: usize = 8;
+
 /// Figures of an experiment over all seeds.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct ExperimentReport {
@@ -50,6 +53,23 @@
     pub refused_within_rate: u64,
     /// Warm requests by account.
     pub accounts: Vec<AccountFigures>,
+    /// Requests that took longest, whatever their result.
+    pub slowest: Vec<SlowRequest>,
+}
+
+/// A request that took long.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct SlowRequest {
+    /// Planned time of sending, seconds from the start.
+    pub intended_s: f64,
+    /// Seconds to the first token, or to the end without one.
+    pub took_s: f64,
+    /// Model.
+    pub model: String,
+    /// Entry process.
+    pub entry: String,
+    /// Result.
+    pub result: String,
 }
 
 /// Warm requests of one account.
@@ -85,6 +105,7 @@
             }
         }
         figures.add_cold(file, run);
+        figures.slowest = slowest(run);
         for (index, account) in file.accounts.iter().enumerate() {
             let warm = warm_latency(run, index);
             let alone = alone.get(&index).map(|run| warm_latency(run, index));
@@ -122,6 +143,22 @@
     }
 }
 
+fn slowest(run: &SeedRun) -> Vec<SlowRequest> {
+    let mut records: Vec<_> = run.records.iter().collect();
+    records.sort_by_key(|record| std::cmp::Reverse(record.first_token));
+    records.truncate(SLOWEST);
+    let records = records.into_iter();
+    records
+        .map(|record| SlowRequest {
+            intended_s: record.intended.as_secs_f64(),
+            took_s: record.first_token.as_secs_f64(),
+            model: record.model.clone(),
+            entry: format!("entry-{}", record.entry + 1),
+            result: record.result.name().to_owned(),
+        })
+        .collect()
+}
+
 /// Cold requests for base models; those for adapters may have waited for the adapter only.
 fn cold_requests(run: &SeedRun) -> Vec<ColdRequest> {
     let records = run.records.iter();
@@ -245,6 +282,13 @@
         }
         for seed in &self.seeds {
             writeln!(f, "seed {}: {:?}", seed.seed, seed.results)?;
+            for slow in &seed.slowest {
+                writeln!(
+                    f,
+                    "  sent at {:.1} s to {}: {} took {:.2} s ({})",
+                    slow.intended_s, slow.entry, slow.model, slow.took_s, slow.result
+                )?;
+            }
         }
         Ok(())
     }
--- a/crates/bench/src/experiment_run.rs
+++ b/crates/bench/src/experiment_run.rs
@@ -38,6 +38,8 @@
     pub account: usize,
     /// Model.
     pub model: String,
+    /// Index of the entry process.
+    pub entry: usize,
     /// Planned time of sending, from the start.
     pub intended: Duration,
     /// Whether the account was in its surge.
@@ -100,7 +102,8 @@
         for (number, planned) in calls.into_iter().enumerate() {
             let sender = RequestSender {
                 client: client.clone(),
-                entry: entries[number % entries.len()],
+                entry: number % entries.len(),
+                address: entries[number % entries.len()],
                 key: self.deployment.key(&self.accounts[planned.account].name),
                 tokens: self.accounts[planned.account].tokens,
                 delay: self.deployment.client_delay(),
@@ -254,7 +257,8 @@
 
 struct RequestSender {
     client: ChatClient,
-    entry: SocketAddr,
+    entry: usize,
+    address: SocketAddr,
     key: String,
     tokens: u64,
     delay: Duration,
@@ -267,7 +271,7 @@
         let intended = self.start + planned.offset;
         tokio::time::sleep_until((intended + self.delay).into()).await;
         let call = ChatCall {
-            address: self.entry,
+            address: self.address,
             key: self.key,
             model: planned.model.clone(),
             text: format!("request {} draft the report", self.trace_id),
@@ -281,6 +285,7 @@
         ExperimentRecord {
             account: planned.account,
             model: planned.model,
+            entry: self.entry,
             intended: planned.offset,
             in_surge: planned.in_surge,
             result: record.result,
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -55,6 +55,7 @@
 pub use experiment_report::ExperimentReport;
 pub use experiment_report::FigureRow;
 pub use experiment_report::SeedFigures;
+pub use experiment_report::SlowRequest;
 pub use experiment_run::ExperimentRecord;
 pub use experiment_run::SeedRun;
 pub use latency_record::LatencyRecord;
