Do not call a burst's account unknown when the accounts cannot be read

Cause: an account with a bad rate made the burst that names it a second fault, which misleads. Ruled out: changing the test; the second fault was wrong.

--- a/crates/bench/src/experiment_file.rs
+++ b/crates/bench/src/experiment_file.rs
@@ -141,7 +141,9 @@
         reader.fault("accounts", "is empty");
     }
     let known = accounts.clone().unwrap_or_default();
-    for (index, burst) in bursts.iter().flatten().enumerate() {
+    // Accounts that cannot be read are no reason to call those of the bursts unknown.
+    let checked = bursts.iter().filter(|_| accounts.is_some());
+    for (index, burst) in checked.flatten().enumerate() {
         if !known.iter().any(|account| account.name == burst.account) {
             let problem = format!("`{}` is none of the accounts", burst.account);
             reader.fault(&format!("bursts[{index}].account"), problem);
