Wait until a paused test process has stopped

Cause: the stop signal acts on each thread a little later, so a process could answer once after `pause` had returned.

--- a/crates/fleet/src/child_process.rs
+++ b/crates/fleet/src/child_process.rs
@@ -80,7 +80,25 @@
 
     /// Pauses it (SIGSTOP): it keeps its connections and answers nothing.
     pub fn pause(&mut self) -> Result<()> {
-        self.signal(Signal::SIGSTOP)
+        self.signal(Signal::SIGSTOP)?;
+        // The signal acts on each thread a little later; until then the process may still answer.
+        let started = Instant::now();
+        while !self.is_stopped() && started.elapsed() < CHECK_TIMEOUT {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        Ok(())
+    }
+
+    /// True once every thread is stopped, by the state that the system shows after the name.
+    fn is_stopped(&self) -> bool {
+        let Ok(threads) = fs::read_dir(format!("/proc/{}/task", self.id())) else {
+            return false;
+        };
+        threads.flatten().all(|thread| {
+            let stat = fs::read_to_string(thread.path().join("stat")).unwrap_or_default();
+            let state = stat.rsplit(')').next().unwrap_or_default();
+            state.trim_start().starts_with('T')
+        })
     }
 
     /// Lets it go on (SIGCONT).
