--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,11 +1,16 @@
 //! Starts and stops real processes for integration tests and the demo. Test support only.
 
+mod assertions;
 mod chat_answer;
 mod child_process;
+mod event_history;
 mod fleet;
 mod fleet_builder;
 mod fleet_error;
+mod fleet_records;
 mod free_ports;
+mod open_load;
+mod peer_probe;
 mod program_kind;
 mod program_spec;
 mod raw_exchange;
@@ -13,15 +18,26 @@
 mod serving;
 mod test_answer;
 mod test_client;
+mod test_timing;
 
+pub use assertions::booking_runs;
+pub use assertions::not_run_once;
+pub use assertions::unserved;
 pub use chat_answer::ChatAnswer;
 pub use chat_answer::chat_body;
 pub use child_process::ChildProcess;
+pub use event_history::EventHistory;
 pub use fleet::Fleet;
 pub use fleet_builder::FleetBuilder;
 pub use fleet_builder::peer_key_line;
 pub use fleet_error::FleetError;
+pub use fleet_records::FleetRecords;
 pub use free_ports::free_addresses;
+pub use open_load::LoadKind;
+pub use open_load::LoadRecord;
+pub use open_load::LoadSource;
+pub use open_load::OpenLoad;
+pub use peer_probe::PeerProbe;
 pub use program_kind::ProgramKind;
 pub use program_spec::ProgramSpec;
 pub use program_spec::default_program_dir;
@@ -35,3 +51,4 @@
 pub use test_answer::TestAnswer;
 pub use test_client::OpenAnswer;
 pub use test_client::TestClient;
+pub use test_timing::TestTiming;
