--- a/crates/fleet/tests/authority_outage.rs
+++ b/crates/fleet/tests/authority_outage.rs
@@ -82,6 +82,7 @@
 }
 
 /// Guards against requests that depend on the key-value service in steady state.
+#[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn failures_of_the_key_value_service_refuse_no_request() {
     let timing = TestTiming::from_environment();
@@ -124,6 +125,7 @@
 /// an older revision on a host that restarts in the outage. An entry process takes the snapshot of the control
 /// process beside it. A control process that restarts must join, which needs the service: it says that it is not
 /// ready until the outage ends, and then has the newest revision.
+#[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_document_accepted_before_an_outage_reaches_all_hosts_and_survives_restarts() {
     let timing = TestTiming::from_environment();
--- a/crates/fleet/tests/authority_pause.rs
+++ b/crates/fleet/tests/authority_pause.rs
@@ -67,10 +67,13 @@
 
 /// Guards against a former owner that grants charges, queues requests or gives orders after it was paused past
 /// every time-out, and against one that goes on under its old incarnation.
+#[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_paused_owner_answers_not_owner_and_rejoins_with_a_new_incarnation() {
     let timing = TestTiming::from_environment();
     let (mut fleet, records) = start(&timing).await;
+    // Handovers after the start are over.
+    tokio::time::sleep(2 * timing.settle).await;
     let owner = records.owner(&account_key()).await.unwrap();
     let control = owner.replace("host", "control");
     let address = fleet.spec(&control).unwrap().address.to_string();
@@ -115,6 +118,7 @@
 
 /// Guards against the death of a healthy host whose guardian is paused, and against two owners when a host and its
 /// guardian are paused in turn.
+#[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn pauses_of_the_guardian_and_then_of_its_host_never_make_two_owners() {
     let timing = TestTiming::from_environment();
--- a/crates/fleet/tests/authority_restart.rs
+++ b/crates/fleet/tests/authority_restart.rs
@@ -27,6 +27,7 @@
 
 /// Guards against requests cut or refused by a stop, shards that a stop leaves without owner, and a planned stop
 /// that ends in a declared death.
+#[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn restarting_every_host_in_turn_loses_and_refuses_nothing() {
     let timing = TestTiming::from_environment();
--- a/crates/fleet/tests/authority_takeover.rs
+++ b/crates/fleet/tests/authority_takeover.rs
@@ -28,6 +28,7 @@
 
 /// Guards against shards without an owner for longer than the bound after a kill, against refusals meanwhile, and
 /// against bookings that run twice because their key's record died with the owner.
+#[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn after_a_kill_ownership_moves_and_nothing_is_refused_or_repeated() {
     let builder = FleetBuilder::new()
--- a/crates/fleet/tests/limits_rate.rs
+++ b/crates/fleet/tests/limits_rate.rs
@@ -128,6 +128,7 @@
 
 /// Guards against a burst that is granted again by a new owner of the account, after a kill, a pause, and a planned
 /// handover, while several entry hosts ask for far more than the rate.
+#[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_account_never_gets_more_than_its_rate_and_burst() {
     let timing = TestTiming::from_environment();
@@ -169,6 +170,7 @@
 /// Guards against a limiter that refuses an account within 90% of its rate because its requests are spread
 /// unevenly over the entry hosts: none without faults, at most 0.1% over the kill of one host. The static split
 /// is replayed with the same arrivals for the record.
+#[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_account_within_its_rate_is_not_refused() {
     let timing = TestTiming::from_environment();
