Keep requests and tickets of a host whose control process died

Every second, the owner of a model dropped the waiting requests of each host with a dead record, without an answer, and counted their tickets as returned. The record speaks for the control process only: the entry process of the same host goes on, or still drains after a planned stop, so its requests hung until their deadline (I3) and its running requests no longer protected their replica.

--- a/crates/control/src/dispatch_service.rs
+++ b/crates/control/src/dispatch_service.rs
@@ -13,7 +13,6 @@
 use zinniahinge_types::DispatchReply;
 use zinniahinge_types::DispatchRequest;
 use zinniahinge_types::EventKind;
-use zinniahinge_types::HostState;
 use zinniahinge_types::Name;
 use zinniahinge_types::PeerAck;
 use zinniahinge_types::ReleaseRequest;
@@ -33,7 +32,7 @@
 /// Time for a demand report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// How often documents, host list and dead hosts are applied to the dispatchers even if nothing woke the task.
+/// How often documents and the host list are applied to the dispatchers even if nothing woke the task.
 const APPLY_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Dispatch requests and demand.
@@ -230,13 +229,10 @@
         }
     }
 
+    /// The requests and tickets of a host that was declared dead stay: its record speaks for the control process
+    /// only, and its entry process may go on. Tickets lapse at their deadline.
     fn apply(&self) {
         let in_force = self.in_force.load();
-        let dead: Vec<Name> = self.member.read(|core, _now| {
-            let hosts = core.members.iter();
-            let dead = hosts.filter(|(_, entry)| entry.record.state == HostState::Dead);
-            dead.map(|(host, _)| host.clone()).collect()
-        });
         let models = all_models(&in_force);
         self.shards.for_each(|state, owner| {
             state
@@ -245,9 +241,6 @@
             let own = models.iter().filter(|model| model.shard == state.shard);
             state.models.add_models(own.map(|model| model.key.clone()));
             state.models.apply_in_force(&in_force, owner.now);
-            for host in &dead {
-                state.models.reclaim_host(host, owner.now);
-            }
         });
     }
 }
--- a/crates/control/src/dispatch_table.rs
+++ b/crates/control/src/dispatch_table.rs
@@ -150,14 +150,6 @@
         }
     }
 
-    /// Takes back what a dead host holds.
-    pub fn reclaim_host(&mut self, host: &str, now: MonotonicTime) {
-        for cell in self.models.values_mut() {
-            cell.dispatcher.reclaim_host(host);
-            cell.poll(now);
-        }
-    }
-
     /// Answers requests whose time has come.
     pub fn poll(&mut self, now: MonotonicTime) {
         for cell in self.models.values_mut() {
