Finish recording an idempotency key when the sender gives up

/peer/begin recorded the key inside the handler. An entry process gives the call up after 1 s and asks again, which drops the handler; the table then waited for a record that nobody wrote, and every repeat was told to ask again until the request's deadline. With answers of the key-value service 3 s late, 47 bookings in 8 s were refused after 10 s each (authority_outage, case slow). Ruled out: a full guardian store (the record of the first attempt was never copied).

Recording now runs in its own task.

--- a/crates/control/src/idempotency_service.rs
+++ b/crates/control/src/idempotency_service.rs
@@ -100,7 +100,12 @@
                     age: Duration::ZERO,
                     phase: RecordPhase::Running,
                 };
-                self.record(shard, record, request_id).await
+                // The handler is dropped when the sender gives the call up and asks again. The key must not stay
+                // unrecorded then, or every repeat would wait for a record that nobody writes.
+                let this = self.clone();
+                let recorded =
+                    tokio::spawn(async move { this.record(shard, record, request_id).await });
+                recorded.await.unwrap_or(BeginReply::NotOwner)
             }
             Some(BeginDecision::Run) => BeginReply::Run,
             Some(BeginDecision::Stored(answer)) => BeginReply::Stored((*answer).clone()),
