Report an entry process as ready only after the host list was read

Before that every request is refused for want of a backend server, and a control process that has not read the list yet replaced a list that its followers held. Found by reading the code after refusals at the start of a test fleet; those had another cause (servers registered after the start), so no run shows the fault.

--- a/crates/control/src/in_force.rs
+++ b/crates/control/src/in_force.rs
@@ -30,8 +30,8 @@
 pub struct InForceState {
     /// Documents by service.
     pub documents: BTreeMap<Name, DocumentEntry>,
-    /// Backend servers of the host list.
-    pub servers: Vec<ServerEntry>,
+    /// Backend servers of the host list; `None` until it was read for the first time.
+    pub servers: Option<Vec<ServerEntry>>,
 }
 
 impl InForceState {
@@ -50,7 +50,7 @@
 
     /// True if the host list shows `server` as live.
     pub fn is_live(&self, server: &str) -> bool {
-        let mut servers = self.servers.iter();
+        let mut servers = self.servers.iter().flatten();
         servers.any(|entry| &*entry.server == server && entry.state == ServerState::Live)
     }
 }
@@ -102,6 +102,7 @@
     /// Replaces the host list. Returns true if it changed.
     pub fn set_servers(&self, servers: Vec<ServerEntry>) -> bool {
         self.change(|state| {
+            let servers = Some(servers);
             let is_new = state.servers != servers;
             state.servers = servers;
             is_new
--- a/crates/control/src/pool_controller.rs
+++ b/crates/control/src/pool_controller.rs
@@ -106,6 +106,7 @@
         let listed: Vec<ServerEntry> = in_force
             .servers
             .iter()
+            .flatten()
             .filter(|entry| entry.group == *group)
             .cloned()
             .collect();
@@ -193,6 +194,7 @@
                 let listed = in_force
                     .servers
                     .iter()
+                    .flatten()
                     .filter(|listed| listed.group == *group);
                 pool.end_recovery_if_complete(listed.map(|listed| listed.server.clone()));
             }
--- a/crates/entry/src/entry_process.rs
+++ b/crates/entry/src/entry_process.rs
@@ -150,6 +150,9 @@
         if snapshot.assignment.owners.is_empty() {
             return Readiness::NotReady("the assignment of shards is not known".to_owned());
         }
+        if snapshot.servers.is_none() {
+            return Readiness::NotReady("the host list was not read yet".to_owned());
+        }
         Readiness::Ready
     };
     AdminSource::new(state.events.clone(), registry.clone(), readiness)
--- a/crates/entry/src/entry_snapshot.rs
+++ b/crates/entry/src/entry_snapshot.rs
@@ -39,8 +39,8 @@
     pub assignment_revision: Revision,
     /// Known hosts.
     pub hosts: BTreeMap<HostId, HostAddress>,
-    /// Backend servers of the host list.
-    pub servers: Vec<ServerEntry>,
+    /// Backend servers of the host list; `None` until a control process that has read it was heard.
+    pub servers: Option<Vec<ServerEntry>>,
 }
 
 impl EntrySnapshot {
--- a/crates/entry/src/plain_forward.rs
+++ b/crates/entry/src/plain_forward.rs
@@ -175,7 +175,7 @@
                 && server.state == ServerState::Live
                 && !excluded.contains(&server.server)
         };
-        let servers: Vec<&ServerEntry> = snapshot.servers.iter().filter(usable).collect();
+        let servers: Vec<&ServerEntry> = snapshot.servers.iter().flatten().filter(usable).collect();
         let near: Vec<&ServerEntry> = servers
             .iter()
             .copied()
--- a/crates/entry/src/snapshot_follower.rs
+++ b/crates/entry/src/snapshot_follower.rs
@@ -132,7 +132,7 @@
         } = reply;
         let mut next = EntrySnapshot {
             hosts,
-            servers,
+            servers: servers.or_else(|| current.servers.clone()),
             ..EntrySnapshot::clone(&current)
         };
         if assignment_revision >= current.assignment_revision {
--- a/crates/types/src/member_message.rs
+++ b/crates/types/src/member_message.rs
@@ -135,8 +135,8 @@
     pub assignment_revision: Revision,
     /// Known hosts, dead ones left out.
     pub hosts: BTreeMap<HostId, HostAddress>,
-    /// Backend servers from the host list.
-    pub servers: Vec<ServerEntry>,
+    /// Backend servers from the host list; `None` if the replying process has not read the list yet.
+    pub servers: Option<Vec<ServerEntry>>,
     /// Time since the replying process last knew its revisions to be current.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "staleness_ms")]
