--- a/crates/fleet/tests/authority_pause.rs
+++ b/crates/fleet/tests/authority_pause.rs
@@ -113,8 +113,18 @@
         .await
         .unwrap();
     tokio::time::sleep(3 * timing.term).await;
+    // The messages wait in the sockets when the process wakes, so that it reads them at once.
+    let probes = (0..PROBES).map(|_| {
+        let (probe, address) = (probe.clone(), address.clone());
+        tokio::spawn(async move { probe.charge(&address, "demo-llm", "vendor", 1).await })
+    });
+    let probes: Vec<_> = probes.collect();
+    tokio::time::sleep(Duration::from_millis(300)).await;
     fleet.process(&control).unwrap().resume().unwrap();
     let mut replies = Vec::new();
+    for probe in probes {
+        replies.push(probe.await.unwrap());
+    }
     for _ in 0..PROBES {
         replies.push(probe.charge(&address, "demo-llm", "vendor", 1).await);
     }
