--- a/crates/control/src/in_force.rs
+++ b/crates/control/src/in_force.rs
@@ -30,8 +30,10 @@
 pub struct InForceState {
     /// Documents by service.
     pub documents: BTreeMap<Name, DocumentEntry>,
-    /// Backend servers of the host list; `None` until it was read for the first time.
-    pub servers: Option<Vec<ServerEntry>>,
+    /// Backend servers of the host list.
+    pub servers: Vec<ServerEntry>,
+    /// False until the host list was read for the first time.
+    pub servers_known: bool,
 }
 
 impl InForceState {
@@ -50,7 +52,7 @@
 
     /// True if the host list shows `server` as live.
     pub fn is_live(&self, server: &str) -> bool {
-        let mut servers = self.servers.iter().flatten();
+        let mut servers = self.servers.iter();
         servers.any(|entry| &*entry.server == server && entry.state == ServerState::Live)
     }
 }
@@ -102,9 +104,9 @@
     /// Replaces the host list. Returns true if it changed.
     pub fn set_servers(&self, servers: Vec<ServerEntry>) -> bool {
         self.change(|state| {
-            let servers = Some(servers);
-            let is_new = state.servers != servers;
+            let is_new = !state.servers_known || state.servers != servers;
             state.servers = servers;
+            state.servers_known = true;
             is_new
         })
     }
--- a/crates/control/src/pool_controller.rs
+++ b/crates/control/src/pool_controller.rs
@@ -106,7 +106,6 @@
         let listed: Vec<ServerEntry> = in_force
             .servers
             .iter()
-            .flatten()
             .filter(|entry| entry.group == *group)
             .cloned()
             .collect();
@@ -194,7 +193,6 @@
                 let listed = in_force
                     .servers
                     .iter()
-                    .flatten()
                     .filter(|listed| listed.group == *group);
                 pool.end_recovery_if_complete(listed.map(|listed| listed.server.clone()));
             }
--- a/crates/entry/src/snapshot_follower.rs
+++ b/crates/entry/src/snapshot_follower.rs
@@ -22,6 +22,7 @@
 use crate::entry_snapshot::EntrySnapshot;
 use crate::entry_snapshot::ServiceInForce;
 use crate::entry_snapshot::SnapshotCell;
+use crate::plain_servers::PlainServers;
 
 /// A control process answers a snapshot poll within a second, changed or not.
 const POLL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -37,6 +38,8 @@
     pub client: PeerClient,
     /// Where the result goes.
     pub cell: Arc<SnapshotCell>,
+    /// Servers that follow the host list.
+    pub plain_servers: Arc<PlainServers>,
     /// Events of document changes.
     pub events: Arc<EventLog>,
     /// Log.
@@ -132,9 +135,13 @@
         } = reply;
         let mut next = EntrySnapshot {
             hosts,
-            servers: servers.or_else(|| current.servers.clone()),
             ..EntrySnapshot::clone(&current)
         };
+        // A control process that has just started has not read the host list; the last one is kept.
+        if let Some(servers) = servers {
+            next.servers = servers;
+            next.servers_known = true;
+        }
         if assignment_revision >= current.assignment_revision {
             next.assignment = assignment;
             next.assignment_revision = assignment_revision;
@@ -142,6 +149,7 @@
         for document in documents {
             self.apply_document(&mut next, document);
         }
+        self.plain_servers.update(&next);
         self.cell.store(next);
         self.cell.mark_fresh(staleness);
     }
