--- a/crates/fleet/tests/authority_outage.rs
+++ b/crates/fleet/tests/authority_outage.rs
@@ -38,8 +38,11 @@
         .with_engines(2)
         .with_services(1)
         .with_arguments(ProgramKind::Control, timing.control_arguments());
-    let fleet = builder.start_serving(&[DEMO_LLM, DEMO_APP]).await.unwrap();
-    let records = FleetRecords::new(&fleet).unwrap();
+    let fleet = builder
+        .start_serving(&[DEMO_LLM, DEMO_APP])
+        .await
+        .expect("started");
+    let records = FleetRecords::new(&fleet).expect("no error");
     let all_own = async || {
         records
             .shard_counts()
@@ -48,7 +51,7 @@
     };
     wait_until("shards at all hosts", START_LIMIT, all_own)
         .await
-        .unwrap();
+        .expect("reached in time");
     // Every owner has learned of its shards, and handovers after the joins are over.
     tokio::time::sleep(2 * timing.settle + Duration::from_secs(1)).await;
     (fleet, records)
@@ -70,7 +73,7 @@
             Duration::from_millis(200),
         ),
     ];
-    OpenLoad::start(fleet, &sources).unwrap()
+    OpenLoad::start(fleet, &sources).expect("no error")
 }
 
 /// The demonstration document with another rate, so that its acceptance makes a new revision.
@@ -85,7 +88,7 @@
 /// they learn from the service.
 async fn holders(fleet: &Fleet, revision: u64) -> usize {
     let mut history = EventHistory::default();
-    history.collect(fleet).await.unwrap();
+    history.collect(fleet).await.expect("no error");
     let detail = format!("revision {revision}");
     let events = history.of_kind(EventKind::DocumentInForce);
     let events = events.filter(|event| event.process.starts_with("entry/"));
@@ -129,9 +132,9 @@
     for (number, case) in cases.iter().enumerate() {
         let name = format!("book-{number}");
         let load = start_load(&fleet, &name, &ENTRIES);
-        fleet.add_fault("kv", &case.fault).await.unwrap();
+        fleet.add_fault("kv", &case.fault).await.expect("no error");
         tokio::time::sleep(length).await;
-        fleet.clear_faults("kv").await.unwrap();
+        fleet.clear_faults("kv").await.expect("no error");
         tokio::time::sleep(Duration::from_secs(1)).await;
         let answers = load.finish().await;
         expect_that!(answers.len(), gt(10));
@@ -141,7 +144,9 @@
             "guards against {}",
             case.guards
         );
-        let faults = not_run_once(&fleet, &answers, &name).await.unwrap();
+        let faults = not_run_once(&fleet, &answers, &name)
+            .await
+            .expect("no error");
         expect_that!(faults, is_empty(), "guards against {}", case.guards);
     }
 }
@@ -157,30 +162,35 @@
     let (mut fleet, records) = start(&timing).await;
     // All watches but one skip the event, so that the other hosts can learn of it only from their peers.
     let gap = json!({ "kind": "watch_gap", "count": HOSTS - 1 });
-    fleet.add_fault("kv", &gap).await.unwrap();
-    fleet.accept(&changed_app(51)).unwrap();
-    let revision = records.document_revision("demo-app").await.unwrap();
+    fleet.add_fault("kv", &gap).await.expect("no error");
+    fleet.accept(&changed_app(51)).expect("no error");
+    let revision = records
+        .document_revision("demo-app")
+        .await
+        .expect("no error");
     let known = async || holders(&fleet, revision).await > 0;
-    wait_until("one holder", SPREAD_BOUND, known).await.unwrap();
+    wait_until("one holder", SPREAD_BOUND, known)
+        .await
+        .expect("reached in time");
     fleet
         .add_fault("kv", &json!({ "kind": "down" }))
         .await
-        .unwrap();
+        .expect("no error");
     let all_hold = async || holders(&fleet, revision).await == HOSTS;
     let spread = wait_until("the revision on all hosts", SPREAD_BOUND, all_hold).await;
     expect_that!(spread.map_err(|error| error.to_string()), ok(anything()));
 
-    let entry = fleet.process("entry-3").unwrap();
-    entry.restart().unwrap();
-    entry.wait_ready(START_LIMIT).await.unwrap();
+    let entry = fleet.process("entry-3").expect("known");
+    entry.restart().expect("signalled");
+    entry.wait_ready(START_LIMIT).await.expect("ready");
     let entry_load = start_load_of_restarted(&fleet);
     tokio::time::sleep(Duration::from_secs(2)).await;
     let entry_answers = entry_load.finish().await;
     // A takeover of the shards of a control process that dies now waits for the service: requests that need them
     // are refused at their deadline, and none is left without an answer.
     let load = start_load(&fleet, "book", &["entry-1", "entry-2"]);
-    let control = fleet.process("control-4").unwrap();
-    control.restart().unwrap();
+    let control = fleet.process("control-4").expect("known");
+    control.restart().expect("signalled");
     let joined = control
         .wait_ready(3 * timing.term + Duration::from_secs(2))
         .await;
@@ -189,9 +199,9 @@
         eq(true),
         "a control process joined without the service"
     );
-    fleet.clear_faults("kv").await.unwrap();
-    let control = fleet.process("control-4").unwrap();
-    control.wait_ready(START_LIMIT).await.unwrap();
+    fleet.clear_faults("kv").await.expect("no error");
+    let control = fleet.process("control-4").expect("known");
+    control.wait_ready(START_LIMIT).await.expect("ready");
     let answers = load.finish().await;
     let silent = answers
         .iter()
@@ -208,13 +218,13 @@
     let entries = ["entry-3"];
     let interval = Duration::from_millis(200);
     let source = LoadSource::new("again", &entries, LoadKind::Lookup, interval);
-    OpenLoad::start(fleet, &[source]).unwrap()
+    OpenLoad::start(fleet, &[source]).expect("no error")
 }
 
 /// Revisions of `demo-app` that came into force in the restarted processes and are older than `revision`.
 async fn older_revisions(fleet: &Fleet, revision: u64) -> Vec<String> {
     let mut history = EventHistory::default();
-    history.collect(fleet).await.unwrap();
+    history.collect(fleet).await.expect("no error");
     let restarted = ["entry/host-3", "control/host-4"];
     let events = history.of_kind(EventKind::DocumentInForce);
     let events = events.filter(|event| &*event.subject == "demo-app");
--- a/crates/fleet/tests/authority_pause.rs
+++ b/crates/fleet/tests/authority_pause.rs
@@ -34,8 +34,11 @@
         .with_engines(2)
         .with_services(1)
         .with_arguments(ProgramKind::Control, timing.control_arguments());
-    let fleet = builder.start_serving(&[DEMO_LLM, DEMO_APP]).await.unwrap();
-    let records = FleetRecords::new(&fleet).unwrap();
+    let fleet = builder
+        .start_serving(&[DEMO_LLM, DEMO_APP])
+        .await
+        .expect("started");
+    let records = FleetRecords::new(&fleet).expect("no error");
     let all_own = async || {
         records
             .shard_counts()
@@ -44,7 +47,7 @@
     };
     wait_until("shards at all hosts", START_LIMIT, all_own)
         .await
-        .unwrap();
+        .expect("reached in time");
     // Every owner has learned of its shards, and handovers after the joins are over.
     tokio::time::sleep(2 * timing.settle + Duration::from_secs(1)).await;
     (fleet, records)
@@ -69,7 +72,7 @@
             Duration::from_millis(150),
         ),
     ];
-    OpenLoad::start(fleet, &sources).unwrap()
+    OpenLoad::start(fleet, &sources).expect("no error")
 }
 
 fn account_key() -> ResourceKey {
@@ -86,22 +89,31 @@
 async fn a_paused_owner_answers_not_owner_and_rejoins_with_a_new_incarnation() {
     let timing = TestTiming::from_environment();
     let (mut fleet, records) = start(&timing).await;
-    let owner = records.owner(&account_key()).await.unwrap();
+    let owner = records.owner(&account_key()).await.expect("no error");
     let control = owner.replace("host", "control");
-    let address = fleet.spec(&control).unwrap().address.to_string();
-    let probe = PeerProbe::new(&fleet).unwrap();
+    let address = fleet.spec(&control).expect("no error").address.to_string();
+    let probe = PeerProbe::new(&fleet).expect("no error");
     let reply = probe
         .charge(&address, "demo-llm", "vendor", 1)
         .await
-        .unwrap();
+        .expect("no error");
     assert_that!(reply, pat!(ChargeReply::Granted { .. }));
-    let before = records.host(&owner).await.unwrap().unwrap().incarnation;
+    let before = records
+        .host(&owner)
+        .await
+        .expect("no error")
+        .expect("no error")
+        .incarnation;
     let mut history = EventHistory::default();
     let load = start_load(&fleet, &[&owner]);
     tokio::time::sleep(Duration::from_secs(1)).await;
-    history.collect(&fleet).await.unwrap();
+    history.collect(&fleet).await.expect("no error");
 
-    fleet.process(&control).unwrap().pause().unwrap();
+    fleet
+        .process(&control)
+        .expect("known")
+        .pause()
+        .expect("signalled");
     // A successor that has acquired the shard exists before the owner wakes.
     let moved = async || {
         records
@@ -111,7 +123,7 @@
     };
     wait_until("another owner", START_LIMIT, moved)
         .await
-        .unwrap();
+        .expect("reached in time");
     tokio::time::sleep(3 * timing.term).await;
     // The messages wait in the sockets when the process wakes, so that it reads them at once.
     let probes = (0..PROBES).map(|_| {
@@ -120,10 +132,14 @@
     });
     let probes: Vec<_> = probes.collect();
     tokio::time::sleep(Duration::from_millis(300)).await;
-    fleet.process(&control).unwrap().resume().unwrap();
+    fleet
+        .process(&control)
+        .expect("known")
+        .resume()
+        .expect("signalled");
     let mut replies = Vec::new();
     for probe in probes {
-        replies.push(probe.await.unwrap());
+        replies.push(probe.await.expect("no error"));
     }
     for _ in 0..PROBES {
         replies.push(probe.charge(&address, "demo-llm", "vendor", 1).await);
@@ -141,18 +157,20 @@
     };
     wait_until("a new incarnation", START_LIMIT, rejoined)
         .await
-        .unwrap();
+        .expect("reached in time");
     fleet
         .process(&control)
-        .unwrap()
+        .expect("known")
         .wait_ready(START_LIMIT)
         .await
-        .unwrap();
+        .expect("ready");
     tokio::time::sleep(2 * timing.settle).await;
     let answers = load.finish().await;
-    history.collect(&fleet).await.unwrap();
+    history.collect(&fleet).await.expect("no error");
     expect_that!(unserved(&answers), is_empty());
-    let faults = not_run_once(&fleet, &answers, "book").await.unwrap();
+    let faults = not_run_once(&fleet, &answers, "book")
+        .await
+        .expect("no error");
     expect_that!(faults, is_empty());
     expect_that!(history.ownership_faults("demo-llm", &["small"]), is_empty());
 }
@@ -164,42 +182,65 @@
 async fn pauses_of_the_guardian_and_then_of_its_host_never_make_two_owners() {
     let timing = TestTiming::from_environment();
     let (mut fleet, records) = start(&timing).await;
-    let host = records.owner(&account_key()).await.unwrap();
-    let guardian = records.host(&host).await.unwrap().unwrap().guardian;
+    let host = records.owner(&account_key()).await.expect("no error");
+    let guardian = records
+        .host(&host)
+        .await
+        .expect("no error")
+        .expect("no error")
+        .guardian;
     let guardian = guardian.expect("a guardian").to_string();
     let mut history = EventHistory::default();
     let load = start_load(&fleet, &[&host, &guardian]);
     let pause = 4 * timing.term + Duration::from_secs(1);
 
     let watcher = guardian.replace("host", "control");
-    fleet.process(&watcher).unwrap().pause().unwrap();
+    fleet
+        .process(&watcher)
+        .expect("known")
+        .pause()
+        .expect("signalled");
     tokio::time::sleep(pause).await;
-    history.collect(&fleet).await.unwrap();
+    history.collect(&fleet).await.expect("no error");
     let dead = history.of_kind(EventKind::HostDeclaredDead);
     let dead = dead.filter(|event| *event.subject == *host).count();
     expect_that!(dead, eq(0));
     let control = host.replace("host", "control");
-    fleet.process(&control).unwrap().pause().unwrap();
-    fleet.process(&watcher).unwrap().resume().unwrap();
+    fleet
+        .process(&control)
+        .expect("known")
+        .pause()
+        .expect("signalled");
+    fleet
+        .process(&watcher)
+        .expect("known")
+        .resume()
+        .expect("signalled");
     tokio::time::sleep(pause).await;
-    fleet.process(&control).unwrap().resume().unwrap();
     fleet
         .process(&control)
-        .unwrap()
+        .expect("known")
+        .resume()
+        .expect("signalled");
+    fleet
+        .process(&control)
+        .expect("known")
         .wait_ready(START_LIMIT)
         .await
-        .unwrap();
+        .expect("ready");
     fleet
         .process(&watcher)
-        .unwrap()
+        .expect("known")
         .wait_ready(START_LIMIT)
         .await
-        .unwrap();
+        .expect("ready");
     tokio::time::sleep(2 * timing.settle).await;
     let answers = load.finish().await;
-    history.collect(&fleet).await.unwrap();
+    history.collect(&fleet).await.expect("no error");
     expect_that!(unserved(&answers), is_empty());
-    let faults = not_run_once(&fleet, &answers, "book").await.unwrap();
+    let faults = not_run_once(&fleet, &answers, "book")
+        .await
+        .expect("no error");
     expect_that!(faults, is_empty());
     expect_that!(history.ownership_faults("demo-llm", &["small"]), is_empty());
 }
--- a/crates/fleet/tests/authority_restart.rs
+++ b/crates/fleet/tests/authority_restart.rs
@@ -36,8 +36,11 @@
         .with_engines(2)
         .with_services(1)
         .with_arguments(ProgramKind::Control, timing.control_arguments());
-    let mut fleet = builder.start_serving(&[DEMO_LLM, DEMO_APP]).await.unwrap();
-    let records = FleetRecords::new(&fleet).unwrap();
+    let mut fleet = builder
+        .start_serving(&[DEMO_LLM, DEMO_APP])
+        .await
+        .expect("started");
+    let records = FleetRecords::new(&fleet).expect("no error");
     let all_own = async || {
         records
             .shard_counts()
@@ -46,7 +49,7 @@
     };
     wait_until("shards at all hosts", START_LIMIT, all_own)
         .await
-        .unwrap();
+        .expect("reached in time");
     // The host list got its servers after the start and is asked for with a lag.
     tokio::time::sleep(2 * timing.settle + Duration::from_secs(1)).await;
     let mut history = EventHistory::default();
@@ -60,42 +63,48 @@
         LoadSource::new("book", &ENTRIES, LoadKind::Booking, interval).with_only_ready(),
         LoadSource::new("look", &ENTRIES, LoadKind::Lookup, interval).with_only_ready(),
     ];
-    let load = OpenLoad::start(&fleet, &sources).unwrap();
+    let load = OpenLoad::start(&fleet, &sources).expect("no error");
     tokio::time::sleep(Duration::from_secs(1)).await;
     for number in 1..=HOSTS {
-        history.collect(&fleet).await.unwrap();
+        history.collect(&fleet).await.expect("no error");
         let names = [format!("entry-{number}"), format!("control-{number}")];
         for name in &names {
-            fleet.process(name).unwrap().terminate().unwrap();
+            fleet
+                .process(name)
+                .expect("known")
+                .terminate()
+                .expect("signalled");
         }
         for name in &names {
-            let process = fleet.process(name).unwrap();
-            let status = process.wait_exit(STOP_LIMIT).await.unwrap();
+            let process = fleet.process(name).expect("known");
+            let status = process.wait_exit(STOP_LIMIT).await.expect("no error");
             expect_that!(
                 status.success(),
                 eq(true),
                 "{name} failed to stop: {status}"
             );
-            process.restart().unwrap();
+            process.restart().expect("signalled");
         }
         for name in &names {
             fleet
                 .process(name)
-                .unwrap()
+                .expect("known")
                 .wait_ready(START_LIMIT)
                 .await
-                .unwrap();
+                .expect("ready");
         }
         wait_until("shards at all hosts", START_LIMIT, all_own)
             .await
-            .unwrap();
+            .expect("reached in time");
     }
     tokio::time::sleep(2 * timing.settle).await;
     let answers = load.finish().await;
-    history.collect(&fleet).await.unwrap();
+    history.collect(&fleet).await.expect("no error");
     expect_that!(answers.len(), gt(50));
     expect_that!(unserved(&answers), is_empty());
-    let faults = not_run_once(&fleet, &answers, "book").await.unwrap();
+    let faults = not_run_once(&fleet, &answers, "book")
+        .await
+        .expect("no error");
     expect_that!(faults, is_empty());
     let unplanned = history.acquired(0).into_iter();
     let unplanned = unplanned.filter(|(_, event)| event.detail.starts_with("recovered after"));
--- a/crates/fleet/tests/authority_takeover.rs
+++ b/crates/fleet/tests/authority_takeover.rs
@@ -35,8 +35,11 @@
         .with_hosts(HOSTS)
         .with_engines(2)
         .with_services(1);
-    let mut fleet = builder.start_serving(&[DEMO_LLM, DEMO_APP]).await.unwrap();
-    let records = FleetRecords::new(&fleet).unwrap();
+    let mut fleet = builder
+        .start_serving(&[DEMO_LLM, DEMO_APP])
+        .await
+        .expect("started");
+    let records = FleetRecords::new(&fleet).expect("no error");
     let all_own = async || {
         records
             .shard_counts()
@@ -45,7 +48,7 @@
     };
     wait_until("shards at all hosts", START_LIMIT, all_own)
         .await
-        .unwrap();
+        .expect("reached in time");
     // Every owner has learned of its shards.
     tokio::time::sleep(Duration::from_secs(1)).await;
 
@@ -53,7 +56,7 @@
         service: "demo-llm".into(),
         account: "vendor".into(),
     };
-    let victim = records.owner(&account).await.unwrap();
+    let victim = records.owner(&account).await.expect("no error");
     let entries: Vec<String> = (1..=HOSTS)
         .filter(|number| victim != format!("host-{number}"))
         .map(|number| format!("entry-{number}"))
@@ -78,17 +81,21 @@
             Duration::from_millis(200),
         ),
     ];
-    let load = OpenLoad::start(&fleet, &sources).unwrap();
+    let load = OpenLoad::start(&fleet, &sources).expect("no error");
     tokio::time::sleep(Duration::from_secs(2)).await;
     let mut history = EventHistory::default();
-    history.collect(&fleet).await.unwrap();
-    let lost = records.shard_counts().await.unwrap()[&victim];
+    history.collect(&fleet).await.expect("no error");
+    let lost = records.shard_counts().await.expect("no error")[&victim];
     let control = victim.replace("host", "control");
-    fleet.process(&control).unwrap().kill().unwrap();
+    fleet
+        .process(&control)
+        .expect("known")
+        .kill()
+        .expect("signalled");
     let killed_us = wall_clock_us();
     tokio::time::sleep(MOVE_BOUND).await;
-    history.collect(&fleet).await.unwrap();
-    let counts = records.shard_counts().await.unwrap();
+    history.collect(&fleet).await.expect("no error");
+    let counts = records.shard_counts().await.expect("no error");
     let answers = load.finish().await;
 
     expect_that!(counts.get(&victim), none());
@@ -98,7 +105,9 @@
     let moved = moved.filter(|(_, event)| *event.detail == *detail && event.at_us <= bound_us);
     expect_that!(moved.count(), eq(lost));
     expect_that!(unserved(&answers), is_empty());
-    let faults = not_run_once(&fleet, &answers, "book").await.unwrap();
+    let faults = not_run_once(&fleet, &answers, "book")
+        .await
+        .expect("no error");
     expect_that!(faults, is_empty());
     expect_that!(history.ownership_faults("demo-llm", &["small"]), is_empty());
 
@@ -107,11 +116,18 @@
         .iter()
         .filter(|record| record.id.starts_with("book"))
     {
-        let client = TestClient::new().unwrap().with_key(VENDOR_KEY);
+        let client = TestClient::new().expect("no error").with_key(VENDOR_KEY);
         let client = client.with_header("idempotency-key", &record.id);
-        let url = fleet.url(entries[0], "/r/demo-app/bookings").unwrap();
-        client.post(&url, record.id.clone()).await.unwrap();
+        let url = fleet
+            .url(entries[0], "/r/demo-app/bookings")
+            .expect("no error");
+        client
+            .post(&url, record.id.clone())
+            .await
+            .expect("no error");
     }
-    let faults = not_run_once(&fleet, &answers, "book").await.unwrap();
+    let faults = not_run_once(&fleet, &answers, "book")
+        .await
+        .expect("no error");
     expect_that!(faults, is_empty());
 }
--- a/crates/fleet/tests/limits_calls.rs
+++ b/crates/fleet/tests/limits_calls.rs
@@ -39,7 +39,7 @@
 }
 
 async fn counters(fleet: &Fleet) -> Value {
-    fleet.read_json("kv", "/counters").await.unwrap()
+    fleet.read_json("kv", "/counters").await.expect("no error")
 }
 
 async fn rate_at_rest(hosts: usize) -> CallRate {
@@ -47,8 +47,11 @@
         .with_hosts(hosts)
         .with_engines(1)
         .with_services(1);
-    let fleet = builder.start_serving(&[DEMO_LLM, DEMO_APP]).await.unwrap();
-    let records = FleetRecords::new(&fleet).unwrap();
+    let fleet = builder
+        .start_serving(&[DEMO_LLM, DEMO_APP])
+        .await
+        .expect("started");
+    let records = FleetRecords::new(&fleet).expect("no error");
     let all_own = async || {
         records
             .shard_counts()
@@ -57,17 +60,19 @@
     };
     wait_until("shards at all hosts", START_LIMIT, all_own)
         .await
-        .unwrap();
+        .expect("reached in time");
     tokio::time::sleep(REST_AFTER).await;
     let before = counters(&fleet).await;
     tokio::time::sleep(MEASURED).await;
     let after = counters(&fleet).await;
-    let count = |name: &str| after[name].as_f64().unwrap() - before[name].as_f64().unwrap();
+    let count = |name: &str| {
+        after[name].as_f64().expect("no error") - before[name].as_f64().expect("no error")
+    };
     let seconds = MEASURED.as_secs_f64();
     CallRate {
         reads: (count("reads") + count("watches")) / seconds,
         writes: (count("writes") + count("leases")) / seconds,
-        waiting_watches: after["open_watches"].as_f64().unwrap(),
+        waiting_watches: after["open_watches"].as_f64().expect("no error"),
     }
 }
 
--- a/crates/fleet/tests/limits_loads.rs
+++ b/crates/fleet/tests/limits_loads.rs
@@ -36,8 +36,8 @@
 
 /// The demonstration document with several small models in place of the large one and the adapter.
 fn document(fencing: bool) -> String {
-    let (head, rest) = DEMO_LLM.split_once("[[models]]").unwrap();
-    let (_, tail) = rest.split_once("[[routes]]").unwrap();
+    let (head, rest) = DEMO_LLM.split_once("[[models]]").expect("no error");
+    let (_, tail) = rest.split_once("[[routes]]").expect("no error");
     let head = head.replace("fencing = true", &format!("fencing = {fencing}"));
     let head = head.replace("loads_per_second = 1.5", "loads_per_second = 4");
     let models = (0..MODELS).map(|number| {
@@ -71,8 +71,11 @@
         .with_arguments(ProgramKind::Engine, &engine)
         .with_arguments(ProgramKind::Control, timing.control_arguments());
     let document = document(fencing);
-    let fleet = builder.start_serving(&[&document, DEMO_APP]).await.unwrap();
-    let records = FleetRecords::new(&fleet).unwrap();
+    let fleet = builder
+        .start_serving(&[&document, DEMO_APP])
+        .await
+        .expect("started");
+    let records = FleetRecords::new(&fleet).expect("no error");
     let all_own = async || {
         records
             .shard_counts()
@@ -81,7 +84,7 @@
     };
     wait_until("shards at all hosts", START_LIMIT, all_own)
         .await
-        .unwrap();
+        .expect("reached in time");
     LoadFleet { fleet, records }
 }
 
@@ -95,13 +98,18 @@
         LoadSource::new(&format!("m{number}"), entries, chat, interval)
     });
     let sources: Vec<LoadSource> = sources.collect();
-    OpenLoad::start(fleet, &sources).unwrap()
+    OpenLoad::start(fleet, &sources).expect("no error")
 }
 
 async fn states(fleet: &Fleet) -> Vec<Value> {
     let mut states = Vec::new();
     for engine in ENGINES {
-        states.push(fleet.read_json(engine, "/v1/state").await.unwrap());
+        states.push(
+            fleet
+                .read_json(engine, "/v1/state")
+                .await
+                .expect("no error"),
+        );
     }
     states
 }
@@ -147,7 +155,10 @@
 
 async fn pool_owner(records: &FleetRecords) -> String {
     let service = "demo-llm".into();
-    records.owner(&ResourceKey::Pool { service }).await.unwrap()
+    records
+        .owner(&ResourceKey::Pool { service })
+        .await
+        .expect("no error")
 }
 
 /// Guards against one load per entry host when all of them ask for the same cold model at once.
@@ -161,7 +172,7 @@
         tokio::time::sleep(Duration::from_secs(4)).await;
         let answers = load.finish().await;
         let mut history = EventHistory::default();
-        history.collect(&fleet).await.unwrap();
+        history.collect(&fleet).await.expect("no error");
         expect_that!(unserved(&answers), is_empty());
         expect_that!(engine_faults(&fleet, &history).await, is_empty());
         let states = states(&fleet).await;
@@ -219,21 +230,39 @@
         let entries: Vec<&str> = entries.into_iter().filter(|e| *e != own_entry).collect();
         let load = start_load(&fleet, MODELS, Duration::from_millis(700), &entries);
         tokio::time::sleep(Duration::from_millis(1500)).await;
-        history.collect(&fleet).await.unwrap();
+        history.collect(&fleet).await.expect("no error");
         match &case.target {
-            FaultTarget::KillOwner => fleet.process(&control).unwrap().kill().unwrap(),
-            FaultTarget::PauseOwner => fleet.process(&control).unwrap().pause().unwrap(),
-            FaultTarget::Standin(name, fault) => fleet.add_fault(name, fault).await.unwrap(),
+            FaultTarget::KillOwner => fleet
+                .process(&control)
+                .expect("known")
+                .kill()
+                .expect("signalled"),
+            FaultTarget::PauseOwner => fleet
+                .process(&control)
+                .expect("known")
+                .pause()
+                .expect("signalled"),
+            FaultTarget::Standin(name, fault) => {
+                fleet.add_fault(name, fault).await.expect("no error")
+            }
         }
         tokio::time::sleep(4 * timing.term + Duration::from_secs(1)).await;
         match &case.target {
-            FaultTarget::KillOwner => fleet.process(&control).unwrap().restart().unwrap(),
-            FaultTarget::PauseOwner => fleet.process(&control).unwrap().resume().unwrap(),
+            FaultTarget::KillOwner => fleet
+                .process(&control)
+                .expect("known")
+                .restart()
+                .expect("signalled"),
+            FaultTarget::PauseOwner => fleet
+                .process(&control)
+                .expect("known")
+                .resume()
+                .expect("signalled"),
             FaultTarget::Standin(..) => {}
         }
         tokio::time::sleep(Duration::from_secs(1)).await;
         let answers = load.finish().await;
-        history.collect(&fleet).await.unwrap();
+        history.collect(&fleet).await.expect("no error");
         let served = answers.iter().filter(|record| record.is_success()).count();
         println!(
             "fencing {fencing}: {served} of {} served: {}",
@@ -251,14 +280,14 @@
         expect_that!(excess, eq(0), "guards against {}", case.guards);
         fleet
             .process(&control)
-            .unwrap()
+            .expect("known")
             .wait_ready(START_LIMIT)
             .await
-            .unwrap();
+            .expect("ready");
         let all_own = async || records.shard_counts().await.is_ok_and(|c| c.len() == HOSTS);
         wait_until("shards at all hosts", START_LIMIT, all_own)
             .await
-            .unwrap();
+            .expect("reached in time");
     }
     expect_that!(history.ownership_faults("demo-llm", &[]), is_empty());
 }
--- a/crates/fleet/tests/limits_operators.rs
+++ b/crates/fleet/tests/limits_operators.rs
@@ -40,8 +40,8 @@
 
 fn start_accept(fleet: &Fleet, name: &str, reviewed: u64, text: &str) -> Child {
     let file = fleet.folder().join(format!("{name}.toml"));
-    fs::write(&file, text).unwrap();
-    let kv = fleet.spec("kv").unwrap();
+    fs::write(&file, text).expect("no error");
+    let kv = fleet.spec("kv").expect("no error");
     Command::new(kv.program.with_file_name("zinniahingectl"))
         .args(["accept", "--kv", &kv.address.to_string()])
         .args(["--reviewed", &reviewed.to_string()])
@@ -50,7 +50,7 @@
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
         .spawn()
-        .unwrap()
+        .expect("no error")
 }
 
 fn output_text(output: &Output) -> String {
@@ -60,7 +60,7 @@
 
 async fn collect(fleet: &Fleet) -> EventHistory {
     let mut history = EventHistory::default();
-    history.collect(fleet).await.unwrap();
+    history.collect(fleet).await.expect("no error");
     history
 }
 
@@ -98,15 +98,18 @@
         .with_hosts(HOSTS)
         .with_services(1)
         .with_arguments(ProgramKind::Control, timing.control_arguments());
-    let mut fleet = builder.start().unwrap();
-    fleet.wait_standins().await.unwrap();
-    fleet.register_servers().await.unwrap();
-    fleet.accept(DEMO_APP).unwrap();
-    fleet.wait_ready(START_LIMIT).await.unwrap();
-    let records = FleetRecords::new(&fleet).unwrap();
+    let mut fleet = builder.start().expect("no error");
+    fleet.wait_standins().await.expect("no error");
+    fleet.register_servers().await.expect("no error");
+    fleet.accept(DEMO_APP).expect("no error");
+    fleet.wait_ready(START_LIMIT).await.expect("ready");
+    let records = FleetRecords::new(&fleet).expect("no error");
 
     for race in 0..RACES {
-        let reviewed = records.document_revision("demo-app").await.unwrap();
+        let reviewed = records
+            .document_revision("demo-app")
+            .await
+            .expect("no error");
         let (first, second) = (100 + 2 * race, 101 + 2 * race);
         let children = [first, second].map(|rate| {
             start_accept(
@@ -116,7 +119,7 @@
                 &changed(rate),
             )
         });
-        let outputs = children.map(|child| child.wait_with_output().unwrap());
+        let outputs = children.map(|child| child.wait_with_output().expect("no error"));
         let accepted_us = wall_clock_us();
         let mut codes = outputs.each_ref().map(|output| output.status.code());
         codes.sort();
@@ -128,37 +131,50 @@
         for rate in [first, second] {
             expect_that!(text, contains_substring(rate.to_string()));
         }
-        let revision = records.document_revision("demo-app").await.unwrap();
+        let revision = records
+            .document_revision("demo-app")
+            .await
+            .expect("no error");
         tokio::time::sleep(SPREAD_BOUND).await;
         let bound_us = accepted_us + SPREAD_BOUND.as_micros() as u64;
         let history = collect(&fleet).await;
         expect_that!(holders(&history, revision, bound_us), eq(2 * HOSTS));
     }
 
-    let reviewed = records.document_revision("demo-app").await.unwrap();
+    let reviewed = records
+        .document_revision("demo-app")
+        .await
+        .expect("no error");
     let lost = json!({ "kind": "lost_answer", "count": 1, "path": "/v3/kv/txn" });
-    fleet.add_fault("kv", &lost).await.unwrap();
+    fleet.add_fault("kv", &lost).await.expect("no error");
     let child = start_accept(&fleet, "lost", reviewed, &changed(200));
-    let output = child.wait_with_output().unwrap();
+    let output = child.wait_with_output().expect("no error");
     expect_that!(
         output.status.code(),
         some(eq(0)),
         "{}",
         output_text(&output)
     );
-    let revision = records.document_revision("demo-app").await.unwrap();
+    let revision = records
+        .document_revision("demo-app")
+        .await
+        .expect("no error");
     expect_that!(revision, gt(reviewed));
 
     for name in ["control-2", "entry-2", "entry-3", "control-4"] {
-        fleet.process(name).unwrap().restart().unwrap();
+        fleet
+            .process(name)
+            .expect("known")
+            .restart()
+            .expect("signalled");
     }
     for name in ["control-2", "entry-2", "entry-3", "control-4"] {
         fleet
             .process(name)
-            .unwrap()
+            .expect("known")
             .wait_ready(START_LIMIT)
             .await
-            .unwrap();
+            .expect("ready");
     }
     tokio::time::sleep(SPREAD_BOUND).await;
     let history = collect(&fleet).await;
--- a/crates/fleet/tests/limits_rate.rs
+++ b/crates/fleet/tests/limits_rate.rs
@@ -74,8 +74,8 @@
     let fleet = builder
         .start_serving(&[&document(), DEMO_APP])
         .await
-        .unwrap();
-    let records = FleetRecords::new(&fleet).unwrap();
+        .expect("started");
+    let records = FleetRecords::new(&fleet).expect("no error");
     let all_own = async || {
         records
             .shard_counts()
@@ -84,7 +84,7 @@
     };
     wait_until("shards at all hosts", START_LIMIT, all_own)
         .await
-        .unwrap();
+        .expect("reached in time");
     (fleet, records)
 }
 
@@ -155,32 +155,61 @@
     let phase = 2 * timing.term + Duration::from_secs(3);
     let entries = skewed_entries("");
     let load = source("over", &entries, 100, Duration::from_millis(25));
-    let load = OpenLoad::start(&fleet, &[load]).unwrap();
+    let load = OpenLoad::start(&fleet, &[load]).expect("no error");
     tokio::time::sleep(phase).await;
 
-    let owner = records.owner(&account_key("vendor")).await.unwrap();
+    let owner = records
+        .owner(&account_key("vendor"))
+        .await
+        .expect("no error");
     let control = owner.replace("host", "control");
-    fleet.process(&control).unwrap().kill().unwrap();
+    fleet
+        .process(&control)
+        .expect("known")
+        .kill()
+        .expect("signalled");
     tokio::time::sleep(2 * phase).await;
-    fleet.process(&control).unwrap().restart().unwrap();
+    fleet
+        .process(&control)
+        .expect("known")
+        .restart()
+        .expect("signalled");
     tokio::time::sleep(phase).await;
 
-    let owner = records.owner(&account_key("vendor")).await.unwrap();
+    let owner = records
+        .owner(&account_key("vendor"))
+        .await
+        .expect("no error");
     let control = owner.replace("host", "control");
-    fleet.process(&control).unwrap().pause().unwrap();
+    fleet
+        .process(&control)
+        .expect("known")
+        .pause()
+        .expect("signalled");
     tokio::time::sleep(2 * phase).await;
-    fleet.process(&control).unwrap().resume().unwrap();
+    fleet
+        .process(&control)
+        .expect("known")
+        .resume()
+        .expect("signalled");
     tokio::time::sleep(phase).await;
 
-    let owner = records.owner(&account_key("vendor")).await.unwrap();
+    let owner = records
+        .owner(&account_key("vendor"))
+        .await
+        .expect("no error");
     let control = owner.replace("host", "control");
-    fleet.process(&control).unwrap().terminate().unwrap();
     fleet
         .process(&control)
-        .unwrap()
+        .expect("known")
+        .terminate()
+        .expect("signalled");
+    fleet
+        .process(&control)
+        .expect("known")
         .wait_exit(START_LIMIT)
         .await
-        .unwrap();
+        .expect("no error");
     tokio::time::sleep(phase).await;
     let answers = load.finish().await;
     let total: u64 = answers.iter().map(admitted).sum();
@@ -205,11 +234,14 @@
     let timing = TestTiming::from_environment();
     let (mut fleet, records) = start(&timing).await;
     let length = timing.pick(Duration::from_secs(60), Duration::from_secs(12));
-    let owner = records.owner(&account_key("parish")).await.unwrap();
+    let owner = records
+        .owner(&account_key("parish"))
+        .await
+        .expect("no error");
     let entries = skewed_entries(&owner);
     let interval = Duration::from_micros(PARISH_TOKENS * 1_000_000 * 10 / (RATE * 9));
     let load = source("calm", &entries, PARISH_OUTPUT, interval).with_key(PARISH_KEY);
-    let load = OpenLoad::start(&fleet, &[load]).unwrap();
+    let load = OpenLoad::start(&fleet, &[load]).expect("no error");
     tokio::time::sleep(length).await;
     let answers = load.finish().await;
     expect_that!(unserved(&answers), is_empty());
@@ -222,11 +254,15 @@
     );
 
     let load = source("kill", &entries, PARISH_OUTPUT, interval).with_key(PARISH_KEY);
-    let load = OpenLoad::start(&fleet, &[load]).unwrap();
+    let load = OpenLoad::start(&fleet, &[load]).expect("no error");
     tokio::time::sleep(Duration::from_secs(2)).await;
     for name in ["control", "entry"] {
         let name = owner.replace("host", name);
-        fleet.process(&name).unwrap().kill().unwrap();
+        fleet
+            .process(&name)
+            .expect("known")
+            .kill()
+            .expect("signalled");
     }
     tokio::time::sleep(length).await;
     let answers = load.finish().await;
--- a/crates/fleet/tests/limits_waiting.rs
+++ b/crates/fleet/tests/limits_waiting.rs
@@ -70,21 +70,21 @@
     let mut fleet = builder
         .start_serving(&[&document(), DEMO_APP])
         .await
-        .unwrap();
-    let records = FleetRecords::new(&fleet).unwrap();
+        .expect("started");
+    let records = FleetRecords::new(&fleet).expect("no error");
     let all_own = async || {
         let counts = records.shard_counts().await;
         counts.is_ok_and(|counts| counts.len() == HOSTS)
     };
     wait_until("shards at all hosts", START_LIMIT, all_own)
         .await
-        .unwrap();
+        .expect("reached in time");
     tokio::time::sleep(2 * timing.settle + Duration::from_secs(1)).await;
     let model = ResourceKey::Model {
         service: "demo-llm".into(),
         model: "small".into(),
     };
-    let owner = records.owner(&model).await.unwrap();
+    let owner = records.owner(&model).await.expect("no error");
     let entries: Vec<String> = (1..=HOSTS)
         .filter(|number| owner != format!("host-{number}"))
         .map(|number| format!("entry-{number}"))
@@ -96,7 +96,7 @@
         LoadSource::new(name, &entries, LoadKind::Lookup, Duration::from_millis(50))
             .with_key(PARISH_KEY)
     };
-    let load = OpenLoad::start(&fleet, &[lookups("idle")]).unwrap();
+    let load = OpenLoad::start(&fleet, &[lookups("idle")]).expect("no error");
     tokio::time::sleep(Duration::from_secs(2)).await;
     let idle = load.finish().await;
 
@@ -108,20 +108,32 @@
     let normal = LoadSource::new("normal", &entries, chat(25), Duration::from_millis(100));
     let batch = LoadSource::new("batch", &entries, chat(25), Duration::from_millis(400));
     let batch = batch.with_class("batch");
-    let normal_load = OpenLoad::start(&fleet, &[normal]).unwrap();
-    let batch_load = OpenLoad::start(&fleet, &[batch]).unwrap();
+    let normal_load = OpenLoad::start(&fleet, &[normal]).expect("no error");
+    let batch_load = OpenLoad::start(&fleet, &[batch]).expect("no error");
     tokio::time::sleep(Duration::from_secs(2)).await;
-    let load = OpenLoad::start(&fleet, &[lookups("full")]).unwrap();
+    let load = OpenLoad::start(&fleet, &[lookups("full")]).expect("no error");
     tokio::time::sleep(Duration::from_secs(2)).await;
     let full = load.finish().await;
     let control = owner.replace("host", "control");
-    fleet.process(&control).unwrap().kill().unwrap();
+    fleet
+        .process(&control)
+        .expect("known")
+        .kill()
+        .expect("signalled");
     tokio::time::sleep(3 * timing.term).await;
-    let owner = records.owner(&model).await.unwrap();
+    let owner = records.owner(&model).await.expect("no error");
     let control = owner.replace("host", "control");
-    fleet.process(&control).unwrap().pause().unwrap();
+    fleet
+        .process(&control)
+        .expect("known")
+        .pause()
+        .expect("signalled");
     tokio::time::sleep(3 * timing.term).await;
-    fleet.process(&control).unwrap().resume().unwrap();
+    fleet
+        .process(&control)
+        .expect("known")
+        .resume()
+        .expect("signalled");
     let normal = normal_load.finish().await;
     let batch = batch_load.finish().await;
 
