--- a/crates/control/src/dispatch_table.rs
+++ b/crates/control/src/dispatch_table.rs
@@ -150,14 +150,6 @@
         }
     }
 
-    /// Takes back what a dead host holds.
-    pub fn reclaim_host(&mut self, host: &str, now: MonotonicTime) {
-        for cell in self.models.values_mut() {
-            cell.dispatcher.reclaim_host(host);
-            cell.poll(now);
-        }
-    }
-
     /// Answers requests whose time has come. Returns true if any still waits.
     pub fn poll(&mut self, now: MonotonicTime) -> bool {
         let mut waits = false;
--- a/crates/control/src/shard_table.rs
+++ b/crates/control/src/shard_table.rs
@@ -7,15 +7,20 @@
 
 use zinniahinge_authority::ShardGain;
 use zinniahinge_authority::StagedShard;
+use zinniahinge_types::HostId;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::ResourceKey;
 use zinniahinge_types::Revision;
 use zinniahinge_types::SHARD_COUNT;
 use zinniahinge_types::ShardId;
+use zinniahinge_types::ShardOwner;
 
 use crate::member_core::MemberCell;
 use crate::shard_state::ShardState;
 
+/// Stands for a former owner that this process does not know. Host names cannot contain a space.
+const UNKNOWN_OWNER: &str = "unknown owner";
+
 enum ShardSlot {
     Vacant,
     Active(Box<ShardState>),
@@ -93,13 +98,13 @@
             shard,
             revision,
             previous,
-            claimed: _,
+            claimed,
         } = gain;
         let imported = staged.as_ref().and_then(|staged| {
             ShardState::import(*shard, *revision, incarnation, &staged.state, now)
         });
         let state = imported.unwrap_or_else(|| {
-            let former = previous.as_ref().map(|owner| owner.host.clone());
+            let former = former_owner(previous.as_ref(), *claimed);
             ShardState::recover(*shard, *revision, incarnation, former)
         });
         *self.lock(*shard) = ShardSlot::Active(Box::new(state));
@@ -162,3 +167,14 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Former owner whose state is lost; `None` only for a shard that this process claimed and that nobody owned before.
+/// A shard that another process gave away had an owner, even if this process never saw that assignment: taking it for
+/// new would fill the buckets again and forget the idempotency keys.
+fn former_owner(previous: Option<&ShardOwner>, claimed: bool) -> Option<HostId> {
+    match previous {
+        Some(owner) => Some(owner.host.clone()),
+        None if claimed => None,
+        None => Some(UNKNOWN_OWNER.into()),
+    }
+}
