--- a/crates/fleet/src/fleet_error.rs
+++ b/crates/fleet/src/fleet_error.rs
@@ -26,6 +26,12 @@
         /// Why.
         source: io::Error,
     },
+    /// Too few ports are free.
+    #[error("fewer than {count} ports are free")]
+    NoPorts {
+        /// Ports that are needed.
+        count: usize,
+    },
     /// A signal could not be sent.
     #[error("{name}: signal not sent: {source}")]
     Signal {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -22,7 +22,7 @@
   spec/check.sh
 fi
 step "tests"
-cargo test --workspace --quiet
+cargo test --workspace --quiet --no-fail-fast
 if [ -s KNOWN-RED.txt ]; then
   step "known failures, not run"
   cat KNOWN-RED.txt
