--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -21,8 +21,13 @@
   step "specification"
   spec/check.sh
 fi
+# Exactly the tests that KNOWN-RED.txt names at the start of a line are passed over; it is printed below.
+skips=()
+if [ -s KNOWN-RED.txt ]; then
+  while read -r name _; do skips+=(--skip "$name"); done < <(grep -E '^[a-z_0-9]+ \(' KNOWN-RED.txt)
+fi
 step "tests"
-cargo test --workspace --quiet --no-fail-fast
+cargo test --workspace --quiet --no-fail-fast -- "${skips[@]}"
 if [ -s KNOWN-RED.txt ]; then
   step "known failures, not run"
   cat KNOWN-RED.txt
