Read the wall clock and millisecond settings in one place

Cause: two processes read the wall clock beside the telemetry crate's function, both programs had their own parser of millisecond settings, and one method of PeerError was never called. Ruled out: merging the two programs' settings; they share no flag beyond the common ones. Before: two twins and dead code. After: one function each; behaviour is the same.

--- a/crates/control/src/control_process.rs
+++ b/crates/control/src/control_process.rs
@@ -6,8 +6,6 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use miette::Diagnostic;
 use slog::Logger;
@@ -32,6 +30,7 @@
 use zinniahinge_telemetry::MetricsRegistry;
 use zinniahinge_telemetry::Readiness;
 use zinniahinge_telemetry::add_admin_routes;
+use zinniahinge_telemetry::wall_clock_us;
 use zinniahinge_types::EventKind;
 use zinniahinge_types::HostAddress;
 
@@ -312,7 +311,5 @@
 /// Start time as incarnation number: a later run gets a larger one without any state on the host. If a clock was set
 /// back, the process finds the larger number in its record and joins again above it.
 fn wall_clock_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(1, |elapsed| elapsed.as_millis() as u64)
+    wall_clock_us() / 1000
 }
--- a/crates/control/src/control_settings.rs
+++ b/crates/control/src/control_settings.rs
@@ -119,10 +119,15 @@
         let kv = check_endpoints(faults, kv);
         let hostlist = faults.parsed("--hostlist", hostlist.map(strip_scheme));
         let peer_keys = faults.required("--peer-keys", peer_keys);
-        let term = millis(faults, "--term-ms", term_ms, 3000);
-        let heartbeat = millis(faults, "--heartbeat-ms", heartbeat_ms, 1000);
-        let settle = millis(faults, "--settle-ms", settle_ms, 5000);
-        let drain_limit = millis(faults, "--drain-limit-ms", drain_limit_ms, 15_000);
+        let term = faults.millis_or("--term-ms", term_ms, Duration::from_millis(3000));
+        let heartbeat =
+            faults.millis_or("--heartbeat-ms", heartbeat_ms, Duration::from_millis(1000));
+        let settle = faults.millis_or("--settle-ms", settle_ms, Duration::from_millis(5000));
+        let drain_limit = faults.millis_or(
+            "--drain-limit-ms",
+            drain_limit_ms,
+            Duration::from_millis(15_000),
+        );
         let authority = AuthoritySettings::default()
             .with_term(term?)
             .with_heartbeat_interval(heartbeat?)
@@ -163,14 +168,3 @@
         .map(|endpoint| faults.parsed("--kv", Some(strip_scheme(endpoint))))
         .collect()
 }
-
-fn millis(
-    faults: &mut SettingFaults,
-    setting: &str,
-    value: Option<String>,
-    default: u64,
-) -> Option<Duration> {
-    faults
-        .parsed_or(setting, value, default)
-        .map(Duration::from_millis)
-}
--- a/crates/entry/src/entry_settings.rs
+++ b/crates/entry/src/entry_settings.rs
@@ -160,24 +160,14 @@
         let certificate = check_certificate(faults, tls_certificate, tls_key);
         let max_body_bytes =
             faults.parsed_or("--max-body-bytes", max_body_bytes, defaults.max_body_bytes);
-        let default_deadline = millis(
-            faults,
+        let default_deadline = faults.millis_or(
             "--default-deadline-ms",
             default_deadline_ms,
             defaults.default_deadline,
         );
-        let drain_lead = millis(
-            faults,
-            "--drain-lead-ms",
-            drain_lead_ms,
-            Duration::from_secs(1),
-        );
-        let drain_limit = millis(
-            faults,
-            "--drain-limit-ms",
-            drain_limit_ms,
-            Duration::from_secs(60),
-        );
+        let drain_lead = faults.millis_or("--drain-lead-ms", drain_lead_ms, Duration::from_secs(1));
+        let drain_limit =
+            faults.millis_or("--drain-limit-ms", drain_limit_ms, Duration::from_secs(60));
         Some(EntrySettings {
             common: common?,
             admin: admin?,
@@ -217,13 +207,3 @@
         }
     }
 }
-
-fn millis(
-    faults: &mut SettingFaults,
-    setting: &str,
-    value: Option<String>,
-    default: Duration,
-) -> Option<Duration> {
-    let millis = faults.parsed_or(setting, value, default.as_millis() as u64)?;
-    Some(Duration::from_millis(millis))
-}
--- a/crates/peer/src/peer_error.rs
+++ b/crates/peer/src/peer_error.rs
@@ -44,13 +44,3 @@
         cause: String,
     },
 }
-
-impl PeerError {
-    /// True if the peer cannot have acted on the message.
-    pub fn is_unsent(&self) -> bool {
-        matches!(
-            self,
-            Self::NotSent { .. } | Self::Rejected { .. } | Self::Encode(_)
-        )
-    }
-}
--- a/crates/peer/src/peer_gate.rs
+++ b/crates/peer/src/peer_gate.rs
@@ -3,8 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -18,6 +16,7 @@
 use volo_http::request::Request;
 use volo_http::response::Response;
 use volo_http::server::IntoResponse;
+use zinniahinge_telemetry::wall_clock_us;
 use zinniahinge_types::MonotonicTime;
 
 use crate::KeyRingFile;
@@ -227,7 +226,5 @@
 
 /// Milliseconds since the Unix epoch.
 pub(crate) fn wall_clock_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |elapsed| elapsed.as_millis() as u64)
+    wall_clock_us() / 1000
 }
--- a/crates/telemetry/src/setting_faults.rs
+++ b/crates/telemetry/src/setting_faults.rs
@@ -1,6 +1,7 @@
 use std::fmt;
 use std::fmt::Display;
 use std::str::FromStr;
+use std::time::Duration;
 
 use miette::Diagnostic;
 use thiserror::Error;
@@ -93,6 +94,17 @@
         }
     }
 
+    /// A setting in whole milliseconds, or `default` if it is not given.
+    pub fn millis_or(
+        &mut self,
+        setting: &str,
+        value: Option<String>,
+        default: Duration,
+    ) -> Option<Duration> {
+        let millis = self.parsed_or(setting, value, default.as_millis() as u64)?;
+        Some(Duration::from_millis(millis))
+    }
+
     /// Ends the checks: `settings` if there was no fault. `settings` may be `None` only if a fault
     /// was added.
     pub fn finish<T>(self, settings: Option<T>) -> Result<T, SettingReport> {
