Name the engine's run in orders, so that a restarted engine refuses them

Cause: an order that was on its way when an engine restarted reached the new run. Ruled out: fencing numbers, since a restart clears them on the engine. Before: the new stand-in test fails, an order with another run's id is carried out. After: answered 409, nothing changes.

--- a/crates/control/src/engine_client.rs
+++ b/crates/control/src/engine_client.rs
@@ -1,9 +1,13 @@
 //! Orders to model engines, and their state.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::hash::DefaultHasher;
 use std::hash::Hash;
 use std::hash::Hasher;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use http::StatusCode;
@@ -84,12 +88,16 @@
 impl EngineState {
     /// Boot id as a number.
     pub fn boot_number(&self) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        self.boot_id.hash(&mut hasher);
-        hasher.finish()
+        hash_boot_id(&self.boot_id)
     }
 }
 
+fn hash_boot_id(boot_id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    boot_id.hash(&mut hasher);
+    hasher.finish()
+}
+
 #[derive(Serialize)]
 struct OrderBody<'a> {
     model: &'a str,
@@ -100,6 +108,8 @@
     bytes: u64,
     order_id: String,
     fence: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    boot_id: Option<&'a str>,
 }
 
 /// Known or unknown end of an order.
@@ -117,6 +127,8 @@
 #[derive(Clone)]
 pub struct EngineClient {
     client: Client,
+    /// Boot id in the newest state, by address.
+    boots: Arc<Mutex<HashMap<Name, String>>>,
 }
 
 impl EngineClient {
@@ -129,6 +141,7 @@
         builder.set_max_idle_per_host(0);
         Ok(Self {
             client: builder.build()?,
+            boots: Arc::default(),
         })
     }
 
@@ -149,10 +162,22 @@
                 .ok()?;
             serde_json::from_slice(&body.to_bytes()).ok()
         };
-        tokio::time::timeout(STATE_TIMEOUT, ask)
+        let state: Option<EngineState> = tokio::time::timeout(STATE_TIMEOUT, ask)
             .await
             .ok()
-            .flatten()
+            .flatten();
+        if let Some(state) = &state {
+            let mut boots = self.boots.lock().unwrap_or_else(PoisonError::into_inner);
+            boots.insert(address.into(), state.boot_id.clone());
+        }
+        state
+    }
+
+    /// Boot id that `boot_number` stands for, if the engine at `address` last reported that run.
+    fn boot_id(&self, address: &str, boot_number: u64) -> Option<String> {
+        let boots = self.boots.lock().unwrap_or_else(PoisonError::into_inner);
+        let boot_id = boots.get(address)?;
+        (hash_boot_id(boot_id) == boot_number).then(|| boot_id.clone())
     }
 
     /// Makes an engine that honours fencing numbers refuse every order of a former owner: unloads a model that does
@@ -165,12 +190,14 @@
             bytes: 0,
             order_id: format!("fence-{fence}"),
             fence,
+            boot_id: None,
         };
         let _ = tokio::time::timeout(STATE_TIMEOUT, self.post(address, "/v1/unload_model", &body))
             .await;
     }
 
-    /// Sends an order and waits for its end.
+    /// Sends an order and waits for its end. The order names the run of the engine that it was decided for, so that
+    /// an engine that restarted meanwhile refuses it.
     pub async fn order(&self, order: &PoolOrder, version: Option<&str>) -> OrderEnd {
         let path = match order.action {
             OrderAction::LoadModel => "/v1/load_model",
@@ -178,6 +205,9 @@
             OrderAction::LoadAdapter => "/v1/load_lora_adapter",
             OrderAction::UnloadAdapter => "/v1/unload_lora_adapter",
         };
+        let Some(boot_id) = self.boot_id(&order.address, order.boot_id) else {
+            return OrderEnd::Known(OrderResult::NotSent);
+        };
         let adapter = order.adapter.as_deref();
         let body = OrderBody {
             model: &order.model,
@@ -187,6 +217,7 @@
             bytes: order.bytes,
             order_id: order.order_id.0.to_string(),
             fence: order.fence,
+            boot_id: Some(&boot_id),
         };
         let post = self.post(&order.address, path, &body);
         match tokio::time::timeout(ORDER_TIMEOUT, post).await {
--- a/crates/standins/src/engine_memory.rs
+++ b/crates/standins/src/engine_memory.rs
@@ -109,6 +109,16 @@
 
     // ------------------------------------------------------------------------------------------
 
+    /// Refuses an order that was meant for another run: it may have been on its way when the engine restarted.
+    pub fn check_boot(&self, boot_id: Option<&str>) -> Result<(), Refusal> {
+        match boot_id {
+            Some(boot_id) if boot_id != self.boot_id => Err(Refusal::conflict(
+                "the order is meant for another run of this engine",
+            )),
+            _ => Ok(()),
+        }
+    }
+
     /// Notes a fencing number; refuses an old one if the engine honours fencing.
     pub fn check_fence(&mut self, fence: u64) -> Result<(), Refusal> {
         if fence < self.highest_fence && self.settings.fencing == FencingMode::Honour {
--- a/crates/standins/src/engine_message.rs
+++ b/crates/standins/src/engine_message.rs
@@ -22,6 +22,9 @@
     /// Fencing number of the owner that gives the order.
     #[serde(default)]
     pub fence: u64,
+    /// Run of the engine that the order is meant for; any if it is left out.
+    #[serde(default)]
+    pub boot_id: Option<String>,
 }
 
 /// Body of `POST /v1/unload_model`.
@@ -34,6 +37,9 @@
     /// Fencing number of the owner that gives the order.
     #[serde(default)]
     pub fence: u64,
+    /// Run of the engine that the order is meant for; any if it is left out.
+    #[serde(default)]
+    pub boot_id: Option<String>,
 }
 
 /// Body of `POST /v1/load_lora_adapter` and, without `bytes`, of `POST /v1/unload_lora_adapter`.
@@ -51,6 +57,9 @@
     /// Fencing number of the owner that gives the order.
     #[serde(default)]
     pub fence: u64,
+    /// Run of the engine that the order is meant for; any if it is left out.
+    #[serde(default)]
+    pub boot_id: Option<String>,
 }
 
 /// Answer to an order that was carried out.
--- a/crates/standins/src/engine_order.rs
+++ b/crates/standins/src/engine_order.rs
@@ -62,6 +62,7 @@
         let started = Instant::now();
         let boot_id = {
             let mut memory = self.lock();
+            memory.check_boot(order.boot_id.as_deref())?;
             memory.check_fence(order.fence)?;
             if let Some(reply) = memory.applied(&order.order_id) {
                 return Ok(ok_reply(&reply));
@@ -149,6 +150,7 @@
         let started = Instant::now();
         let boot_id = {
             let mut memory = self.lock();
+            memory.check_boot(order.boot_id.as_deref())?;
             memory.check_fence(order.fence)?;
             if let Some(reply) = memory.applied(&order.order_id) {
                 return Ok(ok_reply(&reply));
@@ -200,6 +202,7 @@
         let started = Instant::now();
         let boot_id = {
             let mut memory = self.lock();
+            memory.check_boot(order.boot_id.as_deref())?;
             memory.check_fence(order.fence)?;
             if let Some(reply) = memory.applied(&order.order_id) {
                 return Ok(ok_reply(&reply));
@@ -267,6 +270,7 @@
         let order: AdapterOrder = request.json().map_err(Refusal::bad_request)?;
         let started = Instant::now();
         let mut memory = self.lock();
+        memory.check_boot(order.boot_id.as_deref())?;
         memory.check_fence(order.fence)?;
         if let Some(reply) = memory.applied(&order.order_id) {
             return Ok(ok_reply(&reply));
--- a/crates/standins/tests/engine_orders.rs
+++ b/crates/standins/tests/engine_orders.rs
@@ -234,3 +234,50 @@
     let unloaded = engine.post("/v1/unload_lora_adapter", order("o4")).await;
     assert_that!(unloaded.json()["memory_used_bytes"], eq(&json!(10)));
 }
+
+struct BootCase {
+    name: &'static str,
+    path: &'static str,
+    order: Value,
+}
+
+/// Guards against an order that was on its way when the engine restarted: carried out, it would take memory that its
+/// sender no longer counts.
+#[tokio::test]
+async fn order_for_an_earlier_run_is_refused() {
+    let cases = [
+        BootCase {
+            name: "load",
+            path: "/v1/load_model",
+            order: load_order("b", 10, "o2", 1),
+        },
+        BootCase {
+            name: "unload",
+            path: "/v1/unload_model",
+            order: json!({ "model": "a", "order_id": "o3", "fence": 1 }),
+        },
+        BootCase {
+            name: "adapter",
+            path: "/v1/load_lora_adapter",
+            order: json!({ "model": "a", "adapter": "x", "bytes": 5, "order_id": "o4", "fence": 1 }),
+        },
+    ];
+    for case in cases {
+        let engine = start_engine(quick_settings()).await;
+        assert_that!(load(&engine, "a", 10, "o1", 1).await, eq(200));
+        let before = state(&engine).await;
+        let mut order = case.order.clone();
+        order["boot_id"] = json!("0123456789abcdef");
+        let refused = engine.post(case.path, order.clone()).await;
+        assert_that!(refused.status.as_u16(), eq(409), "{}", case.name);
+        assert_that!(
+            state(&engine).await["models"],
+            eq(&before["models"]),
+            "{}",
+            case.name
+        );
+        order["boot_id"] = before["boot_id"].clone();
+        let taken = engine.post(case.path, order).await;
+        assert_that!(taken.status.as_u16(), eq(200), "{}", case.name);
+    }
+}
