--- a/crates/control/src/control_process.rs
+++ b/crates/control/src/control_process.rs
@@ -24,6 +24,7 @@
 use zinniahinge_peer::PeerError;
 use zinniahinge_peer::PeerGate;
 use zinniahinge_peer::StoppableListener;
+use zinniahinge_telemetry::BootClock;
 use zinniahinge_telemetry::AdminSource;
 use zinniahinge_telemetry::EventLog;
 use zinniahinge_telemetry::MetricError;
@@ -34,7 +35,6 @@
 use zinniahinge_types::EventKind;
 use zinniahinge_types::HostAddress;
 
-use crate::boot_clock::BootClock;
 use crate::config_follower::ConfigFollower;
 use crate::control_settings::ControlSettings;
 use crate::copy_store::CopyStore;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,7 +2,6 @@
 
 pub mod account_table;
 pub mod authority_gate;
-pub mod boot_clock;
 pub mod config_follower;
 pub mod control_process;
 pub mod control_settings;
--- a/crates/control/src/member_core.rs
+++ b/crates/control/src/member_core.rs
@@ -10,6 +10,7 @@
 use zinniahinge_authority::HostAuthority;
 use zinniahinge_authority::MemberTable;
 use zinniahinge_authority::StagedShards;
+use zinniahinge_telemetry::BootClock;
 use zinniahinge_types::HostAddress;
 use zinniahinge_types::HostId;
 use zinniahinge_types::Incarnation;
@@ -17,7 +18,6 @@
 
 use crate::authority_gate::AuthorityGate;
 use crate::authority_gate::OwnedShards;
-use crate::boot_clock::BootClock;
 
 /// Who this process is.
 #[derive(Clone, Debug)]
--- a/crates/control/tests/shard_gain.rs
+++ b/crates/control/tests/shard_gain.rs
@@ -6,7 +6,7 @@
 use googletest::prelude::*;
 use zinniahinge_authority::AuthoritySettings;
 use zinniahinge_authority::ShardGain;
-use zinniahinge_control::boot_clock::BootClock;
+use zinniahinge_telemetry::BootClock;
 use zinniahinge_control::member_core::HostIdentity;
 use zinniahinge_control::member_core::MemberCell;
 use zinniahinge_control::shard_table::ShardTable;
--- a/crates/control/src/boot_clock.rs
+++ b/crates/telemetry/src/boot_clock.rs
@@ -1,5 +1,3 @@
-//! Monotonic clock that counts suspend.
-
 use std::time::Duration;
 
 use nix::time::ClockId;
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,6 +1,7 @@
 //! Events, logging, metrics, trace context, admin routes and common settings.
 
 mod admin_routes;
+mod boot_clock;
 mod clock_reading;
 mod common_arguments;
 mod event_log;
@@ -13,6 +14,7 @@
 pub use admin_routes::AdminSource;
 pub use admin_routes::Readiness;
 pub use admin_routes::add_admin_routes;
+pub use boot_clock::BootClock;
 pub use clock_reading::ClockReading;
 pub use clock_reading::wall_clock_us;
 pub use common_arguments::CommonArguments;
