Add crates for connections and for what a host decides

crates/transport: kept connections that say whether a request was written, and a server whose connections can be closed one by one. crates/serving: routes, accounts, roster of backend servers, choice of server, duty term, residency of models, usage of accounts, all pure. Messages between hosts in crates/types, key rings in memory in crates/peer, and a part of the retry budget that accrues with time in crates/limits.

--- a/crates/limits/src/retry_budget.rs
+++ b/crates/limits/src/retry_budget.rs
@@ -32,6 +32,14 @@
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, earn);
     }
 
+    /// Adds thousandths of a retry, for a part of the budget that accrues with time.
+    pub fn credit_milli(&self, milli: u64) {
+        let add = |balance: u64| Some((balance + milli).min(self.max_milli));
+        let _ = self
+            .balance_milli
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
+    }
+
     /// Takes one retry from the budget; false if none is left.
     pub fn try_retry(&self) -> bool {
         let take = |balance: u64| balance.checked_sub(MILLI_PER_RETRY);
--- a/crates/peer/src/key_ring.rs
+++ b/crates/peer/src/key_ring.rs
@@ -48,6 +48,13 @@
         Ok(Self { keys })
     }
 
+    /// Text of a ring with one new random key, as [`Self::parse`] reads it.
+    pub fn generate_text(id: &str) -> String {
+        let secret: [u8; KEY_BYTES] = rand::random();
+        let digits = secret.iter().map(|byte| format!("{byte:02x}"));
+        format!("{id}:{}", digits.collect::<String>())
+    }
+
     /// Key that signs outgoing messages.
     pub fn signing_key(&self) -> &PeerKey {
         &self.keys[0]
--- a/crates/peer/src/key_ring_file.rs
+++ b/crates/peer/src/key_ring_file.rs
@@ -38,6 +38,19 @@
         })
     }
 
+    /// Keys that are not in a file; [`Self::replace`] changes them.
+    pub fn in_memory(ring: KeyRing) -> Self {
+        Self {
+            path: PathBuf::new(),
+            ring: Arc::new(ArcSwap::from_pointee(ring)),
+        }
+    }
+
+    /// Puts other keys in use.
+    pub fn replace(&self, ring: KeyRing) {
+        self.ring.store(Arc::new(ring));
+    }
+
     /// The keys in use now.
     pub fn ring(&self) -> Arc<KeyRing> {
         self.ring.load_full()
--- /dev/null
+++ b/crates/serving/src/engine_record.rs
@@ -0,0 +1,266 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::Name;
+
+use crate::BackendEntry;
+use crate::BackendPhase;
+use crate::EngineSpec;
+use crate::HeldModel;
+use crate::ResidencyAction;
+use crate::residency_demand::CopyLevel;
+
+/// An engine as the planner sees it: what it holds, what it is doing, and what may still happen to it.
+#[derive(Debug)]
+pub(crate) struct EngineRecord {
+    pub(crate) id: Name,
+    pub(crate) address: SocketAddr,
+    pub(crate) born_ms: u64,
+    pub(crate) is_accepting: bool,
+    /// Orders that it has accepted; `None` until a report says it.
+    pub(crate) sequence: Option<u64>,
+    pub(crate) held: BTreeMap<Name, HeldRecord>,
+    pub(crate) memory_copies: Vec<Name>,
+    pub(crate) disk_copies: Vec<Name>,
+    /// Model order that is carried out.
+    pub(crate) open: Option<OpenOrder>,
+    /// An order was sent and its answer is due.
+    pub(crate) in_call: bool,
+    /// No order before this time.
+    pub(crate) blocked_until: MonotonicTime,
+    /// Conflicts in a row.
+    pub(crate) conflicts: u32,
+    /// Room that is made for a model.
+    pub(crate) claim: Option<RoomClaim>,
+    pub(crate) late: SmallVec<[LateOrder; 2]>,
+    pub(crate) report_due: MonotonicTime,
+    pub(crate) is_asked: bool,
+    /// When the newest order was accepted, or sent without an answer.
+    pub(crate) changed_at: MonotonicTime,
+    /// Models that failed to load, and until when they are not tried again.
+    pub(crate) paused: BTreeMap<Name, MonotonicTime>,
+}
+
+/// A model that an engine holds or is loading.
+#[derive(Debug, Default)]
+pub(crate) struct HeldRecord {
+    pub(crate) adapters: BTreeMap<Name, AdapterRecord>,
+    /// From then on requests can use it.
+    pub(crate) ready_at: MonotonicTime,
+    pub(crate) last_used: MonotonicTime,
+    pub(crate) is_leaving: bool,
+}
+
+/// An adapter that an engine holds or is loading.
+#[derive(Debug, Default)]
+pub(crate) struct AdapterRecord {
+    pub(crate) ready_at: MonotonicTime,
+    pub(crate) last_used: MonotonicTime,
+}
+
+/// A model order that is carried out.
+#[derive(Debug)]
+pub(crate) struct OpenOrder {
+    pub(crate) action: ResidencyAction,
+    pub(crate) model: Name,
+    /// Estimate.
+    pub(crate) done_at: MonotonicTime,
+    pub(crate) from_store: bool,
+}
+
+/// Memory that is freed on an engine for a model.
+#[derive(Debug)]
+pub(crate) struct RoomClaim {
+    pub(crate) model: Name,
+    pub(crate) until: MonotonicTime,
+}
+
+/// An order without an answer. It may be carried out until `until`, if the engine's number of accepted orders is still
+/// the expected one then; a restart under the same id starts that number anew.
+#[derive(Debug)]
+pub(crate) struct LateOrder {
+    pub(crate) model: Name,
+    pub(crate) adapter: Option<Name>,
+    pub(crate) is_load: bool,
+    pub(crate) until: MonotonicTime,
+    pub(crate) is_settled: bool,
+}
+
+impl EngineRecord {
+    pub(crate) fn new(entry: &BackendEntry, now: MonotonicTime) -> Self {
+        let mut record = Self {
+            id: entry.id.clone(),
+            address: entry.address,
+            born_ms: entry.born_ms,
+            is_accepting: entry.phase == BackendPhase::Ready,
+            sequence: None,
+            held: BTreeMap::new(),
+            memory_copies: entry.memory_copies.clone(),
+            disk_copies: entry.disk_copies.clone(),
+            open: None,
+            in_call: false,
+            blocked_until: now,
+            conflicts: 0,
+            claim: None,
+            late: SmallVec::new(),
+            report_due: now,
+            is_asked: false,
+            changed_at: MonotonicTime::ZERO,
+            paused: BTreeMap::new(),
+        };
+        record.adopt_held(&entry.held, now);
+        record
+    }
+
+    /// The server started anew under its id: it holds nothing, but its disk and late orders remain.
+    pub(crate) fn restart(&mut self, entry: &BackendEntry, now: MonotonicTime) {
+        let mut late = std::mem::take(&mut self.late);
+        for order in &mut late {
+            order.is_settled = false;
+        }
+        let disk_copies = std::mem::take(&mut self.disk_copies);
+        let is_asked = self.is_asked;
+        *self = Self::new(entry, now);
+        self.late = late;
+        self.is_asked = is_asked;
+        if self.disk_copies.is_empty() {
+            self.disk_copies = disk_copies;
+        }
+    }
+
+    /// Brings the held models in line with what the server says, keeping when they were used.
+    pub(crate) fn adopt_held(&mut self, held: &[HeldModel], now: MonotonicTime) {
+        let mut previous = std::mem::take(&mut self.held);
+        for HeldModel { model, adapters } in held {
+            let mut record = previous.remove(model).unwrap_or_default();
+            record.is_leaving = false;
+            record.ready_at = record.ready_at.min(now);
+            let mut known = std::mem::take(&mut record.adapters);
+            for adapter in adapters {
+                let mut adapter_record = known.remove(adapter).unwrap_or_default();
+                adapter_record.ready_at = adapter_record.ready_at.min(now);
+                record.adapters.insert(adapter.clone(), adapter_record);
+            }
+            self.held.insert(model.clone(), record);
+        }
+    }
+
+    /// True if an order may be sent now.
+    pub(crate) fn is_free(&self, now: MonotonicTime) -> bool {
+        let idle = self.open.as_ref().is_none_or(|open| open.done_at <= now);
+        self.is_accepting
+            && self.sequence.is_some()
+            && !self.in_call
+            && idle
+            && self.blocked_until <= now
+    }
+
+    /// Time until the order under way ends.
+    pub(crate) fn wait(&self, now: MonotonicTime) -> Duration {
+        let open = self.open.as_ref();
+        let open = open.map_or(Duration::ZERO, |open| open.done_at.since(now));
+        open.max(self.blocked_until.since(now))
+    }
+
+    pub(crate) fn is_ready(&self, model: &str, now: MonotonicTime) -> bool {
+        self.is_accepting
+            && self
+                .held
+                .get(model)
+                .is_some_and(|held| !held.is_leaving && held.ready_at <= now)
+    }
+
+    pub(crate) fn level(&self, model: &Name) -> CopyLevel {
+        if self.memory_copies.contains(model) {
+            CopyLevel::Memory
+        } else if self.disk_copies.contains(model) {
+            CopyLevel::Disk
+        } else {
+            CopyLevel::Store
+        }
+    }
+
+    /// Memory that is or may be taken, megabytes.
+    ///
+    /// A model that is being unloaded counts until the unload should have ended; the next order is refused if it has
+    /// not, because an engine carries out one model order at a time.
+    pub(crate) fn used_mb(&self, spec: &EngineSpec, now: MonotonicTime) -> f64 {
+        let unloaded = self
+            .open
+            .as_ref()
+            .filter(|open| open.action == ResidencyAction::Unload && open.done_at <= now)
+            .map(|open| &open.model);
+        let held = self
+            .held
+            .iter()
+            .filter(|(model, _)| Some(*model) != unloaded);
+        let held: f64 = held
+            .map(|(model, record)| {
+                model_mb(spec, model) + adapter_mb(spec, model) * record.adapters.len() as f64
+            })
+            .sum();
+        held + self.late_mb(spec, now)
+    }
+
+    fn late_mb(&self, spec: &EngineSpec, now: MonotonicTime) -> f64 {
+        let late = self.late.iter().filter(|late| late.counts(now));
+        late.map(|late| match &late.adapter {
+            Some(_) => adapter_mb(spec, &late.model),
+            None if self.held.contains_key(&late.model) => 0.0,
+            None => model_mb(spec, &late.model),
+        })
+        .sum()
+    }
+
+    /// Adapters that are or may be there.
+    pub(crate) fn adapter_count(&self, now: MonotonicTime) -> usize {
+        let held: usize = self.held.values().map(|held| held.adapters.len()).sum();
+        let late = self.late.iter();
+        held + late
+            .filter(|late| late.adapter.is_some() && late.counts(now))
+            .count()
+    }
+
+    /// Takes the end of the order under way for granted, because the engine accepted another or reports to be idle.
+    pub(crate) fn settle_open(&mut self) {
+        if let Some(open) = self.open.take()
+            && open.action == ResidencyAction::Unload
+        {
+            self.held.remove(&open.model);
+        }
+    }
+}
+
+impl LateOrder {
+    pub(crate) fn counts(&self, now: MonotonicTime) -> bool {
+        self.is_load && !self.is_settled && now < self.until
+    }
+}
+
+pub(crate) fn model_mb(spec: &EngineSpec, model: &str) -> f64 {
+    // A model that left the configuration still takes memory; the largest known one is a safe guess.
+    spec.models.get(model).map_or_else(
+        || {
+            spec.models
+                .values()
+                .map(|model| model.weight_mb)
+                .fold(0.0, f64::max)
+        },
+        |model| model.weight_mb,
+    )
+}
+
+pub(crate) fn adapter_mb(spec: &EngineSpec, model: &str) -> f64 {
+    spec.models.get(model).map_or_else(
+        || {
+            spec.models
+                .values()
+                .map(|model| model.adapter_mb)
+                .fold(0.0, f64::max)
+        },
+        |model| model.adapter_mb,
+    )
+}
--- /dev/null
+++ b/crates/serving/src/residency_demand.rs
@@ -0,0 +1,75 @@
+use std::time::Duration;
+
+use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::Name;
+
+/// Where the weights of a model are, nearest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum CopyLevel {
+    Memory,
+    Disk,
+    Store,
+}
+
+/// Measured demand for a model.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ModelDemand {
+    /// Requests a second, decaying.
+    rate: f64,
+    /// Engine time a second that the requests took, decaying, in engines.
+    work: f64,
+    at: MonotonicTime,
+}
+
+impl ModelDemand {
+    /// Adds `count` requests that took `work_ms` of engine time together.
+    pub(crate) fn add(
+        &mut self,
+        count: u32,
+        work_ms: f64,
+        half_life: Duration,
+        now: MonotonicTime,
+    ) {
+        self.decay(half_life, now);
+        // A steady rate r adds up to r once each request counts ln 2 / half-life.
+        let weight = std::f64::consts::LN_2 / half_life.as_secs_f64();
+        self.rate += f64::from(count) * weight;
+        self.work += work_ms / 1000.0 * weight;
+    }
+
+    pub(crate) fn rate(&self, half_life: Duration, now: MonotonicTime) -> f64 {
+        self.rate * self.kept(half_life, now)
+    }
+
+    pub(crate) fn work(&self, half_life: Duration, now: MonotonicTime) -> f64 {
+        self.work * self.kept(half_life, now)
+    }
+
+    fn decay(&mut self, half_life: Duration, now: MonotonicTime) {
+        let kept = self.kept(half_life, now);
+        self.rate *= kept;
+        self.work *= kept;
+        self.at = now;
+    }
+
+    fn kept(&self, half_life: Duration, now: MonotonicTime) -> f64 {
+        0.5_f64.powf(now.since(self.at).as_secs_f64() / half_life.as_secs_f64())
+    }
+}
+
+/// What requests wait for.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct WantKey {
+    pub(crate) model: Name,
+    pub(crate) adapter: Option<Name>,
+}
+
+/// Requests that wait for a model or an adapter.
+#[derive(Clone, Debug)]
+pub(crate) struct Want {
+    /// Rank of the most urgent request.
+    pub(crate) urgency: u8,
+    pub(crate) since: MonotonicTime,
+    /// Forgotten then, unless a host asks again.
+    pub(crate) until: MonotonicTime,
+}
--- /dev/null
+++ b/crates/serving/src/residency_load.rs
@@ -0,0 +1,423 @@
+//! Which order a [`ResidencyPlanner`] gives next.
+
+use std::time::Duration;
+
+use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::Name;
+
+use crate::EngineOrder;
+use crate::ResidencyAction;
+use crate::ResidencyPlanner;
+use crate::engine_record::EngineRecord;
+use crate::engine_record::RoomClaim;
+use crate::engine_record::adapter_mb;
+use crate::engine_record::model_mb;
+use crate::residency_demand::CopyLevel;
+use crate::residency_demand::WantKey;
+
+/// Time for which memory that is being freed is kept for a model.
+const CLAIM_TIME: Duration = Duration::from_secs(3);
+
+/// Memory left free for rounding, megabytes.
+const ROUNDING_MB: f64 = 1.0;
+
+/// Delay that a request sees when its model has to be loaded from a copy: the unload, the load and the messages, seconds.
+const RELOAD_S: f64 = 1.0;
+
+/// Extra delay, seconds, that requests of a model see when one of several replicas goes.
+const SPREAD_S: f64 = 0.15;
+
+/// Added to a victim that was used a moment ago: its unload waits for its requests, and blocks the engine meanwhile.
+const IN_USE_S: f64 = 20.0;
+
+/// Cost up to which a model that no request waits for may displace others, seconds.
+const BACKGROUND_LIMIT_S: f64 = 0.6;
+
+/// Where a model would be loaded.
+#[derive(Debug)]
+struct LoadTarget {
+    backend: Name,
+    /// First model to unload; `None` if there is room.
+    victim: Option<Name>,
+    level: CopyLevel,
+    cost_s: f64,
+    is_free: bool,
+}
+
+impl ResidencyPlanner {
+    /// Orders to send now, at most one for each engine. The outcome of each goes to [`Self::order_ended`].
+    pub fn plan(&mut self, now: MonotonicTime) -> Vec<EngineOrder> {
+        self.expire(now);
+        let mut keys: Vec<(u8, MonotonicTime, WantKey)> = self
+            .wants
+            .iter()
+            .map(|(key, want)| (want.urgency, want.since, key.clone()))
+            .collect();
+        keys.sort();
+        let mut orders = Vec::new();
+        for (_, _, key) in keys {
+            let order = match &key.adapter {
+                Some(adapter) if self.is_held(&key.model) => {
+                    self.plan_adapter(&key.model, adapter, now)
+                }
+                _ => self.plan_model(&key.model, f64::INFINITY, now),
+            };
+            orders.extend(order.map(|order| self.sent(order)));
+        }
+        if self.wants.is_empty() {
+            let order = self.plan_background(now);
+            orders.extend(order.map(|order| self.sent(order)));
+        }
+        orders
+    }
+
+    fn expire(&mut self, now: MonotonicTime) {
+        let Self { wants, engines, .. } = self;
+        wants.retain(|key, want| {
+            let is_met = engines.values().any(|record| {
+                let held = record.held.get(&key.model).filter(|held| !held.is_leaving);
+                record.is_accepting
+                    && held.is_some_and(|held| {
+                        let adapter = key.adapter.as_ref();
+                        adapter.is_none_or(|adapter| held.adapters.contains_key(adapter))
+                    })
+            });
+            now < want.until && !is_met
+        });
+        for record in engines.values_mut() {
+            if record
+                .claim
+                .as_ref()
+                .is_some_and(|claim| claim.until <= now)
+            {
+                record.claim = None;
+            }
+            record.late.retain(|late| now < late.until);
+        }
+        let window = self.settings.rate_window;
+        while self
+            .store_starts
+            .front()
+            .is_some_and(|start| now.since(*start) >= window)
+        {
+            self.store_starts.pop_front();
+        }
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Models
+
+    fn is_held(&self, model: &Name) -> bool {
+        let mut engines = self.engines.values().filter(|record| record.is_accepting);
+        engines.any(|record| record.held.get(model).is_some_and(|held| !held.is_leaving))
+    }
+
+    /// Next order towards a replica of the model that costs at most `limit_s`.
+    fn plan_model(
+        &mut self,
+        model: &Name,
+        limit_s: f64,
+        now: MonotonicTime,
+    ) -> Option<EngineOrder> {
+        let claimed = self.engines.values().find(|record| {
+            let claim = record.claim.as_ref();
+            record.is_accepting && claim.is_some_and(|claim| claim.model == *model)
+        });
+        let target = match claimed {
+            Some(record) => self.target(record, model, now)?,
+            None => self.best_target(model, now)?,
+        };
+        if target.cost_s > limit_s || !target.is_free {
+            return None;
+        }
+        let is_from_store = target.level == CopyLevel::Store;
+        if is_from_store && !self.may_load_from_store(now) {
+            return None;
+        }
+        let record = self.engines.get_mut(&target.backend)?;
+        record.claim = Some(RoomClaim {
+            model: model.clone(),
+            until: now + CLAIM_TIME,
+        });
+        let (action, model) = match target.victim {
+            Some(victim) => (ResidencyAction::Unload, victim),
+            None => (ResidencyAction::Load, model.clone()),
+        };
+        Some(order_for(record, action, model, None)?)
+    }
+
+    fn best_target(&self, model: &Name, now: MonotonicTime) -> Option<LoadTarget> {
+        let engines = self.engines.values();
+        let targets = engines.filter_map(|record| self.target(record, model, now));
+        targets.min_by(|one, other| one.cost_s.total_cmp(&other.cost_s))
+    }
+
+    /// What loading the model on the engine takes; `None` if it can't be done.
+    fn target(
+        &self,
+        record: &EngineRecord,
+        model: &Name,
+        now: MonotonicTime,
+    ) -> Option<LoadTarget> {
+        let claimed_by_other = record
+            .claim
+            .as_ref()
+            .is_some_and(|claim| claim.model != *model);
+        let is_paused = record.paused.get(model).is_some_and(|until| now < *until);
+        let is_there = record.held.get(model).is_some_and(|held| !held.is_leaving);
+        if !record.is_accepting
+            || record.sequence.is_none()
+            || claimed_by_other
+            || is_paused
+            || is_there
+        {
+            return None;
+        }
+        let needed = model_mb(&self.spec, model) + ROUNDING_MB;
+        let mut free = self.spec.memory_mb - record.used_mb(&self.spec, now);
+        let mut victims: Vec<(f64, &Name, f64)> = record
+            .held
+            .iter()
+            .filter(|(victim, held)| !held.is_leaving && *victim != model)
+            .filter(|(victim, _)| !self.is_wanted(victim))
+            .map(|(victim, held)| {
+                let freed = model_mb(&self.spec, victim)
+                    + adapter_mb(&self.spec, victim) * held.adapters.len() as f64;
+                (self.eviction_cost(record, victim, now), victim, freed)
+            })
+            .collect();
+        victims.sort_by(|one, other| one.0.total_cmp(&other.0));
+        let mut cost_s = 0.0;
+        let mut first = None;
+        let mut victims = victims.into_iter();
+        while free < needed {
+            let (cost, victim, freed) = victims.next()?;
+            first.get_or_insert_with(|| victim.clone());
+            cost_s += cost;
+            free += freed;
+        }
+        let level = record.level(model);
+        cost_s += self.load_time(&record.id, model, now).as_secs_f64();
+        cost_s += record.wait(now).as_secs_f64();
+        // Copies spread over the engines, so that one engine does not have to take turns with all of them.
+        cost_s += record.disk_copies.len() as f64 * 0.01;
+        Some(LoadTarget {
+            backend: record.id.clone(),
+            victim: first,
+            level,
+            cost_s,
+            is_free: record.is_free(now),
+        })
+    }
+
+    fn is_wanted(&self, model: &Name) -> bool {
+        self.wants.keys().any(|key| key.model == *model)
+    }
+
+    /// Delay, in seconds over the horizon, that requests will see if the model leaves the engine.
+    fn eviction_cost(&self, record: &EngineRecord, model: &Name, now: MonotonicTime) -> f64 {
+        let rate = self.rate(model, now);
+        let horizon = self.settings.eviction_horizon_s;
+        let replicas = self.replicas(model);
+        let delay = if replicas > 1 {
+            let target = self.target_replicas(model, now);
+            if replicas > target {
+                SPREAD_S / replicas as f64
+            } else {
+                SPREAD_S * 2.0
+            }
+        } else {
+            RELOAD_S
+        };
+        let Some(held) = record.held.get(model) else {
+            return 0.0;
+        };
+        let idle = now.since(held.last_used);
+        let in_use = held.last_used != MonotonicTime::ZERO && idle < self.settings.recent_use;
+        let in_use = if in_use { IN_USE_S } else { 0.0 };
+        // The longest unused goes first where nothing else tells them apart.
+        rate * delay * horizon + in_use + 0.02 / (1.0 + idle.as_secs_f64())
+    }
+
+    fn replicas(&self, model: &Name) -> usize {
+        let engines = self.engines.values().filter(|record| record.is_accepting);
+        engines
+            .filter(|record| record.held.get(model).is_some_and(|held| !held.is_leaving))
+            .count()
+    }
+
+    fn rate(&self, model: &Name, now: MonotonicTime) -> f64 {
+        let half_life = self.settings.demand_half_life;
+        let demand = self.demand.get(model);
+        demand.map_or(0.0, |demand| demand.rate(half_life, now))
+    }
+
+    fn target_replicas(&self, model: &Name, now: MonotonicTime) -> usize {
+        let half_life = self.settings.demand_half_life;
+        let demand = self.demand.get(model);
+        let work = demand.map_or(0.0, |demand| demand.work(half_life, now));
+        let wanted = (work / self.settings.replica_load).ceil() as usize;
+        wanted.clamp(1, (self.engines.len() / 2).max(1))
+    }
+
+    pub(crate) fn load_time(&self, backend: &str, model: &Name, now: MonotonicTime) -> Duration {
+        let (Some(record), Some(spec)) = (self.engines.get(backend), self.spec.models.get(model))
+        else {
+            return Duration::ZERO;
+        };
+        match record.level(model) {
+            CopyLevel::Memory => spec.memory_load,
+            CopyLevel::Disk => spec.disk_load,
+            CopyLevel::Store => {
+                let at_once = self.settings.store_loads_at_once.max(1);
+                let share = (self.open_store_loads(now) + 1) as f64 / at_once as f64;
+                spec.store_load.mul_f64(share.max(1.0))
+            }
+        }
+    }
+
+    pub(crate) fn is_store_load(&self, order: &EngineOrder) -> bool {
+        let record = self.engines.get(&order.backend);
+        order.action == ResidencyAction::Load
+            && order.adapter.is_none()
+            && record.is_some_and(|record| record.level(&order.model) == CopyLevel::Store)
+    }
+
+    fn open_store_loads(&self, now: MonotonicTime) -> usize {
+        let opens = self
+            .engines
+            .values()
+            .filter_map(|record| record.open.as_ref());
+        opens
+            .filter(|open| open.from_store && now < open.done_at)
+            .count()
+    }
+
+    fn may_load_from_store(&self, now: MonotonicTime) -> bool {
+        let window = self.settings.rate_window.as_secs_f64();
+        let in_call = self
+            .engines
+            .values()
+            .filter(|record| record.in_call)
+            .count();
+        let allowed = (self.spec.store_loads_per_s * window).floor().max(1.0) as usize;
+        self.open_store_loads(now) + in_call < self.settings.store_loads_at_once
+            && self.store_starts.len() + in_call < allowed
+    }
+
+    /// Time until a request for the model could be served; `None` if no engine can hold it.
+    pub(crate) fn estimate(&self, model: &Name, now: MonotonicTime) -> Option<Duration> {
+        if self.is_held(model) {
+            return Some(Duration::ZERO);
+        }
+        let engines = self.engines.values().filter(|record| record.is_accepting);
+        let times = engines.map(|record| record.wait(now) + self.load_time(&record.id, model, now));
+        let time = times.min()?;
+        let fits = model_mb(&self.spec, model) <= self.spec.memory_mb;
+        fits.then_some(time)
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Adapters
+
+    fn plan_adapter(
+        &mut self,
+        model: &Name,
+        adapter: &Name,
+        now: MonotonicTime,
+    ) -> Option<EngineOrder> {
+        let needed = adapter_mb(&self.spec, model);
+        let spec = &self.spec;
+        let engines = self.engines.values();
+        let able = engines.filter(|record| record.is_free(now) && record.is_ready(model, now));
+        let best = able.min_by_key(|record| {
+            let is_full = record.adapter_count(now) >= spec.max_adapters
+                || spec.memory_mb - record.used_mb(spec, now) < needed + ROUNDING_MB;
+            (is_full, record.adapter_count(now))
+        })?;
+        let is_full = best.adapter_count(now) >= spec.max_adapters
+            || spec.memory_mb - best.used_mb(spec, now) < needed + ROUNDING_MB;
+        if !is_full {
+            return order_for(
+                best,
+                ResidencyAction::Load,
+                model.clone(),
+                Some(adapter.clone()),
+            );
+        }
+        let held = best.held.iter().flat_map(|(model, held)| {
+            let adapters = held.adapters.iter();
+            adapters.map(move |(name, record)| (record.last_used, model, name))
+        });
+        let (_, victim_model, victim) = held.min_by_key(|(last_used, ..)| *last_used)?;
+        order_for(
+            best,
+            ResidencyAction::Unload,
+            victim_model.clone(),
+            Some(victim.clone()),
+        )
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Without waiting requests
+
+    /// Brings models nearer that no request waits for: first those without any copy, then those that fit into free
+    /// memory, then further replicas of busy ones.
+    fn plan_background(&mut self, now: MonotonicTime) -> Option<EngineOrder> {
+        let mut models: Vec<(f64, Name)> = self
+            .spec
+            .models
+            .keys()
+            .map(|model| (self.rate(model, now), model.clone()))
+            .collect();
+        models.sort_by(|one, other| other.0.total_cmp(&one.0).then_with(|| one.1.cmp(&other.1)));
+        let busy = models.iter().filter(|(_, model)| {
+            let replicas = self.replicas(model);
+            replicas > 0 && replicas < self.target_replicas(model, now)
+        });
+        let busy: Vec<Name> = busy.map(|(_, model)| model.clone()).collect();
+        let absent: Vec<Name> = models
+            .into_iter()
+            .filter(|(_, model)| !self.is_held(model))
+            .map(|(_, model)| model)
+            .collect();
+        let without_copy = absent.iter().filter(|model| !self.has_copy(model));
+        let mut tries: Vec<(Name, f64)> = Vec::new();
+        tries.extend(busy.into_iter().map(|model| {
+            let gain = self.rate(&model, now) * SPREAD_S * self.settings.eviction_horizon_s;
+            let level = self.best_target(&model, now).map(|target| target.level);
+            let time = if level == Some(CopyLevel::Store) {
+                7.0
+            } else {
+                1.0
+            };
+            (model, gain + time)
+        }));
+        tries.extend(without_copy.map(|model| (model.clone(), 12.0 + BACKGROUND_LIMIT_S)));
+        tries.extend(absent.iter().map(|model| (model.clone(), RELOAD_S)));
+        tries
+            .into_iter()
+            .find_map(|(model, limit_s)| self.plan_model(&model, limit_s, now))
+    }
+
+    fn has_copy(&self, model: &Name) -> bool {
+        let mut engines = self.engines.values().filter(|record| record.is_accepting);
+        engines.any(|record| record.level(model) != CopyLevel::Store)
+    }
+}
+
+fn order_for(
+    record: &EngineRecord,
+    action: ResidencyAction,
+    model: Name,
+    adapter: Option<Name>,
+) -> Option<EngineOrder> {
+    Some(EngineOrder {
+        backend: record.id.clone(),
+        address: record.address,
+        action,
+        model,
+        adapter,
+        expected: record.sequence?,
+    })
+}
--- /dev/null
+++ b/crates/serving/src/residency_planner.rs
@@ -0,0 +1,595 @@
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::Name;
+
+use crate::BackendEntry;
+use crate::BackendPhase;
+use crate::EngineOrder;
+use crate::EngineReport;
+use crate::EngineSpec;
+use crate::OrderOutcome;
+use crate::ResidencyAction;
+use crate::ResidencySettings;
+use crate::ResidencyView;
+use crate::ViewedModel;
+use crate::engine_record::AdapterRecord;
+use crate::engine_record::EngineRecord;
+use crate::engine_record::LateOrder;
+use crate::engine_record::OpenOrder;
+use crate::residency_demand::ModelDemand;
+use crate::residency_demand::Want;
+use crate::residency_demand::WantKey;
+
+/// Time that an idle model or adapter takes to unload, or an adapter to load. Engines name 5 to 10 ms for adapters.
+const SHORT_ORDER: Duration = Duration::from_millis(12);
+
+/// Pause after an engine refused an order because another was under way.
+const CONFLICT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest pause after several such refusals in a row.
+const MAX_CONFLICT_PAUSE: Duration = Duration::from_millis(400);
+
+/// Pause after an order that could not be sent.
+const UNREACHED_PAUSE: Duration = Duration::from_millis(400);
+
+/// Pause before a model is tried again on an engine that refused it as invalid.
+const INVALID_PAUSE: Duration = Duration::from_secs(5);
+
+/// Time for which a request's wish counts unless its host asks again.
+const WANT_TIME: Duration = Duration::from_millis(1500);
+
+/// Pause that hosts are told when a load is about to be ordered.
+const ASK_AGAIN: Duration = Duration::from_millis(15);
+
+/// A request that is refused in spite of a load that should have ended gets this much more time.
+const LOAD_SLACK: Duration = Duration::from_millis(60);
+
+/// Where a request can go, or when.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Placement {
+    /// A server has the model, and the adapter.
+    Ready {
+        /// Server.
+        backend: Name,
+    },
+    /// A server is loading it.
+    Loading {
+        /// Server.
+        backend: Name,
+        /// Estimate of the time left.
+        ready_in: Duration,
+    },
+    /// Nothing is under way yet.
+    Wait {
+        /// When to ask again.
+        again_in: Duration,
+    },
+    /// It can't be loaded before the request's deadline.
+    Refused {
+        /// When it could be; `None` if never.
+        retry_after: Option<Duration>,
+    },
+}
+
+/// Decides which models and adapters are loaded on which engines of one service.
+///
+/// Pure: observations and outcomes of orders go in; [`Self::plan`] returns the orders to send.
+#[derive(Debug)]
+pub struct ResidencyPlanner {
+    pub(crate) settings: ResidencySettings,
+    pub(crate) spec: EngineSpec,
+    pub(crate) engines: BTreeMap<Name, EngineRecord>,
+    pub(crate) demand: HashMap<Name, ModelDemand>,
+    pub(crate) wants: BTreeMap<WantKey, Want>,
+    /// Starts of loads from the weight store.
+    pub(crate) store_starts: VecDeque<MonotonicTime>,
+    views: BTreeMap<Name, ResidencyView>,
+    view_version: u64,
+    turn: usize,
+}
+
+impl ResidencyPlanner {
+    /// A planner without engines. `first_version` is larger than the versions of any predecessor's views.
+    pub fn new(spec: EngineSpec, settings: ResidencySettings, first_version: u64) -> Self {
+        Self {
+            settings,
+            spec,
+            engines: BTreeMap::new(),
+            demand: HashMap::new(),
+            wants: BTreeMap::new(),
+            store_starts: VecDeque::new(),
+            views: BTreeMap::new(),
+            view_version: first_version,
+            turn: 0,
+        }
+    }
+
+    /// Replaces the service's definition.
+    pub fn set_spec(&mut self, spec: EngineSpec) {
+        self.spec = spec;
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Observations
+
+    /// Takes in what the store lists of an engine.
+    pub fn observe_entry(&mut self, entry: &BackendEntry, now: MonotonicTime) {
+        let Some(record) = self.engines.get_mut(&entry.id) else {
+            let record = EngineRecord::new(entry, now);
+            self.engines.insert(entry.id.clone(), record);
+            return;
+        };
+        if entry.born_ms > record.born_ms {
+            record.restart(entry, now);
+        }
+        if entry.born_ms < record.born_ms {
+            return;
+        }
+        record.address = entry.address;
+        record.is_accepting = entry.phase == BackendPhase::Ready;
+    }
+
+    /// Forgets engines that `keep` does not list.
+    pub fn retain_engines(&mut self, keep: impl Fn(&Name) -> bool) {
+        self.engines.retain(|id, _| keep(id));
+        self.views.retain(|id, _| keep(id));
+    }
+
+    /// Takes in a report that was asked for at `asked_at`. `None`: the engine gave none.
+    pub fn observe_report(
+        &mut self,
+        backend: &str,
+        report: Option<&EngineReport>,
+        asked_at: MonotonicTime,
+        now: MonotonicTime,
+    ) {
+        let lag = self.settings.report_lag;
+        let interval = self.settings.report_interval;
+        let Some(record) = self.engines.get_mut(backend) else {
+            return;
+        };
+        record.is_asked = false;
+        record.report_due = now + interval;
+        let Some(report) = report else {
+            return;
+        };
+        if report.born_ms != 0 && report.born_ms != record.born_ms {
+            // The listing will tell; until then nothing is ordered on what may be another run.
+            record.sequence = None;
+            record.report_due = now + lag;
+            return;
+        }
+        record.memory_copies = report.memory_copies.clone();
+        record.disk_copies = report.disk_copies.clone();
+        let contents_at = MonotonicTime::from_origin(asked_at.since_origin().saturating_sub(lag));
+        let is_current = contents_at >= record.changed_at && !record.in_call;
+        if report.is_busy {
+            record.report_due = now + lag;
+            let is_known = record.open.is_some();
+            if !is_known && is_current {
+                // Ordered by a predecessor, or by an order whose answer was lost.
+                record.blocked_until = record.blocked_until.max(now + lag);
+            }
+            if record.sequence.is_none() {
+                record.blocked_until = record.blocked_until.max(now + CONFLICT_PAUSE);
+            }
+            if !is_current {
+                return;
+            }
+        }
+        if !is_current {
+            record.report_due = record.changed_at + lag + CONFLICT_PAUSE;
+            return;
+        }
+        record.sequence = Some(report.sequence);
+        if report.is_busy {
+            return;
+        }
+        record.settle_open();
+        record.adopt_held(&report.held, now);
+        for (model, adapter) in &report.pending {
+            if let Some(held) = record.held.get_mut(model) {
+                held.adapters.entry(adapter.clone()).or_default();
+            }
+        }
+    }
+
+    /// Adds `count` requests for a model that hosts have forwarded.
+    pub fn note_use(
+        &mut self,
+        model: &Name,
+        adapter: Option<&Name>,
+        count: u32,
+        (prompt_tokens, output_tokens): (u64, u64),
+        now: MonotonicTime,
+    ) {
+        let work = prompt_tokens as f64 * self.settings.prompt_token_ms
+            + output_tokens as f64 * self.settings.output_token_ms;
+        let half_life = self.settings.demand_half_life;
+        let demand = self.demand.entry(model.clone()).or_default();
+        demand.add(count, work, half_life, now);
+        for record in self.engines.values_mut() {
+            let Some(held) = record.held.get_mut(model) else {
+                continue;
+            };
+            held.last_used = now;
+            if let Some(adapter) = adapter.and_then(|adapter| held.adapters.get_mut(adapter)) {
+                adapter.last_used = now;
+            }
+        }
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Requests
+
+    /// Where a request for a model, or an adapter of it, can go. `refused_by` is a server that has just said that it
+    /// doesn't have it.
+    pub fn place(
+        &mut self,
+        model: &Name,
+        adapter: Option<&Name>,
+        urgency: u8,
+        time_left: Duration,
+        refused_by: Option<&Name>,
+        now: MonotonicTime,
+    ) -> Placement {
+        if !self.is_defined(model, adapter) {
+            return Placement::Refused { retry_after: None };
+        }
+        if let Some(backend) = refused_by {
+            self.note_refusal(backend, model, adapter, now);
+        }
+        if let Some(backend) = self.ready_engine(model, adapter, now) {
+            return Placement::Ready { backend };
+        }
+        if let Some((backend, ready_in)) = self.loading_engine(model, adapter, now) {
+            return Placement::Loading { backend, ready_in };
+        }
+        let estimate = self.estimate(model, now);
+        match estimate {
+            Some(estimate) if estimate < time_left => {}
+            _ => {
+                return Placement::Refused {
+                    retry_after: estimate,
+                };
+            }
+        }
+        let key = WantKey {
+            model: model.clone(),
+            adapter: adapter.cloned(),
+        };
+        let want = self.wants.entry(key).or_insert(Want {
+            urgency,
+            since: now,
+            until: now,
+        });
+        want.urgency = want.urgency.min(urgency);
+        want.until = want.until.max(now + WANT_TIME.min(time_left));
+        Placement::Wait {
+            again_in: ASK_AGAIN,
+        }
+    }
+
+    fn is_defined(&self, model: &Name, adapter: Option<&Name>) -> bool {
+        let Some(spec) = self.spec.models.get(model) else {
+            return false;
+        };
+        adapter.is_none_or(|adapter| {
+            let number = adapter
+                .strip_prefix('a')
+                .and_then(|digits| digits.parse().ok());
+            number.is_some_and(|number: u32| (1..=spec.adapters).contains(&number))
+        })
+    }
+
+    /// Engines take turns, so that requests that ask at the same time spread.
+    fn ready_engine(
+        &mut self,
+        model: &Name,
+        adapter: Option<&Name>,
+        now: MonotonicTime,
+    ) -> Option<Name> {
+        let engines = self.engines.values();
+        let ready: Vec<&Name> = engines
+            .filter(|record| record.is_ready(model, now))
+            .filter(|record| adapter.is_none_or(|adapter| has_adapter(record, model, adapter, now)))
+            .map(|record| &record.id)
+            .collect();
+        if ready.is_empty() {
+            return None;
+        }
+        self.turn = self.turn.wrapping_add(1);
+        Some(ready[self.turn % ready.len()].clone())
+    }
+
+    fn loading_engine(
+        &self,
+        model: &Name,
+        adapter: Option<&Name>,
+        now: MonotonicTime,
+    ) -> Option<(Name, Duration)> {
+        let engines = self.engines.values().filter(|record| record.is_accepting);
+        let coming = engines.filter_map(|record| {
+            let held = record.held.get(model).filter(|held| !held.is_leaving)?;
+            let ready_at = match adapter {
+                None => held.ready_at,
+                Some(adapter) => held.adapters.get(adapter)?.ready_at.max(held.ready_at),
+            };
+            Some((record.id.clone(), ready_at.since(now)))
+        });
+        coming.min_by_key(|(_, ready_in)| *ready_in)
+    }
+
+    /// A host's request was refused although this planner takes the model to be there.
+    fn note_refusal(
+        &mut self,
+        backend: &Name,
+        model: &Name,
+        adapter: Option<&Name>,
+        now: MonotonicTime,
+    ) {
+        let Some(record) = self.engines.get_mut(backend) else {
+            return;
+        };
+        let open = record.open.as_mut().filter(|open| open.model == *model);
+        let Some(held) = record.held.get_mut(model) else {
+            return;
+        };
+        if let Some(open) = open {
+            open.done_at = open.done_at.max(now + LOAD_SLACK);
+            held.ready_at = held.ready_at.max(now + LOAD_SLACK);
+        } else if let Some(adapter) = adapter {
+            held.adapters.remove(adapter);
+        } else {
+            record.held.remove(model);
+        }
+        record.report_due = now;
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Orders
+
+    /// Engines whose reports are due; each counts as asked until [`Self::observe_report`].
+    pub fn due_reports(&mut self, now: MonotonicTime) -> Vec<(Name, std::net::SocketAddr)> {
+        let due = self
+            .engines
+            .values_mut()
+            .filter(|record| record.is_accepting && !record.is_asked && record.report_due <= now);
+        due.map(|record| {
+            record.is_asked = true;
+            (record.id.clone(), record.address)
+        })
+        .collect()
+    }
+
+    /// When [`Self::plan`] or [`Self::due_reports`] may have something new although nothing was observed.
+    pub fn next_wakeup(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+        let engines = self.engines.values().filter(|record| record.is_accepting);
+        let reports = engines.clone().filter(|record| !record.is_asked);
+        let reports = reports.map(|record| record.report_due);
+        let opens = engines.clone().filter_map(|record| record.open.as_ref());
+        let opens = opens.map(|open| open.done_at);
+        let blocks = engines.map(|record| record.blocked_until);
+        let later = reports.chain(opens).chain(blocks).filter(|at| *at > now);
+        later.min()
+    }
+
+    /// Counts an order as sent.
+    pub(crate) fn sent(&mut self, order: EngineOrder) -> EngineOrder {
+        if let Some(record) = self.engines.get_mut(&order.backend) {
+            record.in_call = true;
+        }
+        order
+    }
+
+    /// Takes the outcome of an order in.
+    pub fn order_ended(&mut self, order: &EngineOrder, outcome: OrderOutcome, now: MonotonicTime) {
+        let estimate = self.load_time(&order.backend, &order.model, now);
+        let from_store = self.is_store_load(order);
+        let late_until = now + self.settings.late_order_time;
+        let Some(record) = self.engines.get_mut(&order.backend) else {
+            return;
+        };
+        record.in_call = false;
+        if outcome != OrderOutcome::Conflict {
+            record.conflicts = 0;
+        }
+        match outcome {
+            OrderOutcome::Accepted => {
+                record.settle_open();
+                record.sequence = Some(order.expected + 1);
+                record.changed_at = now;
+                record.late.retain(|late| now < late.until);
+                for late in &mut record.late {
+                    late.is_settled = true;
+                }
+                apply_accepted(record, order, now, estimate, from_store);
+                if from_store {
+                    self.store_starts.push_back(now);
+                }
+            }
+            OrderOutcome::AlreadyHolds => {
+                apply_holding(record, order, now);
+                record.report_due = now;
+            }
+            OrderOutcome::Conflict => {
+                record.conflicts += 1;
+                let pause = CONFLICT_PAUSE * record.conflicts;
+                record.blocked_until = now + pause.min(MAX_CONFLICT_PAUSE);
+                record.report_due = now;
+            }
+            OrderOutcome::Unknown => {
+                record.late.push(LateOrder {
+                    model: order.model.clone(),
+                    adapter: order.adapter.clone(),
+                    is_load: order.action == ResidencyAction::Load,
+                    until: late_until,
+                    is_settled: false,
+                });
+                // A report from now on shows whether it was carried out at once.
+                record.changed_at = now;
+                record.blocked_until = now + CONFLICT_PAUSE;
+                record.report_due = now;
+                if from_store {
+                    self.store_starts.push_back(now);
+                }
+            }
+            OrderOutcome::NotSent => {
+                record.blocked_until = now + UNREACHED_PAUSE;
+                record.report_due = now + UNREACHED_PAUSE;
+            }
+            OrderOutcome::OtherServer => {
+                record.is_accepting = false;
+                record.sequence = None;
+            }
+            OrderOutcome::Invalid => {
+                record
+                    .paused
+                    .insert(order.model.clone(), now + INVALID_PAUSE);
+                record.claim = None;
+                record.report_due = now;
+            }
+            OrderOutcome::Fenced => record.blocked_until = now + UNREACHED_PAUSE,
+        }
+    }
+
+    /// Views that changed after `version`, and the newest version.
+    pub fn views_since(&mut self, version: u64, now: MonotonicTime) -> (Vec<ResidencyView>, u64) {
+        for record in self.engines.values() {
+            let models = viewed_models(record, now);
+            let known = self.views.get(&record.id);
+            if known.is_none_or(|view| view.models != models || view.born_ms != record.born_ms) {
+                self.view_version += 1;
+                let view = ResidencyView {
+                    backend: record.id.clone(),
+                    born_ms: record.born_ms,
+                    version: self.view_version,
+                    models,
+                };
+                self.views.insert(record.id.clone(), view);
+            }
+        }
+        let views = self.views.values().filter(|view| view.version > version);
+        (views.cloned().collect(), self.view_version)
+    }
+}
+
+fn has_adapter(record: &EngineRecord, model: &str, adapter: &str, now: MonotonicTime) -> bool {
+    let held = record.held.get(model);
+    let adapter = held.and_then(|held| held.adapters.get(adapter));
+    adapter.is_some_and(|adapter| adapter.ready_at <= now)
+}
+
+fn viewed_models(record: &EngineRecord, now: MonotonicTime) -> Vec<ViewedModel> {
+    let held = record
+        .held
+        .iter()
+        .filter(|(model, _)| record.is_ready(model, now));
+    held.map(|(model, held)| {
+        let adapters = held
+            .adapters
+            .iter()
+            .filter(|(_, adapter)| adapter.ready_at <= now);
+        ViewedModel {
+            model: model.clone(),
+            adapters: adapters.map(|(name, _)| name.clone()).collect(),
+        }
+    })
+    .collect()
+}
+
+/// Applies an order that the engine carries out from now on.
+fn apply_accepted(
+    record: &mut EngineRecord,
+    order: &EngineOrder,
+    now: MonotonicTime,
+    load_time: Duration,
+    from_store: bool,
+) {
+    let EngineOrder {
+        action,
+        model,
+        adapter,
+        ..
+    } = order;
+    match (action, adapter) {
+        (ResidencyAction::Load, Some(adapter)) => {
+            let adapter_record = AdapterRecord {
+                ready_at: now + SHORT_ORDER,
+                last_used: now,
+            };
+            if let Some(held) = record.held.get_mut(model) {
+                held.adapters.insert(adapter.clone(), adapter_record);
+            }
+        }
+        (ResidencyAction::Unload, Some(adapter)) => {
+            if let Some(held) = record.held.get_mut(model) {
+                held.adapters.remove(adapter);
+            }
+        }
+        (ResidencyAction::Load, None) => {
+            let held = record.held.entry(model.clone()).or_default();
+            held.is_leaving = false;
+            held.ready_at = now + load_time;
+            held.last_used = now + load_time;
+            record.open = Some(OpenOrder {
+                action: *action,
+                model: model.clone(),
+                done_at: now + load_time,
+                from_store,
+            });
+            if record
+                .claim
+                .as_ref()
+                .is_some_and(|claim| claim.model == *model)
+            {
+                record.claim = None;
+            }
+            for copies in [&mut record.memory_copies, &mut record.disk_copies] {
+                if !copies.contains(model) {
+                    copies.push(model.clone());
+                }
+            }
+        }
+        (ResidencyAction::Unload, None) => {
+            if let Some(held) = record.held.get_mut(model) {
+                held.is_leaving = true;
+            }
+            record.open = Some(OpenOrder {
+                action: *action,
+                model: model.clone(),
+                done_at: now + SHORT_ORDER,
+                from_store: false,
+            });
+        }
+    }
+}
+
+/// Applies an order whose aim the engine says to hold already.
+fn apply_holding(record: &mut EngineRecord, order: &EngineOrder, now: MonotonicTime) {
+    match (order.action, &order.adapter) {
+        (ResidencyAction::Load, Some(adapter)) => {
+            if let Some(held) = record.held.get_mut(&order.model) {
+                held.adapters.entry(adapter.clone()).or_default().ready_at = now;
+            }
+        }
+        (ResidencyAction::Unload, Some(adapter)) => {
+            if let Some(held) = record.held.get_mut(&order.model) {
+                held.adapters.remove(adapter);
+            }
+        }
+        (ResidencyAction::Load, None) => {
+            let held = record.held.entry(order.model.clone()).or_default();
+            held.is_leaving = false;
+            held.ready_at = now;
+            record.claim = None;
+        }
+        (ResidencyAction::Unload, None) => {
+            record.held.remove(&order.model);
+        }
+    }
+}
--- /dev/null
+++ b/crates/transport/src/lib.rs
@@ -0,0 +1,19 @@
+//! Kept HTTP/1.1 connections to other processes, and serving of incoming ones.
+
+mod connection_server;
+mod http_pool;
+mod pool_settings;
+mod pooled_exchange;
+mod send_failure;
+mod server_limits;
+
+pub use connection_server::ConnectionServer;
+pub use connection_server::Served;
+pub use http_pool::HttpPool;
+pub use http_pool::ReuseRule;
+pub use pool_settings::PoolSettings;
+pub use pooled_exchange::ConnectionLease;
+pub use pooled_exchange::PooledExchange;
+pub use send_failure::Result;
+pub use send_failure::SendFailure;
+pub use server_limits::ServerLimits;
--- /dev/null
+++ b/crates/types/src/fleet_message.rs
@@ -0,0 +1,167 @@
+//! Messages between hosts and the host that holds the duty to coordinate.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::HostId;
+use crate::Name;
+
+/// What a host has done since its last report, and has under way.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct FleetReport {
+    /// Sender.
+    pub host: HostId,
+    /// Fencing number of the holder that the sender last heard; its usage before that is not known to a new holder.
+    pub fence: u64,
+    /// Version of the newest view that the sender has.
+    pub view_version: u64,
+    /// Units that client accounts used since the last acknowledged report.
+    pub accounts: Vec<AccountUse>,
+    /// Requests by backend server.
+    pub backends: Vec<BackendUse>,
+    /// Requests by model since the last acknowledged report.
+    pub models: Vec<ModelUse>,
+}
+
+/// Units that a client account used.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AccountUse {
+    /// Client account.
+    pub account: Name,
+    /// Units; negative if charged requests turned out not to have run.
+    pub units: i64,
+}
+
+/// Requests of one host on one backend server.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BackendUse {
+    /// Backend server.
+    pub backend: Name,
+    /// Requests on it now.
+    pub in_flight: u32,
+    /// Prompt tokens of those without a first event.
+    pub pending_tokens: u64,
+    /// Requests that it answered since the last report.
+    pub succeeded: u32,
+    /// Requests that it failed since the last report.
+    pub failed: u32,
+}
+
+/// Requests of one host for one model.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ModelUse {
+    /// Service.
+    pub service: Name,
+    /// Model.
+    pub model: Name,
+    /// Adapter.
+    pub adapter: Option<Name>,
+    /// Requests.
+    pub count: u32,
+    /// Their prompt tokens.
+    pub prompt_tokens: u64,
+    /// Their largest answers, tokens.
+    pub output_tokens: u64,
+}
+
+/// Answer to a report.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum FleetReply {
+    /// The receiver does not hold the duty.
+    NotHolder,
+    /// What the fleet as a whole does.
+    View(FleetView),
+}
+
+/// What the fleet as a whole does, as one host sees it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct FleetView {
+    /// Fencing number of the holder.
+    pub fence: u64,
+    /// Hosts that report.
+    pub hosts: u32,
+    /// Client accounts with a limit.
+    pub accounts: Vec<AccountLevel>,
+    /// Backend servers that other hosts use or that fail.
+    pub backends: Vec<BackendTotal>,
+    /// Newest version of the models on engines.
+    pub view_version: u64,
+    /// Engines whose models changed since the version of the report.
+    pub engines: Vec<EngineModels>,
+}
+
+/// What a client account may still use.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AccountLevel {
+    /// Client account.
+    pub account: Name,
+    /// Units left, the receiver's reported usage taken off; negative if too much was used.
+    pub level: i64,
+    /// Units a second that the other hosts use.
+    pub others_per_s: u64,
+}
+
+/// What other hosts have on a backend server.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BackendTotal {
+    /// Backend server.
+    pub backend: Name,
+    /// Requests.
+    pub in_flight: u32,
+    /// Prompt tokens of those without a first event.
+    pub pending_tokens: u64,
+    /// True if it fails more often than its peers.
+    pub is_suspect: bool,
+}
+
+/// Models that requests can use on an engine.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EngineModels {
+    /// Backend server.
+    pub backend: Name,
+    /// Start of its run, milliseconds since the Unix epoch.
+    pub born_ms: u64,
+    /// Models and their adapters.
+    pub models: Vec<(Name, Vec<Name>)>,
+}
+
+/// Asks where a request for a model can go.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PlaceRequest {
+    /// Service.
+    pub service: Name,
+    /// Model.
+    pub model: Name,
+    /// Adapter.
+    pub adapter: Option<Name>,
+    /// Rank of the request, 0 is the most urgent.
+    pub urgency: u8,
+    /// Time that is left for the request, milliseconds.
+    pub time_left_ms: u64,
+    /// Backend server that has just refused the request because it doesn't have the model.
+    pub refused_by: Option<Name>,
+}
+
+/// Answer to a [`PlaceRequest`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PlaceReply {
+    /// The receiver does not hold the duty, or can't give orders yet.
+    NotHolder,
+    /// A backend server has it, or will have it.
+    At {
+        /// Backend server.
+        backend: Name,
+        /// Estimate of the time until then, milliseconds.
+        ready_in_ms: u64,
+    },
+    /// Nothing is under way yet.
+    AskAgain {
+        /// When to ask again, milliseconds.
+        again_in_ms: u64,
+    },
+    /// Can't be loaded in time.
+    Refused {
+        /// When it could be, milliseconds; `None` if never.
+        retry_after_ms: Option<u64>,
+    },
+}
