--- /dev/null
+++ b/crates/host/src/attempt.rs
@@ -0,0 +1,134 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::StatusCode;
+use http_body_util::Full;
+use tokio::time::Instant;
+use zinniahinge_platform::AnswerFacts;
+use zinniahinge_platform::BackendHeaders;
+use zinniahinge_platform::set_resume_point;
+use zinniahinge_serving::ChosenBackend;
+use zinniahinge_serving::LoadGuard;
+use zinniahinge_transport::PooledExchange;
+use zinniahinge_transport::ReuseRule;
+use zinniahinge_transport::SendFailure;
+
+use crate::backend_answer::BackendAnswer;
+use crate::host_state::HostState;
+use crate::request_context::RequestContext;
+
+/// Idle time up to which a kept connection serves a request that must not be repeated. Backend servers keep idle
+/// connections for several seconds.
+const FRESH_IDLE: Duration = Duration::from_secs(3);
+
+/// How a send to a backend server ended without a usable answer.
+#[derive(Debug)]
+pub(crate) enum SendEnd {
+    /// No byte was written.
+    NotSent(String),
+    /// The server says that it did not run the request.
+    NotRun { status: StatusCode },
+    /// It may have run.
+    MayHaveRun { reason: String, timed_out: bool },
+}
+
+/// Sends a request to a backend server and reads the head of its answer until `deadline`.
+pub(crate) async fn send(
+    state: &HostState,
+    context: &RequestContext,
+    target: &ChosenBackend,
+    resume_after: Option<&str>,
+    deadline: Instant,
+) -> Result<BackendAnswer, SendEnd> {
+    let guard = LoadGuard::new(target.load.clone(), context.facts.prompt_tokens);
+    let request = build(context, target, resume_after).map_err(SendEnd::NotSent)?;
+    let rule = if context.rule.kind.is_repeatable() {
+        ReuseRule::Any
+    } else {
+        ReuseRule::IdleLessThan(FRESH_IDLE)
+    };
+    target.note_parts(&context.facts);
+    let sent = state
+        .pool
+        .send(target.entry.address, request, rule, deadline)
+        .await;
+    let exchange = match sent {
+        Ok(exchange) => exchange,
+        Err(failure) => return Err(end_of(state, target, failure)),
+    };
+    let PooledExchange {
+        response, lease, ..
+    } = exchange;
+    let (head, body) = response.into_parts();
+    let facts = AnswerFacts::read(head.status, &head.headers, &context.facts.attempt_id);
+    if facts.is_crossed {
+        target.load.count_failure();
+        return Err(SendEnd::MayHaveRun {
+            reason: "the answer names another request".to_owned(),
+            timed_out: false,
+        });
+    }
+    if let Some(sample) = facts.load {
+        target.load.state(sample, state.now());
+    }
+    let answer = BackendAnswer {
+        facts,
+        headers: head.headers,
+        body,
+        lease,
+        guard,
+    };
+    if answer.facts.says_not_run {
+        let status = answer.facts.status;
+        answer.discard();
+        return Err(SendEnd::NotRun { status });
+    }
+    Ok(answer)
+}
+
+fn build(
+    context: &RequestContext,
+    target: &ChosenBackend,
+    resume_after: Option<&str>,
+) -> Result<Request<Full<Bytes>>, String> {
+    let account = context.account.as_ref();
+    let own = BackendHeaders {
+        backend: &target.entry.id,
+        account: account.map(|(account, _)| &*account.name),
+        time_left: context.time_left(),
+        urgency: context.urgency(),
+    };
+    let mut headers = own.build(&context.headers);
+    if let Some(event) = resume_after {
+        set_resume_point(&mut headers, event);
+    }
+    let path = context
+        .uri
+        .path_and_query()
+        .map_or("/", |path| path.as_str());
+    let mut request = Request::builder()
+        .method(context.method.clone())
+        .uri(path)
+        .body(Full::new(context.body.clone()))
+        .map_err(|error| error.to_string())?;
+    *request.headers_mut() = headers;
+    Ok(request)
+}
+
+fn end_of(state: &HostState, target: &ChosenBackend, failure: SendFailure) -> SendEnd {
+    target.load.count_failure();
+    target.load.avoid(state.now());
+    let reason = failure.to_string();
+    match failure {
+        SendFailure::NotSent { .. } => SendEnd::NotSent(reason),
+        SendFailure::Unanswered { .. } => SendEnd::MayHaveRun {
+            reason,
+            timed_out: false,
+        },
+        SendFailure::TimedOut => SendEnd::MayHaveRun {
+            reason,
+            timed_out: true,
+        },
+    }
+}
--- /dev/null
+++ b/crates/host/src/backend_answer.rs
@@ -0,0 +1,82 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+use zinniahinge_platform::AnswerFacts;
+use zinniahinge_serving::LoadGuard;
+use zinniahinge_transport::ConnectionLease;
+
+use crate::answer::AnswerBody;
+
+/// Largest answer that is not a stream.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// Time to read an answer that nobody needs.
+const DISCARD_TIME: Duration = Duration::from_millis(500);
+
+/// Head of a backend server's answer, its body still on the way.
+pub(crate) struct BackendAnswer {
+    pub(crate) facts: AnswerFacts,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Incoming,
+    pub(crate) lease: ConnectionLease,
+    pub(crate) guard: LoadGuard,
+}
+
+/// A backend server's whole answer.
+pub(crate) struct WholeAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl BackendAnswer {
+    /// Reads the body in the background and drops it, so that the connection can be used again.
+    pub(crate) fn discard(self) {
+        tokio::spawn(self.read_whole(Instant::now() + DISCARD_TIME));
+    }
+
+    /// Reads the body to its end; an error says why it is not whole.
+    pub(crate) async fn read_whole(self, deadline: Instant) -> Result<WholeAnswer, String> {
+        let Self {
+            facts,
+            headers,
+            body,
+            lease,
+            guard: _guard,
+        } = self;
+        let collect = Limited::new(body, MAX_ANSWER_BYTES).collect();
+        let body = match tokio::time::timeout_at(deadline, collect).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(error)) => return Err(error.to_string()),
+            Err(_) => return Err("the answer did not end in time".to_owned()),
+        };
+        lease.give_back();
+        Ok(WholeAnswer {
+            status: facts.status,
+            headers: AnswerFacts::caller_headers(&headers),
+            body,
+        })
+    }
+}
+
+impl WholeAnswer {
+    /// The answer to the caller, unchanged but for the framing.
+    pub(crate) fn into_response(self) -> http::Response<AnswerBody> {
+        let Self {
+            status,
+            headers,
+            body,
+        } = self;
+        let mut response = http::Response::new(AnswerBody::Whole(Full::new(body)));
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        response
+    }
+}
--- /dev/null
+++ b/crates/host/src/caller_lifecycle.rs
@@ -0,0 +1,42 @@
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use slog::info;
+use tokio_util::sync::CancellationToken;
+
+use crate::host_state::HostState;
+
+/// Time from the signal until connections are closed. The balancer asks once a second and needs two misses, and
+/// requests that were sent before then must be answered.
+const CLOSE_AFTER: Duration = Duration::from_millis(3000);
+
+/// Left of the grace period when the process ends although requests are still under way.
+const EXIT_MARGIN: Duration = Duration::from_millis(400);
+
+/// Pause between two looks at the open connections.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+
+/// Planned stop: not ready at once, then connections are closed after their answers, then the process ends.
+pub(crate) async fn drain(
+    state: &HostState,
+    open: &Arc<AtomicUsize>,
+    close_gracefully: &CancellationToken,
+) {
+    state.is_stopping.store(true, Ordering::Release);
+    info!(state.logger, "stopping"; "connections" => open.load(Ordering::Acquire),
+        "requests" => state.counters.active.get());
+    let grace = state.boot.bounds.grace;
+    tokio::time::sleep(CLOSE_AFTER.min(grace / 2)).await;
+    close_gracefully.cancel();
+    let idle = async {
+        while open.load(Ordering::Acquire) > 0 {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+    };
+    let rest = grace.saturating_sub(CLOSE_AFTER.min(grace / 2) + EXIT_MARGIN);
+    let is_complete = tokio::time::timeout(rest, idle).await.is_ok();
+    info!(state.logger, "stopped"; "complete" => is_complete,
+        "requests" => state.counters.active.get());
+}
--- /dev/null
+++ b/crates/host/src/coordinator.rs
@@ -0,0 +1,267 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use zinniahinge_serving::DutyTerm;
+use zinniahinge_serving::FleetLedger;
+use zinniahinge_serving::Placement;
+use zinniahinge_serving::ResidencyPlanner;
+use zinniahinge_serving::ResidencySettings;
+use zinniahinge_types::EngineModels;
+use zinniahinge_types::FleetReply;
+use zinniahinge_types::FleetReport;
+use zinniahinge_types::FleetView;
+use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::Name;
+use zinniahinge_types::PlaceReply;
+use zinniahinge_types::PlaceRequest;
+
+use crate::host_state::HostState;
+
+/// Bits of view versions below the fencing number: 16 million changes under each.
+const FENCE_SHIFT: u32 = 24;
+
+/// Taken off the lease: the way of an order to its engine and the drift of two clocks over a lease.
+const LEASE_MARGIN: Duration = Duration::from_millis(300);
+
+/// Longest time for which a question is held while an order is given. Adapters load within it.
+const PLACE_HOLD: Duration = Duration::from_millis(400);
+
+/// Pause between two looks at a held question, unless something changes.
+const PLACE_CHECK: Duration = Duration::from_millis(40);
+
+/// What one term of the coordinating host knows.
+pub(crate) struct Coordinator {
+    pub(crate) state: Arc<HostState>,
+    pub(crate) fence: u64,
+    pub(crate) planners: HashMap<Name, ResidencyPlanner>,
+    pub(crate) ledger: FleetLedger,
+}
+
+/// The coordinator while this host has the duty.
+pub(crate) struct CoordinatorCell {
+    term: Mutex<DutyTerm>,
+    coordinator: Mutex<Option<Coordinator>>,
+    /// Raised when orders may have become possible.
+    pub(crate) work: Notify,
+    /// Raised when an order or a report ended.
+    pub(crate) progress: Notify,
+}
+
+impl Coordinator {
+    pub(crate) fn new(state: Arc<HostState>, fence: u64) -> Self {
+        Self {
+            state,
+            fence,
+            planners: HashMap::new(),
+            ledger: FleetLedger::default(),
+        }
+    }
+
+    /// Brings the planners in line with the configuration and the listed backend servers.
+    pub(crate) fn observe_table(&mut self, store_loads: usize, now: MonotonicTime) {
+        let table = self.state.table.load_full();
+        let Some(config) = &table.config else {
+            return;
+        };
+        let engines = config.services.values().filter_map(|service| {
+            let engine = service.engine.as_ref()?;
+            Some((service.name.clone(), engine))
+        });
+        let first_version = self.fence << FENCE_SHIFT;
+        let load_window = self.state.boot.bounds.load_window;
+        for (service, spec) in engines {
+            let planner = self.planners.entry(service.clone()).or_insert_with(|| {
+                let settings = ResidencySettings {
+                    store_loads_at_once: store_loads,
+                    rate_window: load_window,
+                    ..ResidencySettings::default()
+                };
+                ResidencyPlanner::new(spec.clone(), settings, first_version)
+            });
+            planner.set_spec(spec.clone());
+            let backends = table.backends(&service);
+            for slot in backends {
+                planner.observe_entry(&slot.entry, now);
+            }
+            planner.retain_engines(|id| backends.iter().any(|slot| slot.entry.id == *id));
+        }
+        self.planners
+            .retain(|service, _| config.services.contains_key(service));
+        self.ledger.retain_backends(|id| {
+            let mut slots = table.services.values().flatten();
+            slots.any(|slot| slot.entry.id == *id)
+        });
+    }
+
+    fn report(&mut self, report: &FleetReport, now: MonotonicTime) -> FleetView {
+        let table = self.state.table.load_full();
+        let accounts = table.config.as_ref().map(|config| config.accounts.clone());
+        let accounts = accounts.unwrap_or_default();
+        let is_known = report.fence == self.fence;
+        let credit = if is_known {
+            Duration::ZERO
+        } else {
+            self.state.boot.bounds.quota_window
+        };
+        self.ledger.apply(report, &accounts, credit, now);
+        for used in &report.models {
+            if let Some(planner) = self.planners.get_mut(&used.service) {
+                let tokens = (used.prompt_tokens, used.output_tokens);
+                planner.note_use(&used.model, used.adapter.as_ref(), used.count, tokens, now);
+            }
+        }
+        let groups: Vec<Vec<Name>> = table
+            .services
+            .values()
+            .map(|slots| slots.iter().map(|slot| slot.entry.id.clone()).collect())
+            .collect();
+        let mut engines = Vec::new();
+        let mut view_version = 0;
+        for planner in self.planners.values_mut() {
+            let (views, version) = planner.views_since(report.view_version, now);
+            view_version = view_version.max(version);
+            engines.extend(views.into_iter().map(|view| {
+                let models = view.models.into_iter();
+                EngineModels {
+                    backend: view.backend,
+                    born_ms: view.born_ms,
+                    models: models.map(|model| (model.model, model.adapters)).collect(),
+                }
+            }));
+        }
+        FleetView {
+            fence: self.fence,
+            hosts: self.ledger.host_count(now),
+            accounts: self.ledger.levels(&report.host, &accounts, now),
+            backends: self.ledger.backends(&report.host, &groups, now),
+            view_version,
+            engines,
+        }
+    }
+}
+
+impl CoordinatorCell {
+    pub(crate) fn new(lease_time: Duration) -> Self {
+        Self {
+            term: Mutex::new(DutyTerm::new(lease_time, LEASE_MARGIN, lease_time)),
+            coordinator: Mutex::new(None),
+            work: Notify::new(),
+            progress: Notify::new(),
+        }
+    }
+
+    fn term(&self) -> MutexGuard<'_, DutyTerm> {
+        self.term.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn start_term(
+        &self,
+        coordinator: Coordinator,
+        fence: u64,
+        sent: MonotonicTime,
+        now: MonotonicTime,
+        had_predecessor: bool,
+    ) {
+        *self.lock() = Some(coordinator);
+        self.term().start(fence, sent, now, had_predecessor);
+        self.work.notify_one();
+    }
+
+    pub(crate) fn renew(&self, sent: MonotonicTime) {
+        self.term().renew(sent);
+    }
+
+    pub(crate) fn end_term(&self) {
+        self.term().end();
+        *self.lock() = None;
+    }
+
+    /// Fencing number of a valid term.
+    pub(crate) fn fence(&self, now: MonotonicTime) -> Option<u64> {
+        self.term().fence(now)
+    }
+
+    /// Fencing number under which an order may be sent now.
+    pub(crate) fn order_fence(&self, now: MonotonicTime) -> Option<u64> {
+        self.term().order_fence(now)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Coordinator>> {
+        self.coordinator
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Calls `act` with the coordinator while this host has the duty.
+    pub(crate) fn with<T>(&self, act: impl FnOnce(&mut Coordinator) -> T) -> Option<T> {
+        self.lock().as_mut().map(act)
+    }
+
+    /// Answers a host's report.
+    pub(crate) fn report(&self, report: &FleetReport, now: MonotonicTime) -> FleetReply {
+        if self.fence(now).is_none() {
+            return FleetReply::NotHolder;
+        }
+        match self.with(|coordinator| coordinator.report(report, now)) {
+            Some(view) => FleetReply::View(view),
+            None => FleetReply::NotHolder,
+        }
+    }
+
+    /// Answers a host's question where a request can go.
+    pub(crate) async fn place(&self, request: &PlaceRequest, state: &HostState) -> PlaceReply {
+        let until = state.now() + PLACE_HOLD.min(Duration::from_millis(request.time_left_ms));
+        let mut refused_by = request.refused_by.clone();
+        loop {
+            let now = state.now();
+            if self.fence(now).is_none() {
+                return PlaceReply::NotHolder;
+            }
+            let placement = self.with(|coordinator| {
+                let planner = coordinator.planners.get_mut(&request.service)?;
+                let time_left = Duration::from_millis(request.time_left_ms);
+                let model = &request.model;
+                let adapter = request.adapter.as_ref();
+                let refused_by = refused_by.as_ref();
+                Some(planner.place(model, adapter, request.urgency, time_left, refused_by, now))
+            });
+            refused_by = None;
+            let Some(Some(placement)) = placement else {
+                return PlaceReply::NotHolder;
+            };
+            let again_in = match placement {
+                Placement::Ready { backend } => {
+                    return PlaceReply::At {
+                        backend,
+                        ready_in_ms: 0,
+                    };
+                }
+                Placement::Loading { backend, ready_in } => {
+                    return PlaceReply::At {
+                        backend,
+                        ready_in_ms: ready_in.as_millis() as u64,
+                    };
+                }
+                Placement::Refused { retry_after } => {
+                    return PlaceReply::Refused {
+                        retry_after_ms: retry_after.map(|after| after.as_millis() as u64),
+                    };
+                }
+                Placement::Wait { again_in } => again_in,
+            };
+            let progress = self.progress.notified();
+            self.work.notify_one();
+            if now + again_in >= until {
+                return PlaceReply::AskAgain {
+                    again_in_ms: again_in.as_millis() as u64,
+                };
+            }
+            let _ = tokio::time::timeout(PLACE_CHECK.max(again_in), progress).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/coordinator_orders.rs
@@ -0,0 +1,149 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::info;
+use slog::warn;
+use tokio_util::sync::CancellationToken;
+use zinniahinge_platform::EngineClient;
+use zinniahinge_serving::EngineOrder;
+use zinniahinge_serving::OrderOutcome;
+use zinniahinge_types::Name;
+
+use crate::coordinator::CoordinatorCell;
+use crate::host_state::HostState;
+
+/// Longest pause between two plans while this host has the duty.
+const PLAN_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Shortest pause, so that a plan that is due at once again does not fill the processor.
+const MIN_PAUSE: Duration = Duration::from_millis(4);
+
+/// Sends the orders that the planners decide and reads engines' reports.
+#[derive(Clone)]
+pub(crate) struct CoordinatorOrders {
+    pub(crate) state: Arc<HostState>,
+    pub(crate) cell: Arc<CoordinatorCell>,
+    pub(crate) engines: EngineClient,
+    /// Loads from the weight store that run at full speed at once.
+    pub(crate) store_loads: usize,
+}
+
+/// What is to be done now.
+#[derive(Default)]
+struct PlannedWork {
+    orders: Vec<(Name, EngineOrder)>,
+    reports: Vec<(Name, Name, SocketAddr)>,
+    pause: Duration,
+}
+
+impl CoordinatorOrders {
+    /// Runs until `token` is cancelled.
+    pub(crate) async fn run(self, token: CancellationToken) {
+        let mut tables = self.state.table_version.subscribe();
+        let mut is_new_table = true;
+        loop {
+            let work = self.plan(is_new_table);
+            let pause = work.as_ref().map_or(PLAN_INTERVAL * 4, |work| work.pause);
+            if let Some(work) = work {
+                self.start(work);
+            }
+            is_new_table = false;
+            tokio::select! {
+                () = token.cancelled() => return,
+                () = self.cell.work.notified() => {}
+                changed = tables.changed() => is_new_table = changed.is_ok(),
+                () = tokio::time::sleep(pause.max(MIN_PAUSE)) => {}
+            }
+        }
+    }
+
+    /// Plans all services; `None` while another host has the duty.
+    fn plan(&self, is_new_table: bool) -> Option<PlannedWork> {
+        let now = self.state.now();
+        let may_order = self.cell.order_fence(now).is_some();
+        self.cell.fence(now)?;
+        self.cell.with(|coordinator| {
+            if is_new_table || coordinator.planners.is_empty() {
+                coordinator.observe_table(self.store_loads, now);
+            }
+            let mut work = PlannedWork {
+                pause: PLAN_INTERVAL,
+                ..PlannedWork::default()
+            };
+            for (service, planner) in &mut coordinator.planners {
+                let due = planner.due_reports(now).into_iter();
+                work.reports
+                    .extend(due.map(|(backend, address)| (service.clone(), backend, address)));
+                if may_order {
+                    let orders = planner.plan(now).into_iter();
+                    work.orders
+                        .extend(orders.map(|order| (service.clone(), order)));
+                }
+                if let Some(wakeup) = planner.next_wakeup(now) {
+                    work.pause = work.pause.min(wakeup.since(now));
+                }
+            }
+            work
+        })
+    }
+
+    fn start(&self, work: PlannedWork) {
+        for (service, order) in work.orders {
+            let this = self.clone();
+            tokio::spawn(async move { this.give(service, order).await });
+        }
+        for (service, backend, address) in work.reports {
+            let this = self.clone();
+            tokio::spawn(async move { this.read_report(service, backend, address).await });
+        }
+    }
+
+    async fn give(&self, service: Name, order: EngineOrder) {
+        let logger = &self.state.logger;
+        // Checked last: the duty may have ended since the plan.
+        let outcome = match self.cell.order_fence(self.state.now()) {
+            None => OrderOutcome::NotSent,
+            Some(fence) => {
+                let holder = &self.state.boot.host;
+                let outcome = self.engines.order(&order, holder, fence).await;
+                info!(logger, "order"; "action" => ?order.action, "backend" => &*order.backend,
+                    "model" => &*order.model, "adapter" => order.adapter.as_deref(),
+                    "expected" => order.expected, "fence" => fence, "outcome" => ?outcome);
+                outcome
+            }
+        };
+        let label = format!("{outcome:?}");
+        self.state
+            .counters
+            .orders
+            .with_label_values(&[&label])
+            .inc();
+        if outcome == OrderOutcome::Fenced {
+            warn!(logger, "an engine has seen a newer holder"; "backend" => &*order.backend);
+        }
+        let now = self.state.now();
+        self.cell.with(|coordinator| {
+            if let Some(planner) = coordinator.planners.get_mut(&service) {
+                planner.order_ended(&order, outcome, now);
+            }
+        });
+        self.cell.progress.notify_waiters();
+        self.cell.work.notify_one();
+    }
+
+    async fn read_report(&self, service: Name, backend: Name, address: SocketAddr) {
+        let asked_at = self.state.now();
+        let report = self.engines.report(address, &backend).await;
+        if let Err(error) = &report {
+            info!(self.state.logger, "no report"; "backend" => &*backend, "error" => error);
+        }
+        let now = self.state.now();
+        self.cell.with(|coordinator| {
+            if let Some(planner) = coordinator.planners.get_mut(&service) {
+                planner.observe_report(&backend, report.as_ref().ok(), asked_at, now);
+            }
+        });
+        self.cell.work.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/host/src/fleet_reporter.rs
@@ -0,0 +1,151 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::info;
+use slog::warn;
+use tokio_util::sync::CancellationToken;
+use zinniahinge_types::AccountUse;
+use zinniahinge_types::BackendUse;
+use zinniahinge_types::FleetReply;
+use zinniahinge_types::FleetReport;
+use zinniahinge_types::FleetView;
+use zinniahinge_types::MonotonicTime;
+
+use crate::fleet_table::DutyHolder;
+use crate::host_state::HostState;
+
+/// A host without traffic reports this many times less often.
+const IDLE_FACTOR: u32 = 4;
+
+/// Tells the coordinating host what this one does, and takes in what the fleet does.
+pub(crate) struct FleetReporter {
+    pub(crate) state: Arc<HostState>,
+    pub(crate) interval: Duration,
+}
+
+/// What the reporter remembers between two reports.
+#[derive(Default)]
+struct ReportMemory {
+    /// Fencing number of the holder that answered last.
+    fence: u64,
+    is_lost: bool,
+    idle_rounds: u32,
+}
+
+impl FleetReporter {
+    /// Runs until `token` is cancelled.
+    pub(crate) async fn run(self, token: CancellationToken) {
+        let mut memory = ReportMemory::default();
+        loop {
+            let pause = tokio::time::sleep(self.interval);
+            if token.run_until_cancelled(pause).await.is_none() {
+                return;
+            }
+            self.state.retries.accrue(self.interval);
+            let holder = self.state.table.load().holder.clone();
+            if let Some(holder) = holder {
+                self.round(&holder, &mut memory).await;
+            }
+        }
+    }
+
+    async fn round(&self, holder: &DutyHolder, memory: &mut ReportMemory) {
+        let state = &self.state;
+        let is_idle = state.uses().is_empty() && state.counters.active.get() == 0;
+        memory.idle_rounds = if is_idle { memory.idle_rounds + 1 } else { 0 };
+        let is_known = memory.fence == holder.fence;
+        if is_known && memory.idle_rounds > IDLE_FACTOR && memory.idle_rounds % IDLE_FACTOR != 0 {
+            return;
+        }
+        let now = state.now();
+        let report = self.build(memory.fence, is_known, now);
+        match state.link.report(holder, &report, state).await {
+            Ok(FleetReply::View(view)) => {
+                memory.fence = view.fence;
+                if memory.is_lost {
+                    info!(state.logger, "coordinating host regained"; "host" => &*holder.host,
+                        "fence" => holder.fence);
+                    memory.is_lost = false;
+                }
+                self.apply(view, now);
+            }
+            answer => {
+                self.return_usage(report.accounts, is_known);
+                if !memory.is_lost {
+                    let error = answer.err().map(|error| error.to_string());
+                    warn!(state.logger, "coordinating host does not answer"; "host" => &*holder.host,
+                        "fence" => holder.fence, "error" => error);
+                    memory.is_lost = true;
+                }
+            }
+        }
+    }
+
+    fn build(&self, fence: u64, is_known: bool, now: MonotonicTime) -> FleetReport {
+        let state = &self.state;
+        let accounts = if is_known {
+            state.meter().take_unreported()
+        } else {
+            state.meter().take_window(now)
+        };
+        let table = state.table.load();
+        let slots = table.services.values().flatten();
+        let backends = slots.filter_map(|slot| {
+            let (succeeded, failed) = slot.load.take_outcomes();
+            let in_flight = slot.load.in_flight();
+            (in_flight + succeeded + failed > 0).then(|| BackendUse {
+                backend: slot.entry.id.clone(),
+                in_flight,
+                pending_tokens: slot.load.pending_tokens(),
+                succeeded,
+                failed,
+            })
+        });
+        FleetReport {
+            host: state.boot.host.clone(),
+            fence,
+            view_version: state.with_source(|source| source.view_version),
+            accounts,
+            backends: backends.collect(),
+            models: state.uses().take(),
+        }
+    }
+
+    /// A window that could not be reported is read anew next time.
+    fn return_usage(&self, usage: Vec<AccountUse>, is_known: bool) {
+        if is_known {
+            self.state.meter().return_unreported(usage);
+        }
+    }
+
+    fn apply(&self, view: FleetView, asked_at: MonotonicTime) {
+        let state = &self.state;
+        let FleetView {
+            fence: _,
+            hosts,
+            accounts,
+            backends,
+            view_version,
+            engines,
+        } = view;
+        let known_hosts = state.with_source(|source| source.hosts.len() as u32);
+        {
+            let mut meter = state.meter();
+            meter.set_hosts(hosts.max(known_hosts));
+            meter.apply_levels(&accounts, asked_at);
+        }
+        state.retries.set_hosts(hosts.max(known_hosts));
+        for slot in state.table.load().services.values().flatten() {
+            let total = backends.iter().find(|total| total.backend == slot.entry.id);
+            match total {
+                Some(total) => {
+                    slot.load
+                        .set_others(total.in_flight, total.pending_tokens, total.is_suspect);
+                }
+                None => slot.load.set_others(0, 0, false),
+            }
+        }
+        let now = state.now();
+        state.update(|source| source.apply_views(engines, view_version, now));
+    }
+}
--- /dev/null
+++ b/crates/host/src/forward.rs
@@ -0,0 +1,315 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Response;
+use http::StatusCode;
+use slog::info;
+use tokio::time::Instant;
+use zinniahinge_platform::AnswerFacts;
+use zinniahinge_serving::ChosenBackend;
+use zinniahinge_serving::RouteKind;
+
+use crate::answer::AnswerBody;
+use crate::answer::Refusal;
+use crate::answer::RefusalKind;
+use crate::answer::Result;
+use crate::attempt::SendEnd;
+use crate::attempt::send;
+use crate::backend_answer::BackendAnswer;
+use crate::backend_answer::WholeAnswer;
+use crate::event_relay::EventRelay;
+use crate::event_relay::OpenStream;
+use crate::filters::check_key;
+use crate::host_state::HostState;
+use crate::request_context::RequestContext;
+use crate::request_log::RequestLog;
+use crate::target_choice::choose_target;
+use crate::try_log::TryLog;
+
+/// Time that must be left for a send to make sense.
+const MIN_SEND_TIME: Duration = Duration::from_millis(15);
+
+/// Shortest time that a repeatable request waits before it is sent elsewhere.
+const MIN_PATIENCE: Duration = Duration::from_millis(400);
+
+/// A repeatable request waits for this many times its goal before it is sent elsewhere.
+const PATIENCE_GOALS: u32 = 2;
+
+/// Pause before a request that all servers had no place for is sent again.
+const FULL_PAUSE: Duration = Duration::from_millis(60);
+
+/// Pause before a request is sent again to a server whose load has just ended.
+const ABSENT_PAUSE: Duration = Duration::from_millis(25);
+
+/// Pause that callers are told when all servers are full.
+const FULL_RETRY: Duration = Duration::from_millis(500);
+
+/// How one send ended.
+enum Sent {
+    /// The caller has its answer.
+    Answered(Response<AnswerBody>, &'static str),
+    /// A stream has begun.
+    Streaming(Response<()>, OpenStream),
+    /// Not usable.
+    Ended(SendEnd, Option<WholeAnswer>),
+}
+
+/// Sends a request to backend servers until it is answered, and answers the caller.
+pub(crate) async fn forward(
+    state: &Arc<HostState>,
+    context: RequestContext,
+    mut log: RequestLog,
+) -> Response<AnswerBody> {
+    let mut tries = TryLog::default();
+    let (response, outcome) = match run(state, &context, &mut tries, &mut log).await {
+        Ok(Sent::Streaming(head, stream)) => {
+            let relay = EventRelay {
+                state: state.clone(),
+                context,
+                tries,
+                log,
+            };
+            let (parts, ()) = head.into_parts();
+            return Response::from_parts(parts, relay.start(stream));
+        }
+        Ok(Sent::Answered(response, outcome)) => (response, outcome),
+        Ok(Sent::Ended(..)) => unreachable_end(),
+        Err(refusal) => {
+            if !refusal.may_have_run
+                && let Some((account, _)) = &context.account
+            {
+                state.meter().refund(account, context.cost());
+            }
+            (refusal.to_response(), refusal.kind.name())
+        }
+    };
+    log.finish(outcome, response.status().as_u16());
+    response
+}
+
+fn unreachable_end() -> (Response<AnswerBody>, &'static str) {
+    let refusal = Refusal {
+        kind: RefusalKind::BackendFailed,
+        retry_after: None,
+        may_have_run: true,
+    };
+    (refusal.to_response(), refusal.kind.name())
+}
+
+async fn run(
+    state: &Arc<HostState>,
+    context: &RequestContext,
+    tries: &mut TryLog,
+    log: &mut RequestLog,
+) -> Result<Sent> {
+    note_use(state, context);
+    state.retries.of(&context.service).record_request();
+    // Answer of a server that ran the request and failed; the caller gets it if no other server does better.
+    let mut failed_answer: Option<WholeAnswer> = None;
+    loop {
+        let give_up = |kind: RefusalKind, tries: &TryLog, failed: Option<WholeAnswer>| match failed
+        {
+            Some(answer) => Ok(Sent::Answered(answer.into_response(), "server-failed")),
+            None => Err(Refusal {
+                kind,
+                retry_after: None,
+                may_have_run: tries.has_maybe_run(),
+            }),
+        };
+        if context.time_left() < MIN_SEND_TIME {
+            return give_up(RefusalKind::DeadlinePassed, tries, failed_answer);
+        }
+        let target = match choose_target(state, context, tries).await {
+            Ok(target) => target,
+            Err(refusal) => return refuse(refusal, tries, failed_answer),
+        };
+        // The choice may have waited.
+        if let Err(refusal) = check_key(state, context) {
+            return refuse(refusal, tries, failed_answer);
+        }
+        if tries.arrivals > 0 && !state.retries.of(&context.service).try_retry() {
+            return give_up(RefusalKind::Overloaded, tries, failed_answer);
+        }
+        let backend = target.entry.id.clone();
+        log.note_send(&backend);
+        let sent = attempt(state, context, &target).await;
+        let (end, answer) = match sent {
+            Sent::Ended(end, answer) => (end, answer),
+            sent => {
+                log.arrivals += 1;
+                log.note_answer();
+                return Ok(sent);
+            }
+        };
+        info!(state.logger, "send ended"; "id" => &*context.facts.attempt_id, "backend" => &*backend,
+            "end" => ?end);
+        let label = match &end {
+            SendEnd::NotSent(_) => "not-sent",
+            SendEnd::NotRun { .. } => "not-run",
+            SendEnd::MayHaveRun { .. } => "may-have-run",
+        };
+        state.counters.sends.with_label_values(&[label]).inc();
+        match end {
+            SendEnd::NotSent(_) => tries.avoid(&backend),
+            SendEnd::NotRun { status } => {
+                tries.arrivals += 1;
+                log.arrivals += 1;
+                let pause = note_not_run(state, context, tries, &target, status);
+                tokio::time::sleep(pause.min(context.time_left())).await;
+            }
+            SendEnd::MayHaveRun { .. } => {
+                tries.arrivals += 1;
+                log.arrivals += 1;
+                tries.note_ran(&backend);
+                failed_answer = answer.or(failed_answer);
+                if !may_repeat(state, context, tries) {
+                    return give_up(RefusalKind::BackendFailed, tries, failed_answer);
+                }
+            }
+        }
+    }
+}
+
+fn refuse(refusal: Refusal, tries: &TryLog, failed: Option<WholeAnswer>) -> Result<Sent> {
+    match failed {
+        Some(answer) => Ok(Sent::Answered(answer.into_response(), "server-failed")),
+        None => Err(Refusal {
+            may_have_run: tries.has_maybe_run(),
+            ..refusal
+        }),
+    }
+}
+
+fn note_use(state: &HostState, context: &RequestContext) {
+    let facts = &context.facts;
+    if let Some(model) = &facts.model {
+        let adapter = facts.adapter.as_ref();
+        let (prompt, output) = (facts.prompt_tokens, facts.output_tokens);
+        state
+            .uses()
+            .add(&context.service, model, adapter, prompt, output);
+    }
+}
+
+/// A server did not take the request: it is full, or doesn't have the model. Returns the pause before the next send.
+fn note_not_run(
+    state: &HostState,
+    context: &RequestContext,
+    tries: &mut TryLog,
+    target: &ChosenBackend,
+    status: StatusCode,
+) -> Duration {
+    let backend = &target.entry.id;
+    let Some(model) = &context.facts.model else {
+        tries.avoid(backend);
+        return if tries.arrivals > 1 {
+            FULL_PAUSE
+        } else {
+            Duration::ZERO
+        };
+    };
+    if status == StatusCode::TOO_MANY_REQUESTS {
+        tries.avoid(backend);
+        return FULL_PAUSE;
+    }
+    // Also a server that is about to unload or still loads the model answers so.
+    let adapter = context.facts.adapter.as_deref();
+    state.update(|source| {
+        source.forget_model(backend, model, adapter);
+        true
+    });
+    tries.absent_at = Some(backend.clone());
+    ABSENT_PAUSE
+}
+
+/// True if a request that may have run may be sent to one more server.
+pub(crate) fn may_repeat(state: &HostState, context: &RequestContext, tries: &TryLog) -> bool {
+    let rule = &context.rule;
+    rule.kind.is_repeatable()
+        && tries.ran_count() < rule.max_backends
+        && state.retries.of(&context.service).balance() > 0
+}
+
+async fn attempt(state: &Arc<HostState>, context: &RequestContext, target: &ChosenBackend) -> Sent {
+    let patience = (context.rule.goal * PATIENCE_GOALS).max(MIN_PATIENCE);
+    let deadline = if context.rule.kind.is_repeatable() {
+        context.deadline.min(Instant::now() + patience)
+    } else {
+        context.deadline
+    };
+    let answer = match send(state, context, target, None, deadline).await {
+        Ok(answer) => answer,
+        Err(end) => return Sent::Ended(end, None),
+    };
+    let load = target.load.clone();
+    let sent = match context.rule.kind {
+        RouteKind::Streaming { .. } if answer.facts.status.is_success() => {
+            open_stream(answer, target, deadline).await
+        }
+        _ => read_answer(context, answer, deadline).await,
+    };
+    match &sent {
+        Sent::Ended(..) | Sent::Answered(_, "server-failed") => load.count_failure(),
+        Sent::Answered(..) => load.count_success(),
+        Sent::Streaming(..) => {}
+    }
+    sent
+}
+
+async fn open_stream(answer: BackendAnswer, target: &ChosenBackend, deadline: Instant) -> Sent {
+    if !answer.facts.is_sealed || answer.facts.is_recoded {
+        return broken("the answer is not the server's own");
+    }
+    let mut head = Response::new(());
+    *head.status_mut() = answer.facts.status;
+    *head.headers_mut() = AnswerFacts::caller_headers(&answer.headers);
+    match OpenStream::start(answer, target.entry.id.clone(), deadline).await {
+        Ok(stream) => Sent::Streaming(head, stream),
+        Err(reason) => broken(reason),
+    }
+}
+
+async fn read_answer(context: &RequestContext, answer: BackendAnswer, deadline: Instant) -> Sent {
+    let facts = answer.facts.clone();
+    if !facts.is_sealed || facts.is_recoded {
+        return broken(format!(
+            "status {} without the server's signature",
+            facts.status
+        ));
+    }
+    let whole = match answer.read_whole(deadline).await {
+        Ok(whole) => whole,
+        Err(reason) => return broken(reason),
+    };
+    let status = facts.status;
+    if status.is_success() {
+        return Sent::Answered(whole.into_response(), "served");
+    }
+    // These statuses promise that a request was not run, and the server did not say so.
+    let promises = [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::REQUEST_TIMEOUT,
+    ];
+    if promises.contains(&status) && !context.rule.kind.is_repeatable() {
+        return broken(format!("status {status} of a request that may have run"));
+    }
+    if status.is_server_error() {
+        return Sent::Ended(
+            SendEnd::MayHaveRun {
+                reason: status.to_string(),
+                timed_out: false,
+            },
+            Some(whole),
+        );
+    }
+    Sent::Answered(whole.into_response(), "server-refused")
+}
+
+fn broken(reason: impl Into<String>) -> Sent {
+    let end = SendEnd::MayHaveRun {
+        reason: reason.into(),
+        timed_out: false,
+    };
+    Sent::Ended(end, None)
+}
--- /dev/null
+++ b/crates/host/src/host_counters.rs
@@ -0,0 +1,63 @@
+use prometheus::Histogram;
+use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use zinniahinge_telemetry::LATENCY_BUCKETS_S;
+use zinniahinge_telemetry::MetricError;
+use zinniahinge_telemetry::MetricsRegistry;
+
+/// Metrics of the host process.
+#[derive(Clone, Debug)]
+pub(crate) struct HostCounters {
+    /// Requests by outcome.
+    pub(crate) requests: IntCounterVec,
+    /// Sends to backend servers by outcome.
+    pub(crate) sends: IntCounterVec,
+    /// Requests under way.
+    pub(crate) active: IntGauge,
+    /// Time to the answer, or its first event.
+    pub(crate) first_answer: Histogram,
+    /// Time that requests spent here before they were first sent.
+    pub(crate) added: Histogram,
+    /// Failed calls to the store.
+    pub(crate) store_failures: IntCounter,
+    /// Orders to engines by outcome.
+    pub(crate) orders: IntCounterVec,
+}
+
+impl HostCounters {
+    pub(crate) fn register(registry: &MetricsRegistry) -> Result<Self, MetricError> {
+        Ok(Self {
+            requests: registry.counter_vec(
+                "host_requests_total",
+                "Requests by outcome",
+                &["outcome"],
+            )?,
+            sends: registry.counter_vec(
+                "host_sends_total",
+                "Sends to backend servers by outcome",
+                &["outcome"],
+            )?,
+            active: registry.gauge("host_active_requests", "Requests under way")?,
+            first_answer: registry.histogram(
+                "host_first_answer_seconds",
+                "Time from the arrival of a request to its answer or first event",
+                LATENCY_BUCKETS_S,
+            )?,
+            added: registry.histogram(
+                "host_added_seconds",
+                "Time from the arrival of a request to its first send",
+                LATENCY_BUCKETS_S,
+            )?,
+            store_failures: registry.counter(
+                "host_store_failures_total",
+                "Calls to the store without a usable answer",
+            )?,
+            orders: registry.counter_vec(
+                "host_orders_total",
+                "Orders to engines by outcome",
+                &["outcome"],
+            )?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/host/src/host_state.rs
@@ -0,0 +1,90 @@
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use slog::Logger;
+use tokio::sync::watch;
+use zinniahinge_platform::HostBoot;
+use zinniahinge_serving::AccountMeter;
+use zinniahinge_serving::ConfirmedReading;
+use zinniahinge_telemetry::BootClock;
+use zinniahinge_transport::HttpPool;
+use zinniahinge_types::MonotonicTime;
+
+use crate::fleet_table::FleetTable;
+use crate::host_counters::HostCounters;
+use crate::model_uses::ModelUses;
+use crate::peer_link::PeerLink;
+use crate::retry_budgets::RetryBudgets;
+use crate::table_source::TableSource;
+
+/// Taken off the deadline of withdrawn keys: the way of a request to its backend server, and the second for which a
+/// watch may miss changes while the store drops its history.
+const CONFIRMATION_MARGIN: Duration = Duration::from_millis(1400);
+
+/// State that all parts of the process share.
+pub(crate) struct HostState {
+    pub(crate) boot: HostBoot,
+    pub(crate) clock: BootClock,
+    pub(crate) logger: Logger,
+    pub(crate) counters: HostCounters,
+    /// What requests look at.
+    pub(crate) table: ArcSwap<FleetTable>,
+    /// Raised with each new table.
+    pub(crate) table_version: watch::Sender<u64>,
+    pub(crate) source: Mutex<TableSource>,
+    /// When the configuration was last known to be the newest.
+    pub(crate) confirmed: ConfirmedReading,
+    /// Connections to backend servers.
+    pub(crate) pool: HttpPool,
+    pub(crate) meter: Mutex<AccountMeter>,
+    pub(crate) retries: RetryBudgets,
+    pub(crate) uses: Mutex<ModelUses>,
+    pub(crate) link: PeerLink,
+    /// True from the signal of a planned stop on.
+    pub(crate) is_stopping: AtomicBool,
+}
+
+impl HostState {
+    pub(crate) fn now(&self) -> MonotonicTime {
+        self.clock.now()
+    }
+
+    pub(crate) fn meter(&self) -> MutexGuard<'_, AccountMeter> {
+        self.meter.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn uses(&self) -> MutexGuard<'_, ModelUses> {
+        self.uses.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes what the host has heard and puts the new table in force if `change` returns true.
+    pub(crate) fn update(&self, change: impl FnOnce(&mut TableSource) -> bool) {
+        let mut source = self.source.lock().unwrap_or_else(PoisonError::into_inner);
+        if change(&mut source) {
+            // Stored under the lock, so that an older table never replaces a newer one.
+            self.table.store(Arc::new(source.build(self.now())));
+            self.table_version.send_modify(|version| *version += 1);
+        }
+    }
+
+    /// Reads what the host has heard.
+    pub(crate) fn with_source<T>(&self, read: impl FnOnce(&TableSource) -> T) -> T {
+        read(&self.source.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// True if a withdrawn key would be known here.
+    pub(crate) fn trusts_keys(&self) -> bool {
+        match self.boot.bounds.revoke_deadline {
+            None => true,
+            Some(deadline) => {
+                let limit = deadline.saturating_sub(CONFIRMATION_MARGIN);
+                self.confirmed.is_fresh(self.now(), limit)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/main.rs
@@ -0,0 +1,23 @@
+//! `zinniahinge-host`: serves callers and, on one host at a time, coordinates the fleet.
+
+use std::io;
+
+use miette::IntoDiagnostic;
+use zinniahinge_host::host_process;
+use zinniahinge_host::host_settings::HostArguments;
+use zinniahinge_host::host_settings::host_arguments;
+use zinniahinge_telemetry::parse_arguments;
+
+fn main() -> miette::Result<()> {
+    let settings = parse_arguments(&host_arguments(), HostArguments::check);
+    let (logger, _guard) = settings.log.logger_to("host", io::stdout());
+    let boot = host_process::read_boot(&settings, &logger)?;
+    // One thread a core: a host has a fraction of one, and more threads only take memory.
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(boot.cores)
+        .enable_all()
+        .build();
+    let runtime = runtime.into_diagnostic()?;
+    runtime.block_on(host_process::run(settings, boot, logger))?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/host/src/model_uses.rs
@@ -0,0 +1,55 @@
+use std::collections::HashMap;
+
+use zinniahinge_types::ModelUse;
+use zinniahinge_types::Name;
+
+/// Requests by model since the last report.
+#[derive(Debug, Default)]
+pub(crate) struct ModelUses {
+    counts: HashMap<(Name, Name, Option<Name>), UseCount>,
+}
+
+#[derive(Debug, Default)]
+struct UseCount {
+    count: u32,
+    prompt_tokens: u64,
+    output_tokens: u64,
+}
+
+impl ModelUses {
+    /// Counts a request.
+    pub(crate) fn add(
+        &mut self,
+        service: &Name,
+        model: &Name,
+        adapter: Option<&Name>,
+        prompt_tokens: u64,
+        output_tokens: u64,
+    ) {
+        let key = (service.clone(), model.clone(), adapter.cloned());
+        let entry = self.counts.entry(key).or_default();
+        entry.count += 1;
+        entry.prompt_tokens += prompt_tokens;
+        entry.output_tokens += output_tokens;
+    }
+
+    /// Takes all counts for a report.
+    pub(crate) fn take(&mut self) -> Vec<ModelUse> {
+        let counts = std::mem::take(&mut self.counts);
+        let uses = counts
+            .into_iter()
+            .map(|((service, model, adapter), used)| ModelUse {
+                service,
+                model,
+                adapter,
+                count: used.count,
+                prompt_tokens: used.prompt_tokens,
+                output_tokens: used.output_tokens,
+            });
+        uses.collect()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.counts.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/host/src/peer_link.rs
@@ -0,0 +1,72 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use zinniahinge_peer::PeerClient;
+use zinniahinge_peer::PeerError;
+use zinniahinge_peer::PeerTarget;
+use zinniahinge_types::FleetReply;
+use zinniahinge_types::FleetReport;
+use zinniahinge_types::PlaceReply;
+use zinniahinge_types::PlaceRequest;
+
+use crate::coordinator::CoordinatorCell;
+use crate::fleet_table::DutyHolder;
+use crate::host_state::HostState;
+
+/// Path of reports.
+pub(crate) const REPORT_PATH: &str = "/peer/report";
+
+/// Path of questions where a request can go.
+pub(crate) const PLACE_PATH: &str = "/peer/place";
+
+/// Time for the answer to a report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Time for the answer to a question; the other side holds it for up to 400 ms.
+const PLACE_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Messages to the host that coordinates, which may be this one.
+pub(crate) struct PeerLink {
+    pub(crate) client: PeerClient,
+    pub(crate) cell: Arc<CoordinatorCell>,
+}
+
+impl PeerLink {
+    /// Sends a report.
+    pub(crate) async fn report(
+        &self,
+        holder: &DutyHolder,
+        report: &FleetReport,
+        state: &HostState,
+    ) -> Result<FleetReply, PeerError> {
+        if holder.host == state.boot.host {
+            return Ok(self.cell.report(report, state.now()));
+        }
+        let address = holder.address.to_string();
+        let target = PeerTarget {
+            address: &address,
+            path: REPORT_PATH,
+            timeout: REPORT_TIMEOUT,
+        };
+        self.client.call(target, report).await
+    }
+
+    /// Asks where a request can go.
+    pub(crate) async fn place(
+        &self,
+        holder: &DutyHolder,
+        request: &PlaceRequest,
+        state: &HostState,
+    ) -> Result<PlaceReply, PeerError> {
+        if holder.host == state.boot.host {
+            return Ok(self.cell.place(request, state).await);
+        }
+        let address = holder.address.to_string();
+        let target = PeerTarget {
+            address: &address,
+            path: PLACE_PATH,
+            timeout: PLACE_TIMEOUT,
+        };
+        self.client.call(target, request).await
+    }
+}
--- /dev/null
+++ b/crates/host/src/peer_routes.rs
@@ -0,0 +1,54 @@
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use hyper::body::Incoming;
+use volo_http::body::Body;
+use volo_http::request::Request;
+use volo_http::response::Response;
+use zinniahinge_peer::PeerGate;
+use zinniahinge_types::FleetReport;
+use zinniahinge_types::PlaceRequest;
+
+use crate::coordinator::CoordinatorCell;
+use crate::host_state::HostState;
+use crate::peer_link::PLACE_PATH;
+use crate::peer_link::REPORT_PATH;
+
+/// Serves messages of other hosts.
+#[derive(Clone)]
+pub(crate) struct PeerRoutes {
+    pub(crate) state: Arc<HostState>,
+    pub(crate) cell: Arc<CoordinatorCell>,
+    pub(crate) gate: PeerGate,
+}
+
+impl PeerRoutes {
+    pub(crate) async fn serve(
+        self,
+        request: http::Request<Incoming>,
+    ) -> Result<Response, Infallible> {
+        let Self { state, cell, gate } = self;
+        let request: Request = request.map(Body::from_incoming);
+        let path = request.uri().path().to_owned();
+        let response = match path.as_str() {
+            REPORT_PATH => {
+                gate.serve(request, async |report: FleetReport| {
+                    cell.report(&report, state.now())
+                })
+                .await
+            }
+            PLACE_PATH => {
+                gate.serve(request, async |question: PlaceRequest| {
+                    cell.place(&question, &state).await
+                })
+                .await
+            }
+            _ => {
+                let mut response = Response::new(Body::default());
+                *response.status_mut() = http::StatusCode::NOT_FOUND;
+                response
+            }
+        };
+        Ok(response)
+    }
+}
--- /dev/null
+++ b/crates/host/src/request_handler.rs
@@ -0,0 +1,38 @@
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+use zinniahinge_platform::read_facts;
+use zinniahinge_types::Name;
+
+use crate::answer::AnswerBody;
+use crate::body_reader::BodyReader;
+use crate::filters::admit;
+use crate::forward::forward;
+use crate::host_state::HostState;
+use crate::request_log::RequestLog;
+
+/// Answers one request of a caller. Dropped when the caller leaves, which ends its run at the backend server.
+pub(crate) async fn handle(
+    state: Arc<HostState>,
+    bodies: BodyReader,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let arrived = Instant::now();
+    let facts = read_facts(request.headers());
+    let id = facts.map_or_else(|_| Name::from("unknown"), |facts| facts.attempt_id);
+    let mut log = RequestLog::new(state.clone(), id, arrived);
+    let (context, _held) = match admit(&state, &bodies, request, arrived).await {
+        Ok(admitted) => admitted,
+        Err(refusal) => {
+            let response = refusal.to_response();
+            log.finish(refusal.kind.name(), response.status().as_u16());
+            return Ok(response);
+        }
+    };
+    log.describe(&context);
+    Ok(forward(&state, context, log).await)
+}
--- /dev/null
+++ b/crates/host/src/side_servers.rs
@@ -0,0 +1,56 @@
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use zinniahinge_telemetry::MetricsRegistry;
+
+use crate::host_state::HostState;
+
+/// Answers the balancer's question whether this host takes new connections.
+pub(crate) async fn readiness(state: Arc<HostState>) -> Result<Response<Full<Bytes>>, Infallible> {
+    let reason = unready_reason(&state);
+    let mut response = Response::new(Full::new(Bytes::from_static(
+        reason.unwrap_or("ready").as_bytes(),
+    )));
+    if reason.is_some() {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    Ok(response)
+}
+
+fn unready_reason(state: &HostState) -> Option<&'static str> {
+    if state.is_stopping.load(Ordering::Acquire) {
+        Some("stopping")
+    } else if state.table.load().config.is_none() {
+        Some("no configuration is known")
+    } else if !state.trusts_keys() {
+        Some("withdrawn keys may be unknown")
+    } else {
+        None
+    }
+}
+
+/// Serves the metrics.
+pub(crate) async fn metrics(
+    registry: MetricsRegistry,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let mut response = Response::new(Full::new(Bytes::new()));
+    match registry.render() {
+        Ok(text) if request.uri().path() == "/metrics" => {
+            *response.body_mut() = Full::new(text.into());
+        }
+        Ok(_) => *response.status_mut() = StatusCode::NOT_FOUND,
+        Err(error) => {
+            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            *response.body_mut() = Full::new(error.to_string().into());
+        }
+    }
+    Ok(response)
+}
--- /dev/null
+++ b/crates/host/src/table_source.rs
@@ -0,0 +1,130 @@
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use zinniahinge_serving::BackendLoad;
+use zinniahinge_serving::BackendRoster;
+use zinniahinge_serving::ServingConfig;
+use zinniahinge_types::EngineModels;
+use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::Name;
+
+use crate::fleet_table::BackendSlot;
+use crate::fleet_table::DutyHolder;
+use crate::fleet_table::FleetTable;
+
+/// Time within which the entries of living backend servers are back after an outage of the store.
+const RETURN_TIME: Duration = Duration::from_secs(2);
+
+/// Age up to which the coordinating host's view of models goes before what the servers wrote into the store.
+const VIEW_LIMIT: Duration = Duration::from_secs(5);
+
+/// What the host has heard, from which [`FleetTable`] is built.
+#[derive(Debug)]
+pub(crate) struct TableSource {
+    pub(crate) config: Option<Arc<ServingConfig>>,
+    pub(crate) roster: BackendRoster,
+    pub(crate) holder: Option<DutyHolder>,
+    /// Host that coordinated last.
+    pub(crate) last_holder: Option<Name>,
+    /// Hosts of the fleet and where they take messages.
+    pub(crate) hosts: HashMap<Name, SocketAddr>,
+    /// True once the fleet's peer keys were read.
+    pub(crate) has_peer_keys: bool,
+    /// Entries that can't be decoded, with why; each is logged once.
+    pub(crate) unreadable: HashMap<Name, String>,
+    views: HashMap<Name, EngineModels>,
+    pub(crate) view_version: u64,
+    viewed_at: MonotonicTime,
+    loads: HashMap<(Name, u64), Arc<BackendLoad>>,
+}
+
+impl TableSource {
+    pub(crate) fn new() -> Self {
+        Self {
+            config: None,
+            roster: BackendRoster::new(RETURN_TIME),
+            holder: None,
+            last_holder: None,
+            hosts: HashMap::new(),
+            has_peer_keys: false,
+            unreadable: HashMap::new(),
+            views: HashMap::new(),
+            view_version: 0,
+            viewed_at: MonotonicTime::ZERO,
+            loads: HashMap::new(),
+        }
+    }
+
+    /// Takes in changed views of the coordinating host; true if there were any.
+    pub(crate) fn apply_views(
+        &mut self,
+        views: Vec<EngineModels>,
+        version: u64,
+        now: MonotonicTime,
+    ) -> bool {
+        self.viewed_at = now;
+        self.view_version = version;
+        let is_changed = !views.is_empty();
+        for view in views {
+            self.views.insert(view.backend.clone(), view);
+        }
+        is_changed
+    }
+
+    /// Notes that a backend server said not to have a model or an adapter, until the next view says otherwise.
+    pub(crate) fn forget_model(&mut self, backend: &str, model: &str, adapter: Option<&str>) {
+        let Some(view) = self.views.get_mut(backend) else {
+            return;
+        };
+        match adapter {
+            None => view.models.retain(|held| *held.0 != *model),
+            Some(adapter) => {
+                let held = view.models.iter_mut().filter(|held| *held.0 == *model);
+                for (_, adapters) in held {
+                    adapters.retain(|name| **name != *adapter);
+                }
+            }
+        }
+    }
+
+    /// Builds the table.
+    pub(crate) fn build(&mut self, now: MonotonicTime) -> FleetTable {
+        self.roster.expire(now);
+        let has_view = now.since(self.viewed_at) < VIEW_LIMIT;
+        let mut services: HashMap<Name, Vec<BackendSlot>> = HashMap::new();
+        let mut alive = HashSet::new();
+        for (entry, is_listed) in self.roster.entries() {
+            let run = (entry.id.clone(), entry.born_ms);
+            let load = self.loads.entry(run.clone()).or_default().clone();
+            alive.insert(run);
+            let view = self.views.get(&entry.id);
+            let view = view.filter(|view| has_view && view.born_ms == entry.born_ms);
+            let models: HashMap<Name, Vec<Name>> = match view {
+                Some(view) => view.models.iter().cloned().collect(),
+                None => {
+                    let held = entry.held.iter();
+                    held.map(|held| (held.model.clone(), held.adapters.clone()))
+                        .collect()
+                }
+            };
+            let slots = services.entry(entry.service.clone()).or_default();
+            slots.push(BackendSlot {
+                entry: entry.clone(),
+                load,
+                is_listed,
+                models: Arc::new(models),
+            });
+        }
+        self.loads.retain(|run, _| alive.contains(run));
+        self.views
+            .retain(|id, _| alive.iter().any(|run| run.0 == *id));
+        FleetTable {
+            config: self.config.clone(),
+            services,
+            holder: self.holder.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/target_choice.rs
@@ -0,0 +1,178 @@
+use std::time::Duration;
+
+use slog::info;
+use tokio::time::Instant;
+use zinniahinge_serving::BackendChooser;
+use zinniahinge_serving::ChooserWeights;
+use zinniahinge_serving::ChosenBackend;
+use zinniahinge_types::Name;
+use zinniahinge_types::PlaceReply;
+use zinniahinge_types::PlaceRequest;
+
+use crate::answer::Refusal;
+use crate::answer::RefusalKind;
+use crate::answer::Result;
+use crate::fleet_table::BackendSlot;
+use crate::host_state::HostState;
+use crate::request_context::RequestContext;
+use crate::try_log::TryLog;
+
+/// Pause before the coordinating host is asked again, or a new one looked for.
+const ASK_PAUSE: Duration = Duration::from_millis(120);
+
+/// Part of a request's time, in percent, for which it may wait for a model to be placed.
+const HOLD_PERCENT: u32 = 50;
+
+/// Pause that callers are told when no backend server of the service is known.
+const NO_BACKEND_RETRY: Duration = Duration::from_millis(700);
+
+/// Pause that callers are told when nobody could say when the model will be there.
+const UNPLACED_RETRY: Duration = Duration::from_millis(1500);
+
+/// Where a request goes next.
+pub(crate) async fn choose_target(
+    state: &HostState,
+    context: &RequestContext,
+    tries: &mut TryLog,
+) -> Result<ChosenBackend> {
+    match &context.facts.model {
+        None => plain_target(state, context, tries),
+        Some(model) => match loaded_target(state, context, model, tries) {
+            Some(target) => Ok(target),
+            None => place(state, context, model, tries).await,
+        },
+    }
+}
+
+fn plain_target(
+    state: &HostState,
+    context: &RequestContext,
+    tries: &mut TryLog,
+) -> Result<ChosenBackend> {
+    let table = state.table.load();
+    let slots = table.backends(&context.service);
+    let accepting = || slots.iter().filter(|slot| slot.is_accepting());
+    let mut candidates = fresh(accepting(), tries);
+    if candidates.is_empty() {
+        tries.forget_avoided();
+        candidates = fresh(accepting(), tries);
+    }
+    let target = choose(state, context, ChooserWeights::PLAIN, candidates);
+    target.ok_or(Refusal::not_run(RefusalKind::NoBackend).retry_after(NO_BACKEND_RETRY))
+}
+
+/// Best of the servers that have the model and the adapter, as far as this host knows.
+fn loaded_target(
+    state: &HostState,
+    context: &RequestContext,
+    model: &Name,
+    tries: &TryLog,
+) -> Option<ChosenBackend> {
+    let table = state.table.load();
+    let slots = table.backends(&context.service).iter();
+    let adapter = context.facts.adapter.as_deref();
+    let holding = slots.filter(|slot| slot.is_accepting() && slot.has(model, adapter));
+    let candidates = fresh(holding, tries);
+    choose(state, context, ChooserWeights::MODELS, candidates)
+}
+
+fn fresh<'a>(slots: impl Iterator<Item = &'a BackendSlot>, tries: &TryLog) -> Vec<ChosenBackend> {
+    let fresh = slots.filter(|slot| !tries.is_avoided(&slot.entry.id));
+    fresh.map(chosen).collect()
+}
+
+fn chosen(slot: &BackendSlot) -> ChosenBackend {
+    ChosenBackend {
+        entry: slot.entry.clone(),
+        load: slot.load.clone(),
+        is_listed: slot.is_listed,
+    }
+}
+
+fn choose(
+    state: &HostState,
+    context: &RequestContext,
+    weights: ChooserWeights,
+    mut candidates: Vec<ChosenBackend>,
+) -> Option<ChosenBackend> {
+    let chooser = BackendChooser {
+        place: state.boot.place.clone(),
+        weights,
+    };
+    let index = chooser.choose(&candidates, &context.facts, state.now())?;
+    Some(candidates.swap_remove(index))
+}
+
+// -------------------------------------------------------------------------------------------------
+
+/// Asks the coordinating host for a server, and waits until the model is there.
+async fn place(
+    state: &HostState,
+    context: &RequestContext,
+    model: &Name,
+    tries: &mut TryLog,
+) -> Result<ChosenBackend> {
+    let unplaced = Refusal::not_run(RefusalKind::ModelUnavailable).retry_after(UNPLACED_RETRY);
+    let hold_until = context.arrived + context.whole_time() * HOLD_PERCENT / 100;
+    loop {
+        let now = Instant::now();
+        if now >= hold_until {
+            return Err(unplaced);
+        }
+        let pause = match ask(state, context, model, tries.absent_at.take()).await {
+            Some(PlaceReply::At {
+                backend,
+                ready_in_ms,
+            }) => {
+                let ready_in = Duration::from_millis(ready_in_ms);
+                if now + ready_in >= context.deadline {
+                    return Err(unplaced.retry_after(ready_in));
+                }
+                tokio::time::sleep(ready_in).await;
+                let table = state.table.load();
+                let slot = table.backend(&context.service, &backend);
+                match slot.filter(|slot| slot.is_accepting()) {
+                    Some(slot) => return Ok(chosen(slot)),
+                    None => {
+                        tries.absent_at = Some(backend);
+                        ASK_PAUSE
+                    }
+                }
+            }
+            Some(PlaceReply::AskAgain { again_in_ms }) => Duration::from_millis(again_in_ms),
+            Some(PlaceReply::Refused { retry_after_ms }) => {
+                let mut refusal = Refusal::not_run(RefusalKind::ModelUnavailable);
+                refusal.retry_after = retry_after_ms.map(Duration::from_millis);
+                return Err(refusal);
+            }
+            Some(PlaceReply::NotHolder) | None => ASK_PAUSE,
+        };
+        tokio::time::sleep_until((now + pause).min(hold_until)).await;
+        // Meanwhile a server may have come to hold it.
+        if let Some(target) = loaded_target(state, context, model, tries) {
+            return Ok(target);
+        }
+    }
+}
+
+async fn ask(
+    state: &HostState,
+    context: &RequestContext,
+    model: &Name,
+    refused_by: Option<Name>,
+) -> Option<PlaceReply> {
+    let holder = state.table.load().holder.clone()?;
+    let request = PlaceRequest {
+        service: context.service.clone(),
+        model: model.clone(),
+        adapter: context.facts.adapter.clone(),
+        urgency: context.urgency(),
+        time_left_ms: context.time_left().as_millis() as u64,
+        refused_by,
+    };
+    let reply = state.link.place(&holder, &request, state).await;
+    info!(state.logger, "placement"; "id" => &*context.facts.attempt_id, "model" => &**model,
+        "adapter" => context.facts.adapter.as_deref(), "holder" => &*holder.host,
+        "fence" => holder.fence, "reply" => ?reply);
+    reply.ok()
+}
--- /dev/null
+++ b/crates/host/src/try_log.rs
@@ -0,0 +1,47 @@
+use smallvec::SmallVec;
+use zinniahinge_types::Name;
+
+/// What became of the sends of one request so far.
+#[derive(Debug, Default)]
+pub(crate) struct TryLog {
+    /// Backend servers that may have run it.
+    may_have_run: SmallVec<[Name; 2]>,
+    /// Backend servers that can't take it now.
+    avoided: SmallVec<[Name; 2]>,
+    /// Backend server that has just said that it doesn't have the model.
+    pub(crate) absent_at: Option<Name>,
+    /// Sends that reached a backend server.
+    pub(crate) arrivals: u32,
+}
+
+impl TryLog {
+    pub(crate) fn note_ran(&mut self, backend: &Name) {
+        if !self.may_have_run.contains(backend) {
+            self.may_have_run.push(backend.clone());
+        }
+        self.avoid(backend);
+    }
+
+    pub(crate) fn avoid(&mut self, backend: &Name) {
+        if !self.avoided.contains(backend) {
+            self.avoided.push(backend.clone());
+        }
+    }
+
+    /// Forgets which servers were avoided; all of them have been tried.
+    pub(crate) fn forget_avoided(&mut self) {
+        self.avoided.clear();
+    }
+
+    pub(crate) fn is_avoided(&self, backend: &Name) -> bool {
+        self.avoided.contains(backend)
+    }
+
+    pub(crate) fn ran_count(&self) -> u32 {
+        self.may_have_run.len() as u32
+    }
+
+    pub(crate) fn has_maybe_run(&self) -> bool {
+        !self.may_have_run.is_empty()
+    }
+}
