Order nothing from an engine that carries out an unknown order

Cause: after a change of the coordinating host the engine still ran its predecessor's load from the weight store. Now such an engine gets no order before a report that is idle. A late order also stays counted over a restart under the same id until the new run's number has gone past it. Orders wait for the measured end of unloads and loads. Tests: residency_unknown_orders, both failed first.

--- a/crates/host/src/coordinator_orders.rs
+++ b/crates/host/src/coordinator_orders.rs
@@ -135,8 +135,14 @@
     async fn read_report(&self, service: Name, backend: Name, address: SocketAddr) {
         let asked_at = self.state.now();
         let report = self.engines.report(address, &backend).await;
-        if let Err(error) = &report {
-            info!(self.state.logger, "no report"; "backend" => &*backend, "error" => error);
+        let logger = &self.state.logger;
+        match &report {
+            Ok(report) => info!(logger, "engine report"; "backend" => &*backend,
+                "accepted" => report.sequence, "busy" => report.is_busy,
+                "held" => ?report.held, "pending" => ?report.pending),
+            Err(error) => {
+                info!(logger, "no engine report"; "backend" => &*backend, "error" => error)
+            }
         }
         let now = self.state.now();
         self.cell.with(|coordinator| {
--- a/crates/serving/src/engine_record.rs
+++ b/crates/serving/src/engine_record.rs
@@ -85,7 +85,10 @@
     pub(crate) model: Name,
     pub(crate) adapter: Option<Name>,
     pub(crate) is_load: bool,
+    /// Number of accepted orders at which it would still be carried out.
+    pub(crate) expected: u64,
     pub(crate) until: MonotonicTime,
+    /// The engine's number has gone past the expected one.
     pub(crate) is_settled: bool,
 }
 
--- a/crates/serving/src/residency_planner.rs
+++ b/crates/serving/src/residency_planner.rs
@@ -24,8 +24,14 @@
 use crate::residency_demand::Want;
 use crate::residency_demand::WantKey;
 
-/// Time that an idle model or adapter takes to unload, or an adapter to load. Engines name 5 to 10 ms for adapters.
-const SHORT_ORDER: Duration = Duration::from_millis(12);
+/// Time that an adapter takes to load. Engines name 5 to 10 ms.
+const ADAPTER_LOAD: Duration = Duration::from_millis(12);
+
+/// Time that an idle model takes to unload.
+const MODEL_UNLOAD: Duration = Duration::from_millis(60);
+
+/// Time beyond what its service states until an engine that loads a model takes the next order.
+const ORDER_MARGIN: Duration = Duration::from_millis(120);
 
 /// Pause after an engine refused an order because another was under way.
 const CONFLICT_PAUSE: Duration = Duration::from_millis(50);
@@ -33,6 +39,9 @@
 /// Longest pause after several such refusals in a row.
 const MAX_CONFLICT_PAUSE: Duration = Duration::from_millis(400);
 
+/// Pause between two reports of an engine that carries out an unknown order.
+const BUSY_REPORT_PAUSE: Duration = Duration::from_millis(200);
+
 /// Pause after an order that could not be sent.
 const UNREACHED_PAUSE: Duration = Duration::from_millis(400);
 
@@ -167,19 +176,11 @@
         record.disk_copies = report.disk_copies.clone();
         let contents_at = MonotonicTime::from_origin(asked_at.since_origin().saturating_sub(lag));
         let is_current = contents_at >= record.changed_at && !record.in_call;
-        if report.is_busy {
-            record.report_due = now + lag;
-            let is_known = record.open.is_some();
-            if !is_known && is_current {
-                // Ordered by a predecessor, or by an order whose answer was lost.
-                record.blocked_until = record.blocked_until.max(now + lag);
-            }
-            if record.sequence.is_none() {
-                record.blocked_until = record.blocked_until.max(now + CONFLICT_PAUSE);
-            }
-            if !is_current {
-                return;
-            }
+        if report.is_busy && record.open.is_none() {
+            // An order of a predecessor, or one whose answer was lost: what it will take is not known before it ends.
+            record.sequence = None;
+            record.report_due = now + BUSY_REPORT_PAUSE;
+            return;
         }
         if !is_current {
             record.report_due = record.changed_at + lag + CONFLICT_PAUSE;
@@ -405,7 +406,7 @@
                 record.changed_at = now;
                 record.late.retain(|late| now < late.until);
                 for late in &mut record.late {
-                    late.is_settled = true;
+                    late.is_settled |= late.expected <= order.expected;
                 }
                 apply_accepted(record, order, now, estimate, from_store);
                 if from_store {
@@ -427,6 +428,7 @@
                     model: order.model.clone(),
                     adapter: order.adapter.clone(),
                     is_load: order.action == ResidencyAction::Load,
+                    expected: order.expected,
                     until: late_until,
                     is_settled: false,
                 });
@@ -519,7 +521,7 @@
     match (action, adapter) {
         (ResidencyAction::Load, Some(adapter)) => {
             let adapter_record = AdapterRecord {
-                ready_at: now + SHORT_ORDER,
+                ready_at: now + ADAPTER_LOAD,
                 last_used: now,
             };
             if let Some(held) = record.held.get_mut(model) {
@@ -539,7 +541,7 @@
             record.open = Some(OpenOrder {
                 action: *action,
                 model: model.clone(),
-                done_at: now + load_time,
+                done_at: now + load_time + ORDER_MARGIN,
                 from_store,
             });
             if record
@@ -562,7 +564,7 @@
             record.open = Some(OpenOrder {
                 action: *action,
                 model: model.clone(),
-                done_at: now + SHORT_ORDER,
+                done_at: now + MODEL_UNLOAD,
                 from_store: false,
             });
         }
--- /dev/null
+++ b/crates/serving/tests/residency_unknown_orders.rs
@@ -0,0 +1,89 @@
+//! Orders that the planner doesn't know to have ended: a predecessor's, unanswered ones, and ones for an earlier run.
+
+mod common;
+
+use googletest::prelude::*;
+use zinniahinge_serving::EngineReport;
+use zinniahinge_serving::OrderOutcome;
+use zinniahinge_serving::ResidencyAction;
+
+use crate::common::accept_all;
+use crate::common::at;
+use crate::common::entry;
+use crate::common::planner_with;
+use crate::common::report;
+use crate::common::want;
+
+/// Guards against a successor that takes memory for free which its predecessor's load is about to fill.
+#[test]
+fn nothing_is_ordered_while_a_predecessors_order_runs() {
+    let mut planner = planner_with(&["x", "y", "z"], &["x"], &["y"]);
+    let busy = EngineReport {
+        is_busy: true,
+        ..report(5, &["x"], &["y"])
+    };
+    planner.observe_report("e1", Some(&busy), at(1000), at(1000));
+    for millis in (1000..6000).step_by(100) {
+        want(&mut planner, "y", at(millis));
+        assert_that!(planner.plan(at(millis)).len(), eq(0), "after {millis} ms");
+        planner.due_reports(at(millis));
+        planner.observe_report("e1", Some(&busy), at(millis), at(millis));
+    }
+    // The load ended: the engine is full, so something has to go first.
+    planner.due_reports(at(6000));
+    let full = report(5, &["x", "z"], &["y"]);
+    planner.observe_report("e1", Some(&full), at(6000), at(6000));
+    want(&mut planner, "y", at(6000));
+    let orders = planner.plan(at(6000));
+    assert_that!(orders.len(), eq(1));
+    assert_that!(orders[0].action, eq(ResidencyAction::Unload));
+}
+
+struct UnansweredCase {
+    name: &'static str,
+    /// Time from the unanswered order to the restart, milliseconds.
+    restart_after: u64,
+    /// What follows the first load: another one, or an unload that makes room for it.
+    second: ResidencyAction,
+}
+
+/// Guards against an order that is carried out seconds late, on a run that started meanwhile under the same id, when its
+/// memory was promised again.
+#[test]
+fn an_unanswered_load_counts_as_memory_in_use() {
+    let cases = [
+        UnansweredCase {
+            name: "the order may still arrive",
+            restart_after: 6_000,
+            second: ResidencyAction::Unload,
+        },
+        UnansweredCase {
+            name: "too late for the order",
+            restart_after: 14_000,
+            second: ResidencyAction::Load,
+        },
+    ];
+    for case in cases {
+        let copies = ["x", "y", "z"];
+        let mut planner = planner_with(&["w", "x", "y", "z"], &[], &copies);
+        want(&mut planner, "x", at(0));
+        let orders = planner.plan(at(0));
+        assert_that!(orders.len(), eq(1), "{}", case.name);
+        planner.order_ended(&orders[0], OrderOutcome::Unknown, at(600));
+        let restarted = case.restart_after;
+        planner.observe_entry(&entry("e1", 2, &[]), at(restarted));
+        planner.due_reports(at(restarted));
+        let idle = report(0, &[], &copies);
+        planner.observe_report("e1", Some(&idle), at(restarted), at(restarted));
+        let mut ordered = Vec::new();
+        for step in 0..40 {
+            let now = at(restarted + step * 50);
+            want(&mut planner, "y", now);
+            want(&mut planner, "z", now);
+            ordered.extend(accept_all(&mut planner, now));
+        }
+        let actions: Vec<_> = ordered.iter().map(|order| order.action).collect();
+        assert_that!(actions[0], eq(ResidencyAction::Load), "{}", case.name);
+        assert_that!(actions[1], eq(case.second), "{}", case.name);
+    }
+}
