Free no engine memory on a host's word; start accounts empty after an unplanned change of holder

The tries for the duty go in the order of host names. Test a_refused_request_frees_no_memory failed first.

--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -53,12 +53,14 @@
 }
 
 impl Coordinator {
-    pub(crate) fn new(state: Arc<HostState>, fence: u64) -> Self {
+    /// `is_first`: no host held the duty before.
+    pub(crate) fn new(state: Arc<HostState>, fence: u64, is_first: bool) -> Self {
+        let ledger = FleetLedger::new(is_first, state.now());
         Self {
             state,
             fence,
             planners: HashMap::new(),
-            ledger: FleetLedger::default(),
+            ledger,
         }
     }
 
@@ -102,23 +104,22 @@
         let table = self.state.table.load_full();
         let accounts = table.config.as_ref().map(|config| config.accounts.clone());
         let accounts = accounts.unwrap_or_default();
-        let is_known = report.fence == self.fence;
-        let credit = if is_known {
-            Duration::ZERO
-        } else {
-            self.state.boot.bounds.quota_window
-        };
-        self.ledger.apply(report, &accounts, credit, now);
+        self.ledger.apply(report, &accounts, now);
         for used in &report.models {
             if let Some(planner) = self.planners.get_mut(&used.service) {
                 let tokens = (used.prompt_tokens, used.output_tokens);
                 planner.note_use(&used.model, used.adapter.as_ref(), used.count, tokens, now);
             }
         }
-        let groups: Vec<Vec<Name>> = table
+        let groups: Vec<Vec<(Name, bool)>> = table
             .services
             .values()
-            .map(|slots| slots.iter().map(|slot| slot.entry.id.clone()).collect())
+            .map(|slots| {
+                let servers = slots.iter();
+                servers
+                    .map(|slot| (slot.entry.id.clone(), !slot.is_accepting()))
+                    .collect()
+            })
             .collect();
         let mut engines = Vec::new();
         let mut view_version = 0;
--- a/crates/host/src/duty_keeper.rs
+++ b/crates/host/src/duty_keeper.rs
@@ -2,7 +2,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use rand::Rng;
 use slog::info;
 use slog::warn;
 use tokio_util::sync::CancellationToken;
@@ -13,6 +12,7 @@
 use zinniahinge_platform::Write;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
+use zinniahinge_types::Revision;
 
 use crate::coordinator::Coordinator;
 use crate::coordinator::CoordinatorCell;
@@ -30,8 +30,14 @@
 /// How often the duty is looked at while another host has it.
 const IDLE_CHECK: Duration = Duration::from_secs(1);
 
-/// A host waits for a time drawn from this before it tries to get the duty, so that one of them is first.
-const CANDIDATE_DELAY_MS: std::ops::Range<u64> = 0..250;
+/// The first host in the order of names tries to get the duty at once; the others give it this time to be seen.
+const CANDIDATE_DELAY: Duration = Duration::from_millis(450);
+
+/// Time between the tries of two hosts.
+const RANK_DELAY: Duration = Duration::from_millis(40);
+
+/// Longest time that a host waits for those before it.
+const MAX_RANK_DELAY: Duration = Duration::from_millis(1500);
 
 /// Gets the duty to coordinate when nobody has it, and keeps it.
 pub(crate) struct DutyKeeper {
@@ -65,18 +71,16 @@
     /// Waits until nobody has the duty and tries to get it; the lease if that succeeded.
     async fn wait_for_duty(&self) -> Option<u64> {
         let mut tables = self.state.table_version.subscribe();
-        let table = self.state.table.load_full();
-        if table.config.is_none() || table.holder.is_some() || !self.state.trusts_keys() {
+        if self.vacancy().is_none() {
             let _ = tokio::time::timeout(IDLE_CHECK, tables.changed()).await;
             return None;
         }
-        let delay = rand::rng().random_range(CANDIDATE_DELAY_MS);
-        tokio::time::sleep(Duration::from_millis(delay)).await;
-        let is_free = self.state.table.load().holder.is_none();
-        if !is_free || self.state.is_stopping.load(Ordering::Acquire) {
-            return None;
+        let is_own = self.state.table.load().holder.is_some();
+        if !is_own {
+            let _ = tokio::time::timeout(self.delay(), self.until_taken()).await;
         }
-        match self.acquire().await {
+        let revision = self.vacancy()?;
+        match self.acquire(revision).await {
             Ok(lease) => lease,
             Err(error) => {
                 warn!(self.state.logger, "duty not acquired"; "error" => %error);
@@ -86,7 +90,51 @@
         }
     }
 
-    async fn acquire(&self) -> StoreResult<Option<u64>> {
+    /// How long this host leaves the others the first try. The order changes with each holder, so that one host that is
+    /// cut off does not delay every change.
+    fn delay(&self) -> Duration {
+        let own = &self.state.boot.host;
+        let rank = self.state.with_source(|source| {
+            let mut hosts: Vec<&Name> = source.hosts.keys().collect();
+            hosts.sort();
+            let last = source.last_holder.as_ref();
+            let start = last.and_then(|last| hosts.binary_search(&last).ok());
+            let start = start.map_or(0, |last| last + 1);
+            let position = hosts.binary_search(&own).unwrap_or(hosts.len());
+            (position + hosts.len() - start % hosts.len().max(1)) % hosts.len().max(1)
+        });
+        match rank {
+            0 => Duration::ZERO,
+            rank => CANDIDATE_DELAY + (RANK_DELAY * rank as u32).min(MAX_RANK_DELAY),
+        }
+    }
+
+    /// Waits until another host has the duty.
+    async fn until_taken(&self) {
+        let mut tables = self.state.table_version.subscribe();
+        while self.vacancy().is_some() {
+            if tables.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
+    /// Revision that the record of the duty has if this host may try to get it: 0 if there is none. The record of an
+    /// earlier process of this host counts as none, because that process has ended.
+    fn vacancy(&self) -> Option<Revision> {
+        let state = &self.state;
+        let table = state.table.load();
+        let is_stopping = state.is_stopping.load(Ordering::Acquire);
+        if table.config.is_none() || is_stopping || !state.trusts_keys() {
+            return None;
+        }
+        match &table.holder {
+            None => Some(0),
+            Some(holder) => (holder.host == state.boot.host).then_some(holder.fence),
+        }
+    }
+
+    async fn acquire(&self, revision: Revision) -> StoreResult<Option<u64>> {
         let state = &self.state;
         let boot = &state.boot;
         let sent = state.now();
@@ -100,7 +148,7 @@
         let duty = Name::from(DUTY_KEY);
         let condition = Condition {
             key: duty.clone(),
-            revision: 0,
+            revision,
         };
         let writes = [
             Write {
@@ -117,8 +165,10 @@
         let last_holder = state.with_source(|source| source.last_holder.clone());
         let fence = match self.store.transact(&[condition], &writes, &[]).await {
             Ok(TransactOutcome::Done { revision }) => revision,
-            Ok(outcome) => {
-                info!(state.logger, "duty not acquired"; "outcome" => ?outcome);
+            Ok(TransactOutcome::LeaseGone) => return Ok(None),
+            Ok(TransactOutcome::Conflict { .. }) => {
+                info!(state.logger, "duty not acquired, another host was first");
+                tokio::time::sleep(IDLE_CHECK).await;
                 return Ok(None);
             }
             Err(error) => match self.read_back(&record).await? {
@@ -126,10 +176,11 @@
                 None => return Err(error),
             },
         };
+        let is_first = last_holder.is_none() && boot.is_first_start;
         let had_predecessor = last_holder.is_some_and(|last| last != boot.host);
         let now = state.now();
         self.cell.start_term(
-            Coordinator::new(state.clone(), fence),
+            Coordinator::new(state.clone(), fence, is_first),
             fence,
             sent,
             now,
--- a/crates/host/src/filters.rs
+++ b/crates/host/src/filters.rs
@@ -129,7 +129,12 @@
         return Ok(());
     };
     let charged = state.meter().charge(account, context.cost(), state.now());
-    charged.map_err(|again_in| Refusal::not_run(RefusalKind::RateLimited).retry_after(again_in))
+    charged.map_err(|refusal| {
+        slog::info!(state.logger, "rate exceeded"; "id" => &*context.facts.attempt_id,
+            "account" => &*account.name, "cost" => context.cost(),
+            "missing" => refusal.missing as i64, "blind" => refusal.is_blind);
+        Refusal::not_run(RefusalKind::RateLimited).retry_after(refusal.again_in)
+    })
 }
 
 /// Checks again what may have changed while a request waited: its key, and whether the host would know.
--- a/crates/host/src/fleet_reporter.rs
+++ b/crates/host/src/fleet_reporter.rs
@@ -4,7 +4,6 @@
 use slog::info;
 use slog::warn;
 use tokio_util::sync::CancellationToken;
-use zinniahinge_types::AccountUse;
 use zinniahinge_types::BackendUse;
 use zinniahinge_types::FleetReply;
 use zinniahinge_types::FleetReport;
@@ -58,7 +57,7 @@
             return;
         }
         let now = state.now();
-        let report = self.build(memory.fence, is_known, now);
+        let report = self.build(memory.fence);
         match state.link.report(holder, &report, state).await {
             Ok(FleetReply::View(view)) => {
                 memory.fence = view.fence;
@@ -70,7 +69,7 @@
                 self.apply(view, now);
             }
             answer => {
-                self.return_usage(report.accounts, is_known);
+                state.meter().return_unreported(report.accounts);
                 if !memory.is_lost {
                     let error = answer.err().map(|error| error.to_string());
                     warn!(state.logger, "coordinating host does not answer"; "host" => &*holder.host,
@@ -81,13 +80,9 @@
         }
     }
 
-    fn build(&self, fence: u64, is_known: bool, now: MonotonicTime) -> FleetReport {
+    fn build(&self, fence: u64) -> FleetReport {
         let state = &self.state;
-        let accounts = if is_known {
-            state.meter().take_unreported()
-        } else {
-            state.meter().take_window(now)
-        };
+        let accounts = state.meter().take_unreported();
         let table = state.table.load();
         let slots = table.services.values().flatten();
         let backends = slots.filter_map(|slot| {
@@ -111,13 +106,6 @@
         }
     }
 
-    /// A window that could not be reported is read anew next time.
-    fn return_usage(&self, usage: Vec<AccountUse>, is_known: bool) {
-        if is_known {
-            self.state.meter().return_unreported(usage);
-        }
-    }
-
     fn apply(&self, view: FleetView, asked_at: MonotonicTime) {
         let state = &self.state;
         let FleetView {
@@ -139,6 +127,9 @@
             let total = backends.iter().find(|total| total.backend == slot.entry.id);
             match total {
                 Some(total) => {
+                    if total.is_leaving {
+                        slot.load.set_leaving();
+                    }
                     slot.load
                         .set_others(total.in_flight, total.pending_tokens, total.is_suspect);
                 }
--- a/crates/host/src/host_process.rs
+++ b/crates/host/src/host_process.rs
@@ -182,16 +182,18 @@
         over_share: boot.bounds.quota_over,
         slack: boot.bounds.quota_slack,
     };
+    let clock = BootClock::default();
+    let meter = AccountMeter::new(meter_settings, boot.is_first_start, clock.now());
     let store = StoreClient::new(HttpPool::new(PoolSettings::default()), boot.store);
     let state = Arc::new(HostState {
-        clock: BootClock::default(),
+        clock,
         counters,
         table: ArcSwap::from_pointee(FleetTable::default()),
         table_version: watch::channel(0).0,
         source: Mutex::new(TableSource::new()),
         confirmed: ConfirmedReading::default(),
         pool: HttpPool::new(BACKEND_POOL),
-        meter: Mutex::new(AccountMeter::new(meter_settings, 1)),
+        meter: Mutex::new(meter),
         retries: RetryBudgets::new(&boot.bounds),
         uses: Mutex::new(ModelUses::default()),
         link,
--- a/crates/host/src/store_follower.rs
+++ b/crates/host/src/store_follower.rs
@@ -36,9 +36,12 @@
 /// answer confirms all three.
 const WATCHED_PREFIX: &str = "";
 
-/// Pause after an answer with changes, so that changes that come together cost one call. Well under the time in which a
-/// leaving backend server must get no more requests.
-const BATCH_PAUSE: Duration = Duration::from_millis(250);
+/// Pause after an answer with changes, so that changes that come together cost one call. Half of the time in which a
+/// leaving backend server must get no more requests, and a configuration must be in force.
+const BATCH_PAUSE: Duration = Duration::from_millis(900);
+
+/// The same for the coordinating host, which tells the others of leaving servers.
+const HOLDER_PAUSE: Duration = Duration::from_millis(150);
 
 /// Pauses after a failed call, drawn between these so that hosts don't call all at once.
 const RETRY_PAUSE_MS: std::ops::Range<u64> = 120..320;
@@ -133,7 +136,7 @@
                     self.apply_changes(answer.changes, sent);
                     revision = answer.revision;
                     if has_changes {
-                        tokio::time::sleep(BATCH_PAUSE).await;
+                        tokio::time::sleep(self.batch_pause()).await;
                     }
                 }
                 Err(StoreError::HistoryGone) => {
@@ -151,6 +154,13 @@
         }
     }
 
+    fn batch_pause(&self) -> Duration {
+        let table = self.state.table.load();
+        let holder = table.holder.as_ref();
+        let is_holder = holder.is_some_and(|holder| holder.host == self.state.boot.host);
+        if is_holder { HOLDER_PAUSE } else { BATCH_PAUSE }
+    }
+
     fn apply_changes(&self, changes: Vec<StoreChange>, sent: MonotonicTime) {
         let state = &self.state;
         let now = state.now();
--- a/crates/serving/src/account_meter.rs
+++ b/crates/serving/src/account_meter.rs
@@ -13,7 +13,7 @@
 const LEVEL_LIMIT: Duration = Duration::from_millis(1500);
 
 /// Part of the tolerated excess that levels may go below zero: what hosts admit between two reports uses the rest.
-const LEVEL_SLACK_SHARE: f64 = 0.25;
+const LEVEL_SLACK_SHARE: f64 = 0.5;
 
 /// Part of the tolerated excess that hosts without levels share.
 const BLIND_SLACK_SHARE: f64 = 0.7;
@@ -32,6 +32,17 @@
     pub slack: f64,
 }
 
+/// Why a request was not admitted.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ChargeRefusal {
+    /// When it could be.
+    pub again_in: Duration,
+    /// Units missing.
+    pub missing: f64,
+    /// True if this host had no recent levels and admitted only its own share.
+    pub is_blind: bool,
+}
+
 /// Keeps client accounts within their rate over all hosts together.
 ///
 /// With recent levels from the host that adds up the reports, an account may use what the fleet has left. Without, this
@@ -40,6 +51,9 @@
 pub struct AccountMeter {
     settings: MeterSettings,
     hosts: u32,
+    /// True if there was no usage before `started_at`.
+    is_first_start: bool,
+    started_at: MonotonicTime,
     records: HashMap<Name, MeterRecord>,
 }
 
@@ -60,11 +74,14 @@
 }
 
 impl AccountMeter {
-    /// A meter that knows no usage. `hosts` is the number of hosts that share the accounts.
-    pub fn new(settings: MeterSettings, hosts: u32) -> Self {
+    /// A meter that starts at `now`. Unless the whole fleet starts for the first time, usage before is not known, and
+    /// counts as an equal share of all that was allowed.
+    pub fn new(settings: MeterSettings, is_first_start: bool, now: MonotonicTime) -> Self {
         Self {
             settings,
-            hosts: hosts.max(1),
+            hosts: 1,
+            is_first_start,
+            started_at: now,
             records: HashMap::new(),
         }
     }
@@ -74,13 +91,13 @@
         self.hosts = hosts.max(1);
     }
 
-    /// Charges a request; `Err` says when it could be admitted.
+    /// Charges a request.
     pub fn charge(
         &mut self,
         account: &AccountSpec,
         cost: u64,
         now: MonotonicTime,
-    ) -> Result<(), Duration> {
+    ) -> Result<(), ChargeRefusal> {
         if account.rate_per_s == 0 {
             return Ok(());
         }
@@ -89,22 +106,34 @@
         let record = self.records.entry(account.name.clone()).or_default();
         record.forget(self.settings.window, now);
         record.advance(account, now);
-        let missing = match &record.level {
+        let rate = account.rate_per_s as f64;
+        let (missing, free_rate, is_blind) = match &record.level {
             Some(level) if now.since(level.heard_at) < LEVEL_LIMIT => {
                 let needed = (cost as f64).min(account.burst as f64);
                 let missing = needed - level.units - excess * LEVEL_SLACK_SHARE;
-                let free_rate = account.rate_per_s as f64 - level.others_per_s;
-                missing / free_rate.max(account.rate_per_s as f64 * 0.1)
+                (missing, (rate - level.others_per_s).max(rate * 0.1), false)
             }
             _ => {
-                let share = (allowed + excess * BLIND_SLACK_SHARE) / f64::from(self.hosts);
+                let known = now.since(self.started_at).as_secs_f64();
+                let known_share = if self.is_first_start {
+                    1.0
+                } else {
+                    (known / self.settings.window.as_secs_f64()).min(1.0)
+                };
+                let share = allowed * known_share + excess * BLIND_SLACK_SHARE;
+                let share = share / f64::from(self.hosts);
                 let used: u64 = record.window.iter().map(|used| used.1).sum();
                 let missing = used as f64 + cost as f64 - share;
-                missing * f64::from(self.hosts) / account.rate_per_s as f64
+                (missing, rate / f64::from(self.hosts), true)
             }
         };
         if missing > 0.0 {
-            return Err(Duration::from_secs_f64(missing).min(MAX_RETRY_AFTER));
+            let again_in = Duration::from_secs_f64(missing / free_rate);
+            return Err(ChargeRefusal {
+                again_in: again_in.min(MAX_RETRY_AFTER),
+                missing,
+                is_blind,
+            });
         }
         record.window.push_back((now, cost));
         record.use_units(cost as i64);
@@ -135,21 +164,6 @@
         .collect()
     }
 
-    /// Usage of the whole window, for a holder that knows nothing of this host.
-    pub fn take_window(&mut self, now: MonotonicTime) -> Vec<AccountUse> {
-        let window = self.settings.window;
-        let records = self.records.iter_mut().map(|(account, record)| {
-            record.unreported = 0;
-            record.forget(window, now);
-            let units: u64 = record.window.iter().map(|used| used.1).sum();
-            AccountUse {
-                account: account.clone(),
-                units: units as i64,
-            }
-        });
-        records.filter(|usage| usage.units != 0).collect()
-    }
-
     /// Takes usage back that could not be reported.
     pub fn return_unreported(&mut self, usage: Vec<AccountUse>) {
         for AccountUse { account, units } in usage {
--- a/crates/serving/src/engine_record.rs
+++ b/crates/serving/src/engine_record.rs
@@ -59,6 +59,10 @@
 pub(crate) struct AdapterRecord {
     pub(crate) ready_at: MonotonicTime,
     pub(crate) last_used: MonotonicTime,
+    /// Goes as soon as no request uses it.
+    pub(crate) is_leaving: bool,
+    /// A host was refused for it. It takes its place until a report shows that it is gone.
+    pub(crate) is_doubted: bool,
 }
 
 /// A model order that is carried out.
@@ -145,6 +149,7 @@
             for adapter in adapters {
                 let mut adapter_record = known.remove(adapter).unwrap_or_default();
                 adapter_record.ready_at = adapter_record.ready_at.min(now);
+                adapter_record.is_doubted = false;
                 record.adapters.insert(adapter.clone(), adapter_record);
             }
             self.held.insert(model.clone(), record);
@@ -237,6 +242,17 @@
     }
 }
 
+impl AdapterRecord {
+    /// True if it is there, or will be, and stays.
+    pub(crate) fn is_kept(&self) -> bool {
+        !self.is_leaving && !self.is_doubted
+    }
+
+    pub(crate) fn is_usable(&self, now: MonotonicTime) -> bool {
+        self.is_kept() && self.ready_at <= now
+    }
+}
+
 impl LateOrder {
     pub(crate) fn counts(&self, now: MonotonicTime) -> bool {
         self.is_load && !self.is_settled && now < self.until
--- a/crates/serving/src/fleet_ledger.rs
+++ b/crates/serving/src/fleet_ledger.rs
@@ -9,6 +9,7 @@
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 
+use crate::AccountSpec;
 use crate::AccountTable;
 use crate::BackendHealth;
 
@@ -18,6 +19,9 @@
 /// Age up to which a host's requests under way count.
 const LOAD_LIMIT: Duration = Duration::from_millis(1500);
 
+/// Shortest time between two reports that rates are computed over, seconds.
+const MIN_INTERVAL_S: f64 = 0.05;
+
 /// Weight of the newest report in a host's rate of use.
 const RATE_WEIGHT: f64 = 0.4;
 
@@ -27,6 +31,8 @@
     hosts: HashMap<HostId, HostRecord>,
     levels: HashMap<Name, LedgerLevel>,
     health: BackendHealth,
+    starts_full: bool,
+    started_at: MonotonicTime,
 }
 
 #[derive(Debug, Default)]
@@ -44,18 +50,21 @@
 }
 
 impl FleetLedger {
-    /// Takes a report in. `credit` is the time over which its usage accrued, if it covers more than the time since the
-    /// last report of its host: a host reports its whole window to a holder that it has not reported to before.
-    pub fn apply(
-        &mut self,
-        report: &FleetReport,
-        accounts: &AccountTable,
-        credit: Duration,
-        now: MonotonicTime,
-    ) {
+    /// A ledger of a new holder. What was used before is not known, so accounts start with nothing left, unless no holder
+    /// was before: `starts_full`.
+    pub fn new(starts_full: bool, now: MonotonicTime) -> Self {
+        Self {
+            starts_full,
+            started_at: now,
+            ..Self::default()
+        }
+    }
+
+    /// Takes a report in.
+    pub fn apply(&mut self, report: &FleetReport, accounts: &AccountTable, now: MonotonicTime) {
         let record = self.hosts.entry(report.host.clone()).or_default();
-        let elapsed = now.since(record.seen_at).max(credit);
-        let elapsed = elapsed.as_secs_f64().clamp(0.05, HOST_LIMIT.as_secs_f64());
+        let elapsed = now.since(record.seen_at).as_secs_f64();
+        let elapsed = elapsed.clamp(MIN_INTERVAL_S, HOST_LIMIT.as_secs_f64());
         record.seen_at = now;
         for rate in record.rates.values_mut() {
             *rate *= 1.0 - RATE_WEIGHT;
@@ -78,23 +87,24 @@
             let Some(account) = accounts.get(&usage.account) else {
                 continue;
             };
-            let rate = account.rate_per_s as f64;
-            let burst = account.burst as f64;
-            let level = self
-                .levels
-                .entry(usage.account.clone())
-                .or_insert(LedgerLevel {
-                    units: burst,
-                    at: now,
-                });
-            level.units = (level.units + rate * now.since(level.at).as_secs_f64()).min(burst);
-            level.at = now;
-            level.units -= usage.units as f64;
-            // What accrued over a longer time had that time's rate to itself.
-            level.units = (level.units + rate * credit.as_secs_f64()).min(burst);
+            let units = self.level(account, now) - usage.units as f64;
+            let level = LedgerLevel { units, at: now };
+            self.levels.insert(usage.account.clone(), level);
         }
     }
 
+    /// Units that an account has left at `now`.
+    fn level(&self, account: &AccountSpec, now: MonotonicTime) -> f64 {
+        let burst = account.burst as f64;
+        let (units, at) = match self.levels.get(&account.name) {
+            Some(level) => (level.units, level.at),
+            None if self.starts_full => return burst,
+            None => (0.0, self.started_at),
+        };
+        let earned = account.rate_per_s as f64 * now.since(at).as_secs_f64();
+        (units + earned).min(burst)
+    }
+
     /// Hosts that reported lately.
     pub fn host_count(&mut self, now: MonotonicTime) -> u32 {
         self.hosts
@@ -111,11 +121,7 @@
     ) -> Vec<AccountLevel> {
         let limited = accounts.iter().filter(|account| account.rate_per_s > 0);
         let levels = limited.map(|account| {
-            let burst = account.burst as f64;
-            let level = self.levels.get(&account.name).map_or(burst, |level| {
-                let earned = account.rate_per_s as f64 * now.since(level.at).as_secs_f64();
-                (level.units + earned).min(burst)
-            });
+            let level = self.level(account, now);
             let others = self.hosts.iter().filter(|(id, record)| {
                 id.as_ref() != host && now.since(record.seen_at) < HOST_LIMIT
             });
@@ -129,11 +135,12 @@
         levels.collect()
     }
 
-    /// What the other hosts have on backend servers, for `host`. `groups` lists servers that serve the same requests.
+    /// What the other hosts have on backend servers, for `host`. `groups` lists servers that serve the same requests, with
+    /// whether they leave.
     pub fn backends(
         &mut self,
         host: &str,
-        groups: &[Vec<Name>],
+        groups: &[Vec<(Name, bool)>],
         now: MonotonicTime,
     ) -> Vec<BackendTotal> {
         let mut totals: HashMap<&Name, (u32, u64)> = HashMap::new();
@@ -149,19 +156,23 @@
         let health = &mut self.health;
         let suspects: Vec<Name> = groups
             .iter()
-            .flat_map(|group| health.suspects(group, now))
+            .flat_map(|group| {
+                let peers: Vec<Name> = group.iter().map(|peer| peer.0.clone()).collect();
+                health.suspects(&peers, now)
+            })
             .collect();
-        let listed = groups.iter().flatten().map(|backend| {
+        let listed = groups.iter().flatten().map(|(backend, is_leaving)| {
             let (in_flight, pending_tokens) = totals.get(backend).copied().unwrap_or_default();
             BackendTotal {
                 backend: backend.clone(),
                 in_flight,
                 pending_tokens,
                 is_suspect: suspects.contains(backend),
+                is_leaving: *is_leaving,
             }
         });
         listed
-            .filter(|total| total.in_flight > 0 || total.is_suspect)
+            .filter(|total| total.in_flight > 0 || total.is_suspect || total.is_leaving)
             .collect()
     }
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -30,6 +30,7 @@
 mod serving_config;
 
 pub use account_meter::AccountMeter;
+pub use account_meter::ChargeRefusal;
 pub use account_meter::MeterSettings;
 pub use account_spec::AccountSpec;
 pub use account_spec::QuotaUnit;
--- a/crates/serving/src/residency_load.rs
+++ b/crates/serving/src/residency_load.rs
@@ -8,6 +8,7 @@
 use crate::EngineOrder;
 use crate::ResidencyAction;
 use crate::ResidencyPlanner;
+use crate::engine_record::AdapterRecord;
 use crate::engine_record::EngineRecord;
 use crate::engine_record::RoomClaim;
 use crate::engine_record::adapter_mb;
@@ -79,7 +80,10 @@
                 record.is_accepting
                     && held.is_some_and(|held| {
                         let adapter = key.adapter.as_ref();
-                        adapter.is_none_or(|adapter| held.adapters.contains_key(adapter))
+                        adapter.is_none_or(|adapter| {
+                            let held = held.adapters.get(adapter);
+                            held.is_some_and(AdapterRecord::is_kept)
+                        })
                     })
             });
             now < want.until && !is_met
@@ -346,9 +350,17 @@
             );
         }
         let held = best.held.iter().flat_map(|(model, held)| {
-            let adapters = held.adapters.iter();
+            let adapters = held
+                .adapters
+                .iter()
+                .filter(|(_, record)| !record.is_leaving);
             adapters.map(move |(name, record)| (record.last_used, model, name))
         });
+        // One unload at a time: if it waits for a request, others would not help sooner.
+        let mut all = best.held.values().flat_map(|held| held.adapters.values());
+        if all.any(|adapter| adapter.is_leaving) {
+            return None;
+        }
         let (_, victim_model, victim) = held.min_by_key(|(last_used, ..)| *last_used)?;
         order_for(
             best,
--- a/crates/serving/src/residency_planner.rs
+++ b/crates/serving/src/residency_planner.rs
@@ -27,6 +27,9 @@
 /// Time that an adapter takes to load. Engines name 5 to 10 ms.
 const ADAPTER_LOAD: Duration = Duration::from_millis(12);
 
+/// When to look whether an adapter that was in use is gone. Answers take up to a few seconds.
+const ADAPTER_UNLOAD_CHECK: Duration = Duration::from_millis(800);
+
 /// Time that an idle model takes to unload.
 const MODEL_UNLOAD: Duration = Duration::from_millis(60);
 
@@ -57,6 +60,9 @@
 /// A request that is refused in spite of a load that should have ended gets this much more time.
 const LOAD_SLACK: Duration = Duration::from_millis(60);
 
+/// Time for which no request is sent to a model that a host was refused for: a report shows by then whether it is there.
+const DOUBT_TIME: Duration = Duration::from_millis(600);
+
 /// Where a request can go, or when.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Placement {
@@ -318,7 +324,12 @@
             let held = record.held.get(model).filter(|held| !held.is_leaving)?;
             let ready_at = match adapter {
                 None => held.ready_at,
-                Some(adapter) => held.adapters.get(adapter)?.ready_at.max(held.ready_at),
+                Some(adapter) => {
+                    let adapter = held.adapters.get(adapter)?;
+                    adapter
+                        .is_kept()
+                        .then_some(adapter.ready_at.max(held.ready_at))?
+                }
             };
             Some((record.id.clone(), ready_at.since(now)))
         });
@@ -340,13 +351,18 @@
         let Some(held) = record.held.get_mut(model) else {
             return;
         };
-        if let Some(open) = open {
-            open.done_at = open.done_at.max(now + LOAD_SLACK);
-            held.ready_at = held.ready_at.max(now + LOAD_SLACK);
-        } else if let Some(adapter) = adapter {
-            held.adapters.remove(adapter);
-        } else {
-            record.held.remove(model);
+        // The host's word may be older than what is known here, so it frees no memory. A report decides.
+        match (open, adapter) {
+            (Some(open), _) => {
+                open.done_at = open.done_at.max(now + LOAD_SLACK);
+                held.ready_at = held.ready_at.max(now + LOAD_SLACK);
+            }
+            (None, Some(adapter)) => {
+                if let Some(adapter) = held.adapters.get_mut(adapter) {
+                    adapter.is_doubted = true;
+                }
+            }
+            (None, None) => held.ready_at = now + DOUBT_TIME,
         }
         record.report_due = now;
     }
@@ -414,8 +430,13 @@
                 }
             }
             OrderOutcome::AlreadyHolds => {
+                if is_immediate_unload(record, order) {
+                    record.sequence = Some(order.expected + 1);
+                    record.changed_at = now;
+                } else {
+                    record.report_due = now;
+                }
                 apply_holding(record, order, now);
-                record.report_due = now;
             }
             OrderOutcome::Conflict => {
                 record.conflicts += 1;
@@ -483,7 +504,7 @@
 fn has_adapter(record: &EngineRecord, model: &str, adapter: &str, now: MonotonicTime) -> bool {
     let held = record.held.get(model);
     let adapter = held.and_then(|held| held.adapters.get(adapter));
-    adapter.is_some_and(|adapter| adapter.ready_at <= now)
+    adapter.is_some_and(|adapter| adapter.is_usable(now))
 }
 
 fn viewed_models(record: &EngineRecord, now: MonotonicTime) -> Vec<ViewedModel> {
@@ -504,6 +525,15 @@
     .collect()
 }
 
+/// An adapter that no request uses is unloaded before the answer. The order counts as accepted then, unlike one that
+/// found nothing to do.
+fn is_immediate_unload(record: &EngineRecord, order: &EngineOrder) -> bool {
+    let adapters = record.held.get(&order.model).map(|held| &held.adapters);
+    let adapter = order.adapter.as_ref();
+    order.action == ResidencyAction::Unload
+        && adapter.is_some_and(|adapter| adapters.is_some_and(|held| held.contains_key(adapter)))
+}
+
 /// Applies an order that the engine carries out from now on.
 fn apply_accepted(
     record: &mut EngineRecord,
@@ -523,15 +553,19 @@
             let adapter_record = AdapterRecord {
                 ready_at: now + ADAPTER_LOAD,
                 last_used: now,
+                ..AdapterRecord::default()
             };
             if let Some(held) = record.held.get_mut(model) {
                 held.adapters.insert(adapter.clone(), adapter_record);
             }
         }
         (ResidencyAction::Unload, Some(adapter)) => {
-            if let Some(held) = record.held.get_mut(model) {
-                held.adapters.remove(adapter);
+            // A request uses it; it takes its place until a report shows that it is gone.
+            let held = record.held.get_mut(model);
+            if let Some(adapter) = held.and_then(|held| held.adapters.get_mut(adapter)) {
+                adapter.is_leaving = true;
             }
+            record.report_due = now + ADAPTER_UNLOAD_CHECK;
         }
         (ResidencyAction::Load, None) => {
             let held = record.held.entry(model.clone()).or_default();
@@ -576,7 +610,12 @@
     match (order.action, &order.adapter) {
         (ResidencyAction::Load, Some(adapter)) => {
             if let Some(held) = record.held.get_mut(&order.model) {
-                held.adapters.entry(adapter.clone()).or_default().ready_at = now;
+                let adapter_record = AdapterRecord {
+                    ready_at: now,
+                    last_used: now,
+                    ..AdapterRecord::default()
+                };
+                held.adapters.insert(adapter.clone(), adapter_record);
             }
         }
         (ResidencyAction::Unload, Some(adapter)) => {
--- a/crates/serving/tests/residency_unknown_orders.rs
+++ b/crates/serving/tests/residency_unknown_orders.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use zinniahinge_serving::EngineReport;
 use zinniahinge_serving::OrderOutcome;
@@ -10,6 +12,7 @@
 use crate::common::accept_all;
 use crate::common::at;
 use crate::common::entry;
+use crate::common::name;
 use crate::common::planner_with;
 use crate::common::report;
 use crate::common::want;
@@ -87,3 +90,20 @@
         assert_that!(actions[1], eq(case.second), "{}", case.name);
     }
 }
+
+/// Guards against memory that is given out twice because a host was refused by an engine that has the model: its request
+/// may have come before the load ended, and the host's word after it.
+#[test]
+fn a_refused_request_frees_no_memory() {
+    let copies = ["w", "x", "y", "z"];
+    let mut planner = planner_with(&copies, &["w", "x"], &copies);
+    let refused_by = name("e1");
+    for model in ["w", "x"] {
+        let time_left = Duration::from_secs(10);
+        planner.place(&name(model), None, 1, time_left, Some(&refused_by), at(100));
+    }
+    want(&mut planner, "y", at(110));
+    let orders = planner.plan(at(110));
+    let actions: Vec<_> = orders.iter().map(|order| order.action).collect();
+    assert_that!(actions, eq(&vec![ResidencyAction::Unload]));
+}
--- a/crates/types/src/fleet_message.rs
+++ b/crates/types/src/fleet_message.rs
@@ -82,7 +82,7 @@
     pub hosts: u32,
     /// Client accounts with a limit.
     pub accounts: Vec<AccountLevel>,
-    /// Backend servers that other hosts use or that fail.
+    /// Backend servers that other hosts use, that fail or that leave.
     pub backends: Vec<BackendTotal>,
     /// Newest version of the models on engines.
     pub view_version: u64,
@@ -112,6 +112,8 @@
     pub pending_tokens: u64,
     /// True if it fails more often than its peers.
     pub is_suspect: bool,
+    /// True if it leaves.
+    pub is_leaving: bool,
 }
 
 /// Models that requests can use on an engine.
