Confirm loads by reports, wait for the retry budget, and let planned stops refuse what waits

Requests are no longer taken 2.8 s after the signal, and what waits longer than 0.8 s is refused at once. - 7,389 sends to a server that refused connections: the coordinating host was not told. It is now, and leaves that engine out for 1.5 s unless it reports.

--- a/crates/host/src/caller_lifecycle.rs
+++ b/crates/host/src/caller_lifecycle.rs
@@ -8,9 +8,9 @@
 
 use crate::host_state::HostState;
 
-/// Time from the signal until connections are closed. The balancer asks once a second and needs two misses, and
-/// requests that were sent before then must be answered.
-const CLOSE_AFTER: Duration = Duration::from_millis(3000);
+/// Time from the signal until no more requests are taken. The balancer asks once a second and needs two misses. What is
+/// taken later than three seconds after the signal must be answered before the process ends, however long it runs.
+const CLOSE_AFTER: Duration = Duration::from_millis(2800);
 
 /// Left of the grace period when the process ends although requests are still under way.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
@@ -18,17 +18,20 @@
 /// Pause between two looks at the open connections.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
-/// Planned stop: not ready at once, then connections are closed after their answers, then the process ends.
+/// Planned stop: not ready at once, then no more requests are taken and connections are closed after their answers, then
+/// the process ends.
 pub(crate) async fn drain(
     state: &HostState,
     open: &Arc<AtomicUsize>,
+    stop_accepting: &CancellationToken,
     close_gracefully: &CancellationToken,
 ) {
-    state.is_stopping.store(true, Ordering::Release);
+    state.stopping.cancel();
     info!(state.logger, "stopping"; "connections" => open.load(Ordering::Acquire),
         "requests" => state.counters.active.get());
     let grace = state.boot.bounds.grace;
     tokio::time::sleep(CLOSE_AFTER.min(grace / 2)).await;
+    stop_accepting.cancel();
     close_gracefully.cancel();
     let idle = async {
         while open.load(Ordering::Acquire) > 0 {
--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -218,6 +218,7 @@
     pub(crate) async fn place(&self, request: &PlaceRequest, state: &HostState) -> PlaceReply {
         let until = state.now() + PLACE_HOLD.min(Duration::from_millis(request.time_left_ms));
         let mut refused_by = request.refused_by.clone();
+        let mut unreached = request.unreached.clone();
         loop {
             let now = state.now();
             if self.fence(now).is_none() {
@@ -229,6 +230,9 @@
                 let model = &request.model;
                 let adapter = request.adapter.as_ref();
                 let refused_by = refused_by.as_ref();
+                if let Some(unreached) = unreached.take() {
+                    planner.note_unreached(&unreached, now);
+                }
                 Some(planner.place(model, adapter, request.urgency, time_left, refused_by, now))
             });
             refused_by = None;
--- a/crates/host/src/duty_keeper.rs
+++ b/crates/host/src/duty_keeper.rs
@@ -1,5 +1,4 @@
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use slog::info;
@@ -124,7 +123,7 @@
     fn vacancy(&self) -> Option<Revision> {
         let state = &self.state;
         let table = state.table.load();
-        let is_stopping = state.is_stopping.load(Ordering::Acquire);
+        let is_stopping = state.stopping.is_cancelled();
         if table.config.is_none() || is_stopping || !state.trusts_keys() {
             return None;
         }
--- a/crates/host/src/event_relay.rs
+++ b/crates/host/src/event_relay.rs
@@ -198,6 +198,9 @@
             }
             let (state, context) = (&self.state, &self.context);
             let target = choose_target(state, context, &mut self.tries).await.ok()?;
+            if !state.retries.of(&context.service).try_retry() {
+                return None;
+            }
             let backend = target.entry.id.clone();
             self.log.arrivals += 1;
             self.log.backend = Some(backend.clone());
--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -41,8 +41,11 @@
 /// Pause before a request is sent again to a server whose load has just ended.
 const ABSENT_PAUSE: Duration = Duration::from_millis(25);
 
-/// Pause that callers are told when all servers are full.
-const FULL_RETRY: Duration = Duration::from_millis(500);
+/// Pause between two looks at an empty retry budget.
+const RETRY_POLL: Duration = Duration::from_millis(200);
+
+/// Part of a request's time, in percent, for which it may wait for the retry budget.
+const RETRY_WAIT_PERCENT: u32 = 40;
 
 /// How one send ended.
 enum Sent {
@@ -127,7 +130,7 @@
         if let Err(refusal) = check_key(state, context) {
             return refuse(refusal, tries, failed_answer);
         }
-        if tries.arrivals > 0 && !state.retries.of(&context.service).try_retry() {
+        if tries.arrivals > 0 && !take_retry(state, context, tries).await {
             return give_up(RefusalKind::Overloaded, tries, failed_answer);
         }
         let backend = target.entry.id.clone();
@@ -150,7 +153,7 @@
         };
         state.counters.sends.with_label_values(&[label]).inc();
         match end {
-            SendEnd::NotSent(_) => tries.avoid(&backend),
+            SendEnd::NotSent(_) => tries.note_unreached(&backend),
             SendEnd::NotRun { status } => {
                 tries.arrivals += 1;
                 log.arrivals += 1;
@@ -170,6 +173,21 @@
     }
 }
 
+/// Takes a retry from the budget. A request that has not run may wait for one: it is not worth less than those whose
+/// first send comes later.
+async fn take_retry(state: &HostState, context: &RequestContext, tries: &TryLog) -> bool {
+    let wait_until = context.arrived + context.whole_time() * RETRY_WAIT_PERCENT / 100;
+    loop {
+        if state.retries.of(&context.service).try_retry() {
+            return true;
+        }
+        if tries.has_maybe_run() || Instant::now() + RETRY_POLL >= wait_until {
+            return false;
+        }
+        tokio::time::sleep(RETRY_POLL).await;
+    }
+}
+
 fn refuse(refusal: Refusal, tries: &TryLog, failed: Option<WholeAnswer>) -> Result<Sent> {
     match failed {
         Some(answer) => Ok(Sent::Answered(answer.into_response(), "server-failed")),
--- a/crates/host/src/host_process.rs
+++ b/crates/host/src/host_process.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
@@ -135,6 +134,7 @@
     let parts = build(boot, logger.clone())?;
     let state = parts.state.clone();
     let token = CancellationToken::new();
+    let stop_accepting = CancellationToken::new();
     let close_gracefully = CancellationToken::new();
     let open = Arc::new(AtomicUsize::new(0));
 
@@ -144,7 +144,7 @@
 
     let callers = ConnectionServer {
         listener: bind(state.boot.callers).await?,
-        stop_accepting: token.clone(),
+        stop_accepting: stop_accepting.clone(),
         close_gracefully: close_gracefully.clone(),
         open: open.clone(),
     };
@@ -158,7 +158,7 @@
 
     terminate.recv().await;
     duty.token.cancel();
-    drain(&state, &open, &close_gracefully).await;
+    drain(&state, &open, &stop_accepting, &close_gracefully).await;
     token.cancel();
     let _ = tokio::time::timeout(RESIGN_TIME, duty.task).await;
     info!(logger, "ended"; "store_calls" => parts.store.calls(), "connections" => state.pool.opened());
@@ -197,7 +197,7 @@
         retries: RetryBudgets::new(&boot.bounds),
         uses: Mutex::new(ModelUses::default()),
         link,
-        is_stopping: AtomicBool::new(false),
+        stopping: CancellationToken::new(),
         boot,
         logger,
     });
--- a/crates/host/src/host_state.rs
+++ b/crates/host/src/host_state.rs
@@ -2,12 +2,12 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use slog::Logger;
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 use zinniahinge_platform::HostBoot;
 use zinniahinge_serving::AccountMeter;
 use zinniahinge_serving::ConfirmedReading;
@@ -45,8 +45,8 @@
     pub(crate) retries: RetryBudgets,
     pub(crate) uses: Mutex<ModelUses>,
     pub(crate) link: PeerLink,
-    /// True from the signal of a planned stop on.
-    pub(crate) is_stopping: AtomicBool,
+    /// Cancelled by the signal of a planned stop.
+    pub(crate) stopping: CancellationToken,
 }
 
 impl HostState {
--- a/crates/host/src/retry_budgets.rs
+++ b/crates/host/src/retry_budgets.rs
@@ -45,16 +45,23 @@
     /// Sets the number of hosts; a smaller one than before is not believed, because hosts that are cut off still send.
     pub(crate) fn set_hosts(&self, hosts: u32) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        if hosts > state.hosts {
-            state.hosts = hosts;
-            state.budgets.clear();
+        if hosts <= state.hosts {
+            return;
+        }
+        state.hosts = hosts;
+        let saved = self.whole_saved(hosts);
+        for budget in state.budgets.values_mut() {
+            let smaller = RetryBudget::new(self.share_percent, saved);
+            // What is saved stays; a full budget for each new host would add up over the fleet.
+            while smaller.balance() > budget.balance() && smaller.try_retry() {}
+            *budget = Arc::new(smaller);
         }
     }
 
     /// Budget of a service.
     pub(crate) fn of(&self, service: &Name) -> Arc<RetryBudget> {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        let saved = self.saved(state.hosts).round().max(1.0) as u32;
+        let saved = self.whole_saved(state.hosts);
         let budget = state.budgets.entry(service.clone());
         budget
             .or_insert_with(|| Arc::new(RetryBudget::new(self.share_percent, saved)))
@@ -71,6 +78,10 @@
         }
     }
 
+    fn whole_saved(&self, hosts: u32) -> u32 {
+        self.saved(hosts).round().max(1.0) as u32
+    }
+
     fn saved(&self, hosts: u32) -> f64 {
         self.extra * SAVED_SHARE / f64::from(hosts.max(1))
     }
--- a/crates/host/src/side_servers.rs
+++ b/crates/host/src/side_servers.rs
@@ -1,6 +1,5 @@
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use http::Request;
@@ -25,7 +24,7 @@
 }
 
 fn unready_reason(state: &HostState) -> Option<&'static str> {
-    if state.is_stopping.load(Ordering::Acquire) {
+    if state.stopping.is_cancelled() {
         Some("stopping")
     } else if state.table.load().config.is_none() {
         Some("no configuration is known")
--- a/crates/host/src/target_choice.rs
+++ b/crates/host/src/target_choice.rs
@@ -29,6 +29,12 @@
 /// Pause that callers are told when nobody could say when the model will be there.
 const UNPLACED_RETRY: Duration = Duration::from_millis(1500);
 
+/// Longest wait for a model on a host that is being stopped.
+const STOPPING_WAIT: Duration = Duration::from_millis(800);
+
+/// Pause that callers are told by a host that is being stopped; another host takes them.
+const STOPPING_RETRY: Duration = Duration::from_millis(50);
+
 /// Where a request goes next.
 pub(crate) async fn choose_target(
     state: &HostState,
@@ -119,7 +125,10 @@
         if now >= hold_until {
             return Err(unplaced);
         }
-        let pause = match ask(state, context, model, tries.absent_at.take()).await {
+        if state.stopping.is_cancelled() && now >= context.arrived + STOPPING_WAIT {
+            return Err(unplaced.retry_after(STOPPING_RETRY));
+        }
+        let pause = match ask(state, context, model, tries).await {
             Some(PlaceReply::At {
                 backend,
                 ready_in_ms,
@@ -128,15 +137,16 @@
                 if now + ready_in >= context.deadline {
                     return Err(unplaced.retry_after(ready_in));
                 }
-                tokio::time::sleep(ready_in).await;
+                wait_for_load(state, ready_in, unplaced).await?;
                 let table = state.table.load();
                 let slot = table.backend(&context.service, &backend);
-                match slot.filter(|slot| slot.is_accepting()) {
+                let is_usable = |slot: &&BackendSlot| {
+                    slot.is_accepting() && !tries.is_unreached(&slot.entry.id)
+                };
+                match slot.filter(is_usable) {
                     Some(slot) => return Ok(chosen(slot)),
-                    None => {
-                        tries.absent_at = Some(backend);
-                        ASK_PAUSE
-                    }
+                    // It leaves, or could not be reached a moment ago.
+                    None => ASK_PAUSE,
                 }
             }
             Some(PlaceReply::AskAgain { again_in_ms }) => Duration::from_millis(again_in_ms),
@@ -155,11 +165,24 @@
     }
 }
 
+/// Waits until a load should have ended. A host that is being stopped does not wait for long: another one may answer.
+async fn wait_for_load(state: &HostState, ready_in: Duration, unplaced: Refusal) -> Result<()> {
+    let until = Instant::now() + ready_in;
+    if until - Instant::now() > STOPPING_WAIT {
+        tokio::select! {
+            () = tokio::time::sleep_until(until - STOPPING_WAIT) => {}
+            () = state.stopping.cancelled() => return Err(unplaced.retry_after(STOPPING_RETRY)),
+        }
+    }
+    tokio::time::sleep_until(until).await;
+    Ok(())
+}
+
 async fn ask(
     state: &HostState,
     context: &RequestContext,
     model: &Name,
-    refused_by: Option<Name>,
+    tries: &mut TryLog,
 ) -> Option<PlaceReply> {
     let holder = state.table.load().holder.clone()?;
     let request = PlaceRequest {
@@ -168,7 +191,8 @@
         adapter: context.facts.adapter.clone(),
         urgency: context.urgency(),
         time_left_ms: context.time_left().as_millis() as u64,
-        refused_by,
+        refused_by: tries.absent_at.take(),
+        unreached: tries.unreached.take(),
     };
     let reply = state.link.place(&holder, &request, state).await;
     info!(state.logger, "placement"; "id" => &*context.facts.attempt_id, "model" => &**model,
--- a/crates/host/src/try_log.rs
+++ b/crates/host/src/try_log.rs
@@ -8,8 +8,11 @@
     may_have_run: SmallVec<[Name; 2]>,
     /// Backend servers that can't take it now.
     avoided: SmallVec<[Name; 2]>,
+    last_unreached: Option<Name>,
     /// Backend server that has just said that it doesn't have the model.
     pub(crate) absent_at: Option<Name>,
+    /// Backend server that could not be reached, until the coordinating host is told.
+    pub(crate) unreached: Option<Name>,
     /// Sends that reached a backend server.
     pub(crate) arrivals: u32,
 }
@@ -37,6 +40,17 @@
         self.avoided.contains(backend)
     }
 
+    /// Notes a server that could not be reached.
+    pub(crate) fn note_unreached(&mut self, backend: &Name) {
+        self.unreached = Some(backend.clone());
+        self.last_unreached = Some(backend.clone());
+        self.avoid(backend);
+    }
+
+    pub(crate) fn is_unreached(&self, backend: &Name) -> bool {
+        self.last_unreached.as_ref() == Some(backend)
+    }
+
     pub(crate) fn ran_count(&self) -> u32 {
         self.may_have_run.len() as u32
     }
--- a/crates/serving/src/engine_record.rs
+++ b/crates/serving/src/engine_record.rs
@@ -29,6 +29,8 @@
     pub(crate) open: Option<OpenOrder>,
     /// An order was sent and its answer is due.
     pub(crate) in_call: bool,
+    /// A host could not reach it; until then it gets no requests unless a report arrives.
+    pub(crate) unreached_until: MonotonicTime,
     /// No order before this time.
     pub(crate) blocked_until: MonotonicTime,
     /// Conflicts in a row.
@@ -52,6 +54,8 @@
     pub(crate) ready_at: MonotonicTime,
     pub(crate) last_used: MonotonicTime,
     pub(crate) is_leaving: bool,
+    /// A request was refused although it should be there. Requests wait until a report shows it.
+    pub(crate) is_doubted: bool,
 }
 
 /// An adapter that an engine holds or is loading.
@@ -73,6 +77,8 @@
     /// Estimate.
     pub(crate) done_at: MonotonicTime,
     pub(crate) from_store: bool,
+    /// A report shows that it has ended.
+    pub(crate) is_confirmed: bool,
 }
 
 /// Memory that is freed on an engine for a model.
@@ -109,6 +115,7 @@
             disk_copies: entry.disk_copies.clone(),
             open: None,
             in_call: false,
+            unreached_until: MonotonicTime::ZERO,
             blocked_until: now,
             conflicts: 0,
             claim: None,
@@ -144,6 +151,7 @@
         for HeldModel { model, adapters } in held {
             let mut record = previous.remove(model).unwrap_or_default();
             record.is_leaving = false;
+            record.is_doubted = false;
             record.ready_at = record.ready_at.min(now);
             let mut known = std::mem::take(&mut record.adapters);
             for adapter in adapters {
@@ -174,11 +182,10 @@
     }
 
     pub(crate) fn is_ready(&self, model: &str, now: MonotonicTime) -> bool {
+        let held = self.held.get(model);
         self.is_accepting
-            && self
-                .held
-                .get(model)
-                .is_some_and(|held| !held.is_leaving && held.ready_at <= now)
+            && self.unreached_until <= now
+            && held.is_some_and(|held| held.is_kept() && held.ready_at <= now)
     }
 
     pub(crate) fn level(&self, model: &Name) -> CopyLevel {
@@ -232,6 +239,23 @@
             .count()
     }
 
+    /// Takes in that a report lists the model that is being loaded: the load has ended, however old the report is.
+    pub(crate) fn note_loaded(&mut self, held: &[HeldModel], now: MonotonicTime) {
+        let Some(open) = &mut self.open else {
+            return;
+        };
+        let is_listed = held.iter().any(|held| held.model == open.model);
+        if open.action != ResidencyAction::Load || !is_listed {
+            return;
+        }
+        open.done_at = open.done_at.min(now);
+        if let Some(held) = self.held.get_mut(&open.model) {
+            held.is_doubted = false;
+            held.ready_at = held.ready_at.min(now);
+        }
+        open.is_confirmed = true;
+    }
+
     /// Takes the end of the order under way for granted, because the engine accepted another or reports to be idle.
     pub(crate) fn settle_open(&mut self) {
         if let Some(open) = self.open.take()
@@ -242,6 +266,13 @@
     }
 }
 
+impl HeldRecord {
+    /// True if it is there, or will be, and stays.
+    pub(crate) fn is_kept(&self) -> bool {
+        !self.is_leaving && !self.is_doubted
+    }
+}
+
 impl AdapterRecord {
     /// True if it is there, or will be, and stays.
     pub(crate) fn is_kept(&self) -> bool {
--- a/crates/serving/src/residency_planner.rs
+++ b/crates/serving/src/residency_planner.rs
@@ -60,8 +60,11 @@
 /// A request that is refused in spite of a load that should have ended gets this much more time.
 const LOAD_SLACK: Duration = Duration::from_millis(60);
 
-/// Time for which no request is sent to a model that a host was refused for: a report shows by then whether it is there.
-const DOUBT_TIME: Duration = Duration::from_millis(600);
+/// Pause between two reports while a load should be about to end.
+const LOAD_CHECK: Duration = Duration::from_millis(90);
+
+/// Time for which an engine that a host could not reach gets no requests, unless it reports.
+const UNREACHED_TIME: Duration = Duration::from_millis(1500);
 
 /// Where a request can go, or when.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -178,6 +181,18 @@
             record.report_due = now + lag;
             return;
         }
+        record.unreached_until = MonotonicTime::ZERO;
+        record.note_loaded(&report.held, now);
+        let is_loading = record
+            .open
+            .as_ref()
+            .is_some_and(|open| open.action == ResidencyAction::Load && !open.is_confirmed);
+        if is_loading {
+            let open_until = record.open.as_ref().map_or(now, |open| open.done_at);
+            let check_at =
+                MonotonicTime::from_origin(open_until.since_origin().saturating_sub(ORDER_MARGIN));
+            record.report_due = check_at.max(now + LOAD_CHECK);
+        }
         record.memory_copies = report.memory_copies.clone();
         record.disk_copies = report.disk_copies.clone();
         let contents_at = MonotonicTime::from_origin(asked_at.since_origin().saturating_sub(lag));
@@ -189,7 +204,12 @@
             return;
         }
         if !is_current {
-            record.report_due = record.changed_at + lag + CONFLICT_PAUSE;
+            let settled_at = record.changed_at + lag + CONFLICT_PAUSE;
+            record.report_due = if is_loading {
+                record.report_due
+            } else {
+                settled_at
+            };
             return;
         }
         record.sequence = Some(report.sequence);
@@ -253,8 +273,14 @@
         if let Some(backend) = self.ready_engine(model, adapter, now) {
             return Placement::Ready { backend };
         }
-        if let Some((backend, ready_in)) = self.loading_engine(model, adapter, now) {
-            return Placement::Loading { backend, ready_in };
+        match self.loading_engine(model, adapter, now) {
+            Some((backend, Some(ready_in))) => return Placement::Loading { backend, ready_in },
+            Some((_, None)) => {
+                return Placement::Wait {
+                    again_in: LOAD_CHECK,
+                };
+            }
+            None => {}
         }
         let estimate = self.estimate(model, now);
         match estimate {
@@ -318,10 +344,14 @@
         model: &Name,
         adapter: Option<&Name>,
         now: MonotonicTime,
-    ) -> Option<(Name, Duration)> {
-        let engines = self.engines.values().filter(|record| record.is_accepting);
+    ) -> Option<(Name, Option<Duration>)> {
+        let engines = self.engines.values();
+        let engines = engines.filter(|record| record.is_accepting && record.unreached_until <= now);
         let coming = engines.filter_map(|record| {
             let held = record.held.get(model).filter(|held| !held.is_leaving)?;
+            if held.is_doubted {
+                return Some((record.id.clone(), None));
+            }
             let ready_at = match adapter {
                 None => held.ready_at,
                 Some(adapter) => {
@@ -331,9 +361,18 @@
                         .then_some(adapter.ready_at.max(held.ready_at))?
                 }
             };
-            Some((record.id.clone(), ready_at.since(now)))
+            Some((record.id.clone(), Some(ready_at.since(now))))
         });
-        coming.min_by_key(|(_, ready_in)| *ready_in)
+        // A doubted one comes last: nobody knows when it will be there.
+        coming.min_by_key(|(_, ready_in)| ready_in.unwrap_or(Duration::MAX))
+    }
+
+    /// A host could not connect to the engine.
+    pub fn note_unreached(&mut self, backend: &Name, now: MonotonicTime) {
+        if let Some(record) = self.engines.get_mut(backend) {
+            record.unreached_until = now + UNREACHED_TIME;
+            record.report_due = record.report_due.min(now);
+        }
     }
 
     /// A host's request was refused although this planner takes the model to be there.
@@ -355,14 +394,14 @@
         match (open, adapter) {
             (Some(open), _) => {
                 open.done_at = open.done_at.max(now + LOAD_SLACK);
-                held.ready_at = held.ready_at.max(now + LOAD_SLACK);
+                held.is_doubted = !open.is_confirmed;
             }
             (None, Some(adapter)) => {
                 if let Some(adapter) = held.adapters.get_mut(adapter) {
                     adapter.is_doubted = true;
                 }
             }
-            (None, None) => held.ready_at = now + DOUBT_TIME,
+            (None, None) => held.is_doubted = true,
         }
         record.report_due = now;
     }
@@ -570,6 +609,7 @@
         (ResidencyAction::Load, None) => {
             let held = record.held.entry(model.clone()).or_default();
             held.is_leaving = false;
+            held.is_doubted = false;
             held.ready_at = now + load_time;
             held.last_used = now + load_time;
             record.open = Some(OpenOrder {
@@ -577,7 +617,9 @@
                 model: model.clone(),
                 done_at: now + load_time + ORDER_MARGIN,
                 from_store,
+                is_confirmed: false,
             });
+            record.report_due = now + load_time;
             if record
                 .claim
                 .as_ref()
@@ -600,6 +642,7 @@
                 model: model.clone(),
                 done_at: now + MODEL_UNLOAD,
                 from_store: false,
+                is_confirmed: false,
             });
         }
     }
@@ -626,6 +669,7 @@
         (ResidencyAction::Load, None) => {
             let held = record.held.entry(order.model.clone()).or_default();
             held.is_leaving = false;
+            held.is_doubted = false;
             held.ready_at = now;
             record.claim = None;
         }
--- a/crates/types/src/fleet_message.rs
+++ b/crates/types/src/fleet_message.rs
@@ -142,6 +142,8 @@
     pub time_left_ms: u64,
     /// Backend server that has just refused the request because it doesn't have the model.
     pub refused_by: Option<Name>,
+    /// Backend server that could not be reached.
+    pub unreached: Option<Name>,
 }
 
 /// Answer to a [`PlaceRequest`].
