--- a/crates/host/src/attempt.rs
+++ b/crates/host/src/attempt.rs
@@ -4,6 +4,7 @@
 use http::Request;
 use http::StatusCode;
 use http_body_util::Full;
+use thiserror::Error;
 use tokio::time::Instant;
 use zinniahinge_platform::AnswerFacts;
 use zinniahinge_platform::BackendHeaders;
@@ -23,14 +24,17 @@
 const FRESH_IDLE: Duration = Duration::from_secs(3);
 
 /// How a send to a backend server ended without a usable answer.
-#[derive(Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub(crate) enum SendEnd {
     /// No byte was written.
+    #[error("not sent: {0}")]
     NotSent(String),
     /// The server says that it did not run the request.
-    NotRun { status: StatusCode },
+    #[error("not run, status {0}")]
+    NotRun(StatusCode),
     /// It may have run.
-    MayHaveRun { reason: String, timed_out: bool },
+    #[error("may have run: {0}")]
+    MayHaveRun(String),
 }
 
 /// Sends a request to a backend server and reads the head of its answer until `deadline`.
@@ -64,10 +68,9 @@
     let facts = AnswerFacts::read(head.status, &head.headers, &context.facts.attempt_id);
     if facts.is_crossed {
         target.load.count_failure();
-        return Err(SendEnd::MayHaveRun {
-            reason: "the answer names another request".to_owned(),
-            timed_out: false,
-        });
+        return Err(SendEnd::MayHaveRun(
+            "the answer names another request".to_owned(),
+        ));
     }
     if let Some(sample) = facts.load {
         target.load.state(sample, state.now());
@@ -82,7 +85,7 @@
     if answer.facts.says_not_run {
         let status = answer.facts.status;
         answer.discard();
-        return Err(SendEnd::NotRun { status });
+        return Err(SendEnd::NotRun(status));
     }
     Ok(answer)
 }
@@ -120,15 +123,9 @@
     target.load.count_failure();
     target.load.avoid(state.now());
     let reason = failure.to_string();
-    match failure {
-        SendFailure::NotSent { .. } => SendEnd::NotSent(reason),
-        SendFailure::Unanswered { .. } => SendEnd::MayHaveRun {
-            reason,
-            timed_out: false,
-        },
-        SendFailure::TimedOut => SendEnd::MayHaveRun {
-            reason,
-            timed_out: true,
-        },
+    if failure.is_unsent() {
+        SendEnd::NotSent(reason)
+    } else {
+        SendEnd::MayHaveRun(reason)
     }
 }
--- a/crates/host/src/event_relay.rs
+++ b/crates/host/src/event_relay.rs
@@ -210,7 +210,7 @@
                     OpenStream::start(answer, backend.clone(), context.deadline).await
                 }
                 Ok(answer) => Err(answer.facts.status.to_string()),
-                Err(end) => Err(format!("{end:?}")),
+                Err(end) => Err(end.to_string()),
             };
             match opened {
                 Ok(stream) => {
--- a/crates/host/src/fleet_reporter.rs
+++ b/crates/host/src/fleet_reporter.rs
@@ -53,7 +53,10 @@
         let is_idle = state.uses().is_empty() && state.counters.active.get() == 0;
         memory.idle_rounds = if is_idle { memory.idle_rounds + 1 } else { 0 };
         let is_known = memory.fence == holder.fence;
-        if is_known && memory.idle_rounds > IDLE_FACTOR && memory.idle_rounds % IDLE_FACTOR != 0 {
+        if is_known
+            && memory.idle_rounds > IDLE_FACTOR
+            && !memory.idle_rounds.is_multiple_of(IDLE_FACTOR)
+        {
             return;
         }
         let now = state.now();
--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -145,22 +145,22 @@
             }
         };
         info!(state.logger, "send ended"; "id" => &*context.facts.attempt_id, "backend" => &*backend,
-            "end" => ?end);
+            "end" => %end);
         let label = match &end {
             SendEnd::NotSent(_) => "not-sent",
-            SendEnd::NotRun { .. } => "not-run",
-            SendEnd::MayHaveRun { .. } => "may-have-run",
+            SendEnd::NotRun(_) => "not-run",
+            SendEnd::MayHaveRun(_) => "may-have-run",
         };
         state.counters.sends.with_label_values(&[label]).inc();
         match end {
             SendEnd::NotSent(_) => tries.note_unreached(&backend),
-            SendEnd::NotRun { status } => {
+            SendEnd::NotRun(status) => {
                 tries.arrivals += 1;
                 log.arrivals += 1;
                 let pause = note_not_run(state, context, tries, &target, status);
                 tokio::time::sleep(pause.min(context.time_left())).await;
             }
-            SendEnd::MayHaveRun { .. } => {
+            SendEnd::MayHaveRun(_) => {
                 tries.arrivals += 1;
                 log.arrivals += 1;
                 tries.note_ran(&backend);
@@ -313,21 +313,11 @@
         return broken(format!("status {status} of a request that may have run"));
     }
     if status.is_server_error() {
-        return Sent::Ended(
-            SendEnd::MayHaveRun {
-                reason: status.to_string(),
-                timed_out: false,
-            },
-            Some(whole),
-        );
+        return Sent::Ended(SendEnd::MayHaveRun(status.to_string()), Some(whole));
     }
     Sent::Answered(whole.into_response(), "server-refused")
 }
 
 fn broken(reason: impl Into<String>) -> Sent {
-    let end = SendEnd::MayHaveRun {
-        reason: reason.into(),
-        timed_out: false,
-    };
-    Sent::Ended(end, None)
+    Sent::Ended(SendEnd::MayHaveRun(reason.into()), None)
 }
--- a/crates/serving/src/residency_load.rs
+++ b/crates/serving/src/residency_load.rs
@@ -147,7 +147,7 @@
             Some(victim) => (ResidencyAction::Unload, victim),
             None => (ResidencyAction::Load, model.clone()),
         };
-        Some(order_for(record, action, model, None)?)
+        order_for(record, action, model, None)
     }
 
     fn best_target(&self, model: &Name, now: MonotonicTime) -> Option<LoadTarget> {
--- /dev/null
+++ b/crates/serving/src/residency_observation.rs
@@ -0,0 +1,112 @@
+//! How a [`ResidencyPlanner`] takes in what the store and the engines say.
+
+use std::time::Duration;
+
+use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::Name;
+
+use crate::BackendEntry;
+use crate::BackendPhase;
+use crate::EngineReport;
+use crate::ResidencyAction;
+use crate::ResidencyPlanner;
+use crate::engine_record::EngineRecord;
+use crate::residency_planner::CONFLICT_PAUSE;
+use crate::residency_planner::LOAD_CHECK;
+use crate::residency_planner::ORDER_MARGIN;
+
+/// Pause between two reports of an engine that carries out an unknown order.
+const BUSY_REPORT_PAUSE: Duration = Duration::from_millis(200);
+
+impl ResidencyPlanner {
+    /// Takes in what the store lists of an engine.
+    pub fn observe_entry(&mut self, entry: &BackendEntry, now: MonotonicTime) {
+        let Some(record) = self.engines.get_mut(&entry.id) else {
+            let record = EngineRecord::new(entry, now);
+            self.engines.insert(entry.id.clone(), record);
+            return;
+        };
+        if entry.born_ms > record.born_ms {
+            record.restart(entry, now);
+        }
+        if entry.born_ms < record.born_ms {
+            return;
+        }
+        record.address = entry.address;
+        record.is_accepting = entry.phase == BackendPhase::Ready;
+    }
+
+    /// Forgets engines that `keep` does not list.
+    pub fn retain_engines(&mut self, keep: impl Fn(&Name) -> bool) {
+        self.engines.retain(|id, _| keep(id));
+        self.views.retain(|id, _| keep(id));
+    }
+
+    /// Takes in a report that was asked for at `asked_at`. `None`: the engine gave none.
+    pub fn observe_report(
+        &mut self,
+        backend: &str,
+        report: Option<&EngineReport>,
+        asked_at: MonotonicTime,
+        now: MonotonicTime,
+    ) {
+        let lag = self.settings.report_lag;
+        let interval = self.settings.report_interval;
+        let Some(record) = self.engines.get_mut(backend) else {
+            return;
+        };
+        record.is_asked = false;
+        record.report_due = now + interval;
+        let Some(report) = report else {
+            return;
+        };
+        if report.born_ms != 0 && report.born_ms != record.born_ms {
+            // The listing will tell; until then nothing is ordered on what may be another run.
+            record.sequence = None;
+            record.report_due = now + lag;
+            return;
+        }
+        record.unreached_until = MonotonicTime::ZERO;
+        record.note_loaded(&report.held, now);
+        let is_loading = record
+            .open
+            .as_ref()
+            .is_some_and(|open| open.action == ResidencyAction::Load && !open.is_confirmed);
+        if is_loading {
+            let open_until = record.open.as_ref().map_or(now, |open| open.done_at);
+            let check_at =
+                MonotonicTime::from_origin(open_until.since_origin().saturating_sub(ORDER_MARGIN));
+            record.report_due = check_at.max(now + LOAD_CHECK);
+        }
+        record.memory_copies = report.memory_copies.clone();
+        record.disk_copies = report.disk_copies.clone();
+        let contents_at = MonotonicTime::from_origin(asked_at.since_origin().saturating_sub(lag));
+        let is_current = contents_at >= record.changed_at && !record.in_call;
+        if report.is_busy && record.open.is_none() {
+            // An order of a predecessor, or one whose answer was lost: what it will take is not known before it ends.
+            record.sequence = None;
+            record.report_due = now + BUSY_REPORT_PAUSE;
+            return;
+        }
+        if !is_current {
+            let settled_at = record.changed_at + lag + CONFLICT_PAUSE;
+            record.report_due = if is_loading {
+                record.report_due
+            } else {
+                settled_at
+            };
+            return;
+        }
+        record.sequence = Some(report.sequence);
+        if report.is_busy {
+            return;
+        }
+        record.settle_open();
+        record.adopt_held(&report.held, now);
+        for (model, adapter) in &report.pending {
+            if let Some(held) = record.held.get_mut(model) {
+                held.adapters.entry(adapter.clone()).or_default();
+            }
+        }
+    }
+}
--- a/crates/serving/src/residency_planner.rs
+++ b/crates/serving/src/residency_planner.rs
@@ -6,50 +6,20 @@
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 
-use crate::BackendEntry;
-use crate::BackendPhase;
-use crate::EngineOrder;
-use crate::EngineReport;
 use crate::EngineSpec;
-use crate::OrderOutcome;
-use crate::ResidencyAction;
 use crate::ResidencySettings;
 use crate::ResidencyView;
 use crate::ViewedModel;
-use crate::engine_record::AdapterRecord;
 use crate::engine_record::EngineRecord;
-use crate::engine_record::LateOrder;
-use crate::engine_record::OpenOrder;
 use crate::residency_demand::ModelDemand;
 use crate::residency_demand::Want;
 use crate::residency_demand::WantKey;
 
-/// Time that an adapter takes to load. Engines name 5 to 10 ms.
-const ADAPTER_LOAD: Duration = Duration::from_millis(12);
-
-/// When to look whether an adapter that was in use is gone. Answers take up to a few seconds.
-const ADAPTER_UNLOAD_CHECK: Duration = Duration::from_millis(800);
-
-/// Time that an idle model takes to unload.
-const MODEL_UNLOAD: Duration = Duration::from_millis(60);
-
 /// Time beyond what its service states until an engine that loads a model takes the next order.
-const ORDER_MARGIN: Duration = Duration::from_millis(120);
+pub(crate) const ORDER_MARGIN: Duration = Duration::from_millis(120);
 
 /// Pause after an engine refused an order because another was under way.
-const CONFLICT_PAUSE: Duration = Duration::from_millis(50);
-
-/// Longest pause after several such refusals in a row.
-const MAX_CONFLICT_PAUSE: Duration = Duration::from_millis(400);
-
-/// Pause between two reports of an engine that carries out an unknown order.
-const BUSY_REPORT_PAUSE: Duration = Duration::from_millis(200);
-
-/// Pause after an order that could not be sent.
-const UNREACHED_PAUSE: Duration = Duration::from_millis(400);
-
-/// Pause before a model is tried again on an engine that refused it as invalid.
-const INVALID_PAUSE: Duration = Duration::from_secs(5);
+pub(crate) const CONFLICT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Time for which a request's wish counts unless its host asks again.
 const WANT_TIME: Duration = Duration::from_millis(1500);
@@ -61,7 +31,7 @@
 const LOAD_SLACK: Duration = Duration::from_millis(60);
 
 /// Pause between two reports while a load should be about to end.
-const LOAD_CHECK: Duration = Duration::from_millis(90);
+pub(crate) const LOAD_CHECK: Duration = Duration::from_millis(90);
 
 /// Time for which an engine that a host could not reach gets no requests, unless it reports.
 const UNREACHED_TIME: Duration = Duration::from_millis(1500);
@@ -105,7 +75,7 @@
     pub(crate) wants: BTreeMap<WantKey, Want>,
     /// Starts of loads from the weight store.
     pub(crate) store_starts: VecDeque<MonotonicTime>,
-    views: BTreeMap<Name, ResidencyView>,
+    pub(crate) views: BTreeMap<Name, ResidencyView>,
     view_version: u64,
     turn: usize,
 }
@@ -131,100 +101,6 @@
         self.spec = spec;
     }
 
-    // ---------------------------------------------------------------------------------------------
-    // Observations
-
-    /// Takes in what the store lists of an engine.
-    pub fn observe_entry(&mut self, entry: &BackendEntry, now: MonotonicTime) {
-        let Some(record) = self.engines.get_mut(&entry.id) else {
-            let record = EngineRecord::new(entry, now);
-            self.engines.insert(entry.id.clone(), record);
-            return;
-        };
-        if entry.born_ms > record.born_ms {
-            record.restart(entry, now);
-        }
-        if entry.born_ms < record.born_ms {
-            return;
-        }
-        record.address = entry.address;
-        record.is_accepting = entry.phase == BackendPhase::Ready;
-    }
-
-    /// Forgets engines that `keep` does not list.
-    pub fn retain_engines(&mut self, keep: impl Fn(&Name) -> bool) {
-        self.engines.retain(|id, _| keep(id));
-        self.views.retain(|id, _| keep(id));
-    }
-
-    /// Takes in a report that was asked for at `asked_at`. `None`: the engine gave none.
-    pub fn observe_report(
-        &mut self,
-        backend: &str,
-        report: Option<&EngineReport>,
-        asked_at: MonotonicTime,
-        now: MonotonicTime,
-    ) {
-        let lag = self.settings.report_lag;
-        let interval = self.settings.report_interval;
-        let Some(record) = self.engines.get_mut(backend) else {
-            return;
-        };
-        record.is_asked = false;
-        record.report_due = now + interval;
-        let Some(report) = report else {
-            return;
-        };
-        if report.born_ms != 0 && report.born_ms != record.born_ms {
-            // The listing will tell; until then nothing is ordered on what may be another run.
-            record.sequence = None;
-            record.report_due = now + lag;
-            return;
-        }
-        record.unreached_until = MonotonicTime::ZERO;
-        record.note_loaded(&report.held, now);
-        let is_loading = record
-            .open
-            .as_ref()
-            .is_some_and(|open| open.action == ResidencyAction::Load && !open.is_confirmed);
-        if is_loading {
-            let open_until = record.open.as_ref().map_or(now, |open| open.done_at);
-            let check_at =
-                MonotonicTime::from_origin(open_until.since_origin().saturating_sub(ORDER_MARGIN));
-            record.report_due = check_at.max(now + LOAD_CHECK);
-        }
-        record.memory_copies = report.memory_copies.clone();
-        record.disk_copies = report.disk_copies.clone();
-        let contents_at = MonotonicTime::from_origin(asked_at.since_origin().saturating_sub(lag));
-        let is_current = contents_at >= record.changed_at && !record.in_call;
-        if report.is_busy && record.open.is_none() {
-            // An order of a predecessor, or one whose answer was lost: what it will take is not known before it ends.
-            record.sequence = None;
-            record.report_due = now + BUSY_REPORT_PAUSE;
-            return;
-        }
-        if !is_current {
-            let settled_at = record.changed_at + lag + CONFLICT_PAUSE;
-            record.report_due = if is_loading {
-                record.report_due
-            } else {
-                settled_at
-            };
-            return;
-        }
-        record.sequence = Some(report.sequence);
-        if report.is_busy {
-            return;
-        }
-        record.settle_open();
-        record.adopt_held(&report.held, now);
-        for (model, adapter) in &report.pending {
-            if let Some(held) = record.held.get_mut(model) {
-                held.adapters.entry(adapter.clone()).or_default();
-            }
-        }
-    }
-
     /// Adds `count` requests for a model that hosts have forwarded.
     pub fn note_use(
         &mut self,
@@ -434,91 +310,6 @@
         later.min()
     }
 
-    /// Counts an order as sent.
-    pub(crate) fn sent(&mut self, order: EngineOrder) -> EngineOrder {
-        if let Some(record) = self.engines.get_mut(&order.backend) {
-            record.in_call = true;
-        }
-        order
-    }
-
-    /// Takes the outcome of an order in.
-    pub fn order_ended(&mut self, order: &EngineOrder, outcome: OrderOutcome, now: MonotonicTime) {
-        let estimate = self.load_time(&order.backend, &order.model, now);
-        let from_store = self.is_store_load(order);
-        let late_until = now + self.settings.late_order_time;
-        let Some(record) = self.engines.get_mut(&order.backend) else {
-            return;
-        };
-        record.in_call = false;
-        if outcome != OrderOutcome::Conflict {
-            record.conflicts = 0;
-        }
-        match outcome {
-            OrderOutcome::Accepted => {
-                record.settle_open();
-                record.sequence = Some(order.expected + 1);
-                record.changed_at = now;
-                record.late.retain(|late| now < late.until);
-                for late in &mut record.late {
-                    late.is_settled |= late.expected <= order.expected;
-                }
-                apply_accepted(record, order, now, estimate, from_store);
-                if from_store {
-                    self.store_starts.push_back(now);
-                }
-            }
-            OrderOutcome::AlreadyHolds => {
-                if is_immediate_unload(record, order) {
-                    record.sequence = Some(order.expected + 1);
-                    record.changed_at = now;
-                } else {
-                    record.report_due = now;
-                }
-                apply_holding(record, order, now);
-            }
-            OrderOutcome::Conflict => {
-                record.conflicts += 1;
-                let pause = CONFLICT_PAUSE * record.conflicts;
-                record.blocked_until = now + pause.min(MAX_CONFLICT_PAUSE);
-                record.report_due = now;
-            }
-            OrderOutcome::Unknown => {
-                record.late.push(LateOrder {
-                    model: order.model.clone(),
-                    adapter: order.adapter.clone(),
-                    is_load: order.action == ResidencyAction::Load,
-                    expected: order.expected,
-                    until: late_until,
-                    is_settled: false,
-                });
-                // A report from now on shows whether it was carried out at once.
-                record.changed_at = now;
-                record.blocked_until = now + CONFLICT_PAUSE;
-                record.report_due = now;
-                if from_store {
-                    self.store_starts.push_back(now);
-                }
-            }
-            OrderOutcome::NotSent => {
-                record.blocked_until = now + UNREACHED_PAUSE;
-                record.report_due = now + UNREACHED_PAUSE;
-            }
-            OrderOutcome::OtherServer => {
-                record.is_accepting = false;
-                record.sequence = None;
-            }
-            OrderOutcome::Invalid => {
-                record
-                    .paused
-                    .insert(order.model.clone(), now + INVALID_PAUSE);
-                record.claim = None;
-                record.report_due = now;
-            }
-            OrderOutcome::Fenced => record.blocked_until = now + UNREACHED_PAUSE,
-        }
-    }
-
     /// Views that changed after `version`, and the newest version.
     pub fn views_since(&mut self, version: u64, now: MonotonicTime) -> (Vec<ResidencyView>, u64) {
         for record in self.engines.values() {
@@ -563,118 +354,3 @@
     })
     .collect()
 }
-
-/// An adapter that no request uses is unloaded before the answer. The order counts as accepted then, unlike one that
-/// found nothing to do.
-fn is_immediate_unload(record: &EngineRecord, order: &EngineOrder) -> bool {
-    let adapters = record.held.get(&order.model).map(|held| &held.adapters);
-    let adapter = order.adapter.as_ref();
-    order.action == ResidencyAction::Unload
-        && adapter.is_some_and(|adapter| adapters.is_some_and(|held| held.contains_key(adapter)))
-}
-
-/// Applies an order that the engine carries out from now on.
-fn apply_accepted(
-    record: &mut EngineRecord,
-    order: &EngineOrder,
-    now: MonotonicTime,
-    load_time: Duration,
-    from_store: bool,
-) {
-    let EngineOrder {
-        action,
-        model,
-        adapter,
-        ..
-    } = order;
-    match (action, adapter) {
-        (ResidencyAction::Load, Some(adapter)) => {
-            let adapter_record = AdapterRecord {
-                ready_at: now + ADAPTER_LOAD,
-                last_used: now,
-                ..AdapterRecord::default()
-            };
-            if let Some(held) = record.held.get_mut(model) {
-                held.adapters.insert(adapter.clone(), adapter_record);
-            }
-        }
-        (ResidencyAction::Unload, Some(adapter)) => {
-            // A request uses it; it takes its place until a report shows that it is gone.
-            let held = record.held.get_mut(model);
-            if let Some(adapter) = held.and_then(|held| held.adapters.get_mut(adapter)) {
-                adapter.is_leaving = true;
-            }
-            record.report_due = now + ADAPTER_UNLOAD_CHECK;
-        }
-        (ResidencyAction::Load, None) => {
-            let held = record.held.entry(model.clone()).or_default();
-            held.is_leaving = false;
-            held.is_doubted = false;
-            held.ready_at = now + load_time;
-            held.last_used = now + load_time;
-            record.open = Some(OpenOrder {
-                action: *action,
-                model: model.clone(),
-                done_at: now + load_time + ORDER_MARGIN,
-                from_store,
-                is_confirmed: false,
-            });
-            record.report_due = now + load_time;
-            if record
-                .claim
-                .as_ref()
-                .is_some_and(|claim| claim.model == *model)
-            {
-                record.claim = None;
-            }
-            for copies in [&mut record.memory_copies, &mut record.disk_copies] {
-                if !copies.contains(model) {
-                    copies.push(model.clone());
-                }
-            }
-        }
-        (ResidencyAction::Unload, None) => {
-            if let Some(held) = record.held.get_mut(model) {
-                held.is_leaving = true;
-            }
-            record.open = Some(OpenOrder {
-                action: *action,
-                model: model.clone(),
-                done_at: now + MODEL_UNLOAD,
-                from_store: false,
-                is_confirmed: false,
-            });
-        }
-    }
-}
-
-/// Applies an order whose aim the engine says to hold already.
-fn apply_holding(record: &mut EngineRecord, order: &EngineOrder, now: MonotonicTime) {
-    match (order.action, &order.adapter) {
-        (ResidencyAction::Load, Some(adapter)) => {
-            if let Some(held) = record.held.get_mut(&order.model) {
-                let adapter_record = AdapterRecord {
-                    ready_at: now,
-                    last_used: now,
-                    ..AdapterRecord::default()
-                };
-                held.adapters.insert(adapter.clone(), adapter_record);
-            }
-        }
-        (ResidencyAction::Unload, Some(adapter)) => {
-            if let Some(held) = record.held.get_mut(&order.model) {
-                held.adapters.remove(adapter);
-            }
-        }
-        (ResidencyAction::Load, None) => {
-            let held = record.held.entry(order.model.clone()).or_default();
-            held.is_leaving = false;
-            held.is_doubted = false;
-            held.ready_at = now;
-            record.claim = None;
-        }
-        (ResidencyAction::Unload, None) => {
-            record.held.remove(&order.model);
-        }
-    }
-}
