--- a/crates/host/src/target_choice.rs
+++ b/crates/host/src/target_choice.rs
@@ -58,10 +58,10 @@
     let table = state.table.load();
     let slots = table.backends(&context.service);
     let accepting = || slots.iter().filter(|slot| slot.is_accepting());
-    let mut candidates = fresh(accepting(), tries);
+    let mut candidates = fresh(state, accepting(), tries);
     if candidates.is_empty() {
         tries.forget_avoided();
-        candidates = fresh(accepting(), tries);
+        candidates = fresh(state, accepting(), tries);
     }
     let target = choose(state, context, ChooserWeights::PLAIN, candidates);
     target.ok_or(Refusal::not_run(RefusalKind::NoBackend).retry_after(NO_BACKEND_RETRY))
@@ -78,20 +78,25 @@
     let slots = table.backends(&context.service).iter();
     let adapter = context.facts.adapter.as_deref();
     let holding = slots.filter(|slot| slot.is_accepting() && slot.has(model, adapter));
-    let candidates = fresh(holding, tries);
+    let candidates = fresh(state, holding, tries);
     choose(state, context, ChooserWeights::MODELS, candidates)
 }
 
-fn fresh<'a>(slots: impl Iterator<Item = &'a BackendSlot>, tries: &TryLog) -> Vec<ChosenBackend> {
+fn fresh<'a>(
+    state: &HostState,
+    slots: impl Iterator<Item = &'a BackendSlot>,
+    tries: &TryLog,
+) -> Vec<ChosenBackend> {
     let fresh = slots.filter(|slot| !tries.is_avoided(&slot.entry.id));
-    fresh.map(chosen).collect()
+    fresh.map(|slot| chosen(state, slot)).collect()
 }
 
-fn chosen(slot: &BackendSlot) -> ChosenBackend {
+fn chosen(state: &HostState, slot: &BackendSlot) -> ChosenBackend {
     ChosenBackend {
         entry: slot.entry.clone(),
         load: slot.load.clone(),
         is_listed: slot.is_listed,
+        is_connected: state.pool.has_idle(slot.entry.address),
     }
 }
 
@@ -144,7 +149,7 @@
                     slot.is_accepting() && !tries.is_unreached(&slot.entry.id)
                 };
                 match slot.filter(is_usable) {
-                    Some(slot) => return Ok(chosen(slot)),
+                    Some(slot) => return Ok(chosen(state, slot)),
                     // It leaves, or could not be reached a moment ago.
                     None => ASK_PAUSE,
                 }
--- a/crates/serving/src/backend_chooser.rs
+++ b/crates/serving/src/backend_chooser.rs
@@ -25,6 +25,8 @@
     pub waiting: f64,
     /// Another data centre: the round trip, and what the traffic between data centres costs.
     pub other_place: f64,
+    /// No kept connection to it.
+    pub new_connection: f64,
     /// A server that the fleet sees fail, or that left this host without an answer.
     pub doubtful: f64,
     /// A server that may be gone.
@@ -38,6 +40,7 @@
         running: 8.0,
         waiting: 60.0,
         other_place: 12.0,
+        new_connection: 15.0,
         doubtful: 5_000.0,
         unlisted: 60_000.0,
     };
@@ -48,6 +51,7 @@
         running: 10.0,
         waiting: 30.0,
         other_place: 8.0,
+        new_connection: 8.0,
         doubtful: 2_000.0,
         unlisted: 60_000.0,
     };
@@ -62,6 +66,8 @@
     pub load: Arc<BackendLoad>,
     /// False if the store doesn't list it at the moment.
     pub is_listed: bool,
+    /// True if this host keeps a connection to it.
+    pub is_connected: bool,
 }
 
 /// Chooses the backend server with the shortest expected wait.
@@ -122,6 +128,7 @@
             entry,
             load,
             is_listed,
+            is_connected,
         } = candidate;
         let weights = &self.weights;
         let stated = load.stated(now, STATED_LIMIT);
@@ -138,6 +145,9 @@
         if entry.place != self.place {
             cost += weights.other_place;
         }
+        if !is_connected {
+            cost += weights.new_connection;
+        }
         if load.is_suspect() || load.is_avoided(now) {
             cost += weights.doubtful;
         }
--- a/crates/serving/tests/backend_choice.rs
+++ b/crates/serving/tests/backend_choice.rs
@@ -29,6 +29,7 @@
         }),
         load: Arc::new(BackendLoad::default()),
         is_listed: true,
+        is_connected: true,
     }
 }
 
@@ -72,6 +73,10 @@
             name: "other place",
             spoil: |backend| *backend = candidate("s1", "b"),
         },
+        ChoiceCase {
+            name: "no kept connection",
+            spoil: |backend| backend.is_connected = false,
+        },
         ChoiceCase {
             name: "not listed",
             spoil: |backend| backend.is_listed = false,
--- a/crates/transport/src/http_pool.rs
+++ b/crates/transport/src/http_pool.rs
@@ -143,6 +143,17 @@
         self.opened.load(Ordering::Relaxed)
     }
 
+    /// True if a request to `address` can use a kept connection.
+    pub fn has_idle(&self, address: SocketAddr) -> bool {
+        let now = Instant::now();
+        let connections = self.idle.lock();
+        let list = connections.get(&address);
+        list.is_some_and(|list| {
+            let mut idle = list.iter();
+            idle.any(|idle| idle.until > now && !idle.sender.is_closed())
+        })
+    }
+
     /// Closes the idle connections to addresses that `keep` does not want.
     pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
         self.idle.lock().retain(|address, _| keep(address));
