--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -82,7 +82,7 @@
 
     pub async fn with_config(config: &ConfigText) -> Outcome<Self> {
         let store = PlatformStore::start().await?;
-        store.put("op/config", config.to_text());
+        store.put_config(config.to_text());
         let plain = vec![
             BackendServer::start(&store, "app-1", "app", &[]).await?,
             BackendServer::start(&store, "app-2", "app", &[]).await?,
--- a/crates/host/tests/platform_changes.rs
+++ b/crates/host/tests/platform_changes.rs
@@ -43,7 +43,7 @@
         if version == 4 {
             bed.store.drop_history();
         }
-        bed.store.put("op/config", config.to_text());
+        bed.store.put_config(config.to_text());
         tokio::time::sleep(CONFIG_DEADLINE).await;
         let path = format!("{added}x");
         assert_that!(
@@ -53,14 +53,12 @@
         );
     }
     // Something that is no configuration, and one that is older, change nothing.
-    bed.store.put("op/config", "{ torn");
-    bed.store.put("op/config", all_config().to_text());
+    bed.store.put_config("{ torn");
+    bed.store.put_config(all_config().to_text());
     tokio::time::sleep(CONFIG_DEADLINE).await;
     assert_that!(status(&bed, "kept", "/v5/x").await?, eq(200));
-    assert_that!(
-        bed.host.log_lines(&["configuration kept"]).len() >= 1,
-        eq(true)
-    );
+    let lines = bed.host.log_lines(&["configuration kept"]);
+    assert_that!(lines.is_empty(), eq(false));
     Ok(())
 }
 
@@ -73,7 +71,7 @@
         keys: vec!["key-2"],
         ..all_config()
     };
-    bed.store.put("op/config", config.to_text());
+    bed.store.put_config(config.to_text());
     tokio::time::sleep(REVOKE_DEADLINE).await;
     assert_that!(status(&bed, "withdrawn", "/app/x").await?, eq(401));
     assert_that!(bed.runs("withdrawn"), eq(0));
@@ -142,7 +140,7 @@
         "{\"service\":\"app\",\"address\":\"127.0.0.1:9\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":\"8\",\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":1,\"born\":1}",
     ];
     for (index, text) in foreign.iter().enumerate() {
-        bed.store.put(&format!("servers/f{index}"), *text);
+        bed.store.put_entry(&format!("f{index}"), *text);
     }
     tokio::time::sleep(Duration::from_millis(2500)).await;
     for index in 0..12 {
--- a/crates/host/tests/requests.rs
+++ b/crates/host/tests/requests.rs
@@ -86,18 +86,7 @@
 async fn backend_servers_get_the_systems_own_headers() -> Outcome {
     let bed = TestBed::start().await?;
     let mut request = CallerRequest::new("h1", "/app/x?q=1");
-    let own = [
-        "X-Tenant",
-        "X-Expect-Instance",
-        "X-Request-Urgency",
-        "X-Hold",
-        "X-Pin-Ms",
-        "Kv-From",
-    ];
-    request.headers = own
-        .iter()
-        .map(|name| (*name, "forged".to_owned()))
-        .collect();
+    request.forge_system_headers();
     request
         .headers
         .push(("X-Note", "my key is key-1".to_owned()));
@@ -115,27 +104,14 @@
     let servers = bed.plain.iter();
     let seen: Vec<_> = servers.flat_map(|server| server.requests()).collect();
     assert_that!(seen.len(), eq(1));
-    let headers = &seen[0].headers;
-    assert_that!(
-        headers.get("x-tenant").map(String::as_str),
-        some(eq("acme"))
-    );
-    assert_that!(
-        headers.get("x-request-urgency").map(String::as_str),
-        some(eq("1"))
-    );
-    assert_that!(headers.get("x-other").map(String::as_str), some(eq("kept")));
-    for dropped in [
-        "authorization",
-        "x-hold",
-        "x-pin-ms",
-        "kv-from",
-        "x-note",
-        "x-private",
-    ] {
-        assert_that!(headers.get(dropped), none(), "{dropped}");
+    assert_that!(seen[0].account(), some(eq("acme")));
+    assert_that!(seen[0].urgency(), some(eq("1")));
+    assert_that!(seen[0].header("x-other"), some(eq("kept")));
+    assert_that!(seen[0].forged_headers().len(), eq(0));
+    for dropped in ["authorization", "x-note", "x-private"] {
+        assert_that!(seen[0].header(dropped), none(), "{dropped}");
     }
-    let left: u64 = headers["x-deadline-ms"].parse()?;
+    let left = seen[0].time_left_ms().unwrap_or(0);
     assert_that!(left <= 4000 && left > 3000, eq(true), "{left} ms");
     assert_that!(seen[0].body.as_slice(), eq(&b"question"[..]));
     Ok(())
@@ -144,6 +120,8 @@
 struct BytesCase {
     name: &'static str,
     bytes: &'static str,
+    /// Without the id of the attempt.
+    is_anonymous: bool,
     status: u16,
     /// Requests that reach a backend server.
     arrivals: usize,
@@ -152,11 +130,11 @@
 /// Guards against requests within requests and against input that stops the host.
 #[tokio::test]
 async fn malformed_requests_run_nothing() -> Outcome {
-    const HEAD: &str = "Host: svc.example\r\nAuthorization: Bearer key-1\r\nX-Attempt-Id: b1\r\n";
     let cases = [
         BytesCase {
             name: "length and chunks",
             bytes: "POST /app/x HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /app/smuggled HTTP/1.1\r\n\r\n",
+            is_anonymous: false,
             // The chunks count, and the connection ends after the answer: what follows is never read as a request.
             status: 200,
             arrivals: 1,
@@ -164,36 +142,42 @@
         BytesCase {
             name: "two lengths",
             bytes: "POST /app/x HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!",
+            is_anonymous: false,
             status: 400,
             arrivals: 0,
         },
         BytesCase {
             name: "folded line",
             bytes: "POST /app/x HTTP/1.1\r\nX-A: b\r\n c\r\nContent-Length: 0\r\n\r\n",
+            is_anonymous: false,
             status: 400,
             arrivals: 0,
         },
         BytesCase {
             name: "unknown coding",
             bytes: "POST /app/x HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+            is_anonymous: false,
             status: 400,
             arrivals: 0,
         },
         BytesCase {
             name: "no attempt id",
-            bytes: "POST /app/x HTTP/1.1\r\nContent-Length: 0\r\nNO-ID\r\n\r\n",
+            bytes: "POST /app/x HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+            is_anonymous: true,
             status: 400,
             arrivals: 0,
         },
         BytesCase {
             name: "body over the limit",
             bytes: "POST /app/x HTTP/1.1\r\nContent-Length: 100001\r\n\r\n",
+            is_anonymous: false,
             status: 413,
             arrivals: 0,
         },
         BytesCase {
             name: "not HTTP",
             bytes: "\x16\x03\x01 hello\r\n\r\n",
+            is_anonymous: false,
             status: 400,
             arrivals: 0,
         },
@@ -203,14 +187,8 @@
     for case in cases {
         let mut caller = Caller::connect(bed.host.callers).await?;
         let (line, rest) = case.bytes.split_once("\r\n").unwrap_or((case.bytes, ""));
-        let text = if rest.contains("NO-ID\r\n") {
-            case.bytes.replace(
-                "NO-ID\r\n",
-                "Host: svc.example\r\nAuthorization: Bearer key-1\r\n",
-            )
-        } else {
-            format!("{line}\r\n{HEAD}{rest}")
-        };
+        let id = (!case.is_anonymous).then_some("b1");
+        let text = format!("{line}\r\n{}{rest}", CallerRequest::header_lines(id));
         caller.send_bytes(text.as_bytes()).await?;
         let answer = caller.read_answer().await?;
         assert_that!(
