Leave out of the hosts' view what the planner sends nobody to

Cause, found by reading: views listed adapters that are being unloaded or doubted, while the planner's own choice passed over them (a filter that stood twice, and was changed in one place only). Hosts sent requests there and were refused. Test a_doubted_adapter_is_not_in_the_view failed first. Both use AdapterRecord::is_usable now.

--- a/crates/serving/src/residency_planner.rs
+++ b/crates/serving/src/residency_planner.rs
@@ -346,7 +346,7 @@
         let adapters = held
             .adapters
             .iter()
-            .filter(|(_, adapter)| adapter.ready_at <= now);
+            .filter(|(_, adapter)| adapter.is_usable(now));
         ViewedModel {
             model: model.clone(),
             adapters: adapters.map(|(name, _)| name.clone()).collect(),
--- a/crates/serving/tests/residency_unknown_orders.rs
+++ b/crates/serving/tests/residency_unknown_orders.rs
@@ -107,3 +107,27 @@
     let actions: Vec<_> = orders.iter().map(|order| order.action).collect();
     assert_that!(actions, eq(&vec![ResidencyAction::Unload]));
 }
+
+/// Guards against hosts that are told of an adapter which the planner itself sends nobody to.
+#[test]
+fn a_doubted_adapter_is_not_in_the_view() {
+    let mut planner = planner_with(&["x"], &["x"], &["x"]);
+    let (model, adapter) = (name("x"), name("a1"));
+    let time_left = Duration::from_secs(10);
+    planner.place(&model, Some(&adapter), 1, time_left, None, at(0));
+    accept_all(&mut planner, at(10));
+    let (views, version) = planner.views_since(0, at(100));
+    assert_that!(views[0].models[0].adapters, eq(&vec![adapter.clone()]));
+    let refused_by = name("e1");
+    planner.place(
+        &model,
+        Some(&adapter),
+        1,
+        time_left,
+        Some(&refused_by),
+        at(110),
+    );
+    let (views, _) = planner.views_since(version, at(120));
+    assert_that!(views.len(), eq(1));
+    assert_that!(views[0].models[0].adapters.len(), eq(0));
+}
