--- a/crates/host/src/attempt.rs
+++ b/crates/host/src/attempt.rs
@@ -40,6 +40,18 @@
     TimedOut,
 }
 
+impl SendEnd {
+    /// Name for counters.
+    pub(crate) fn label(&self) -> &'static str {
+        match self {
+            Self::NotSent(_) => "not-sent",
+            Self::NotRun(_) => "not-run",
+            Self::MayHaveRun(_) => "may-have-run",
+            Self::TimedOut => "timed-out",
+        }
+    }
+}
+
 /// Sends a request to a backend server and reads the head of its answer until `deadline`.
 pub(crate) async fn send(
     state: &HostState,
--- a/crates/host/src/backend_answer.rs
+++ b/crates/host/src/backend_answer.rs
@@ -3,14 +3,13 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::StatusCode;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 use zinniahinge_platform::AnswerFacts;
 use zinniahinge_serving::LoadGuard;
 use zinniahinge_transport::ConnectionLease;
+use zinniahinge_transport::SendFailure;
 
 use crate::answer::AnswerBody;
 
@@ -43,7 +42,7 @@
     }
 
     /// Reads the body to its end; an error says why it is not whole.
-    pub(crate) async fn read_whole(self, deadline: Instant) -> Result<WholeAnswer, String> {
+    pub(crate) async fn read_whole(self, deadline: Instant) -> Result<WholeAnswer, SendFailure> {
         let Self {
             facts,
             headers,
@@ -51,13 +50,7 @@
             lease,
             guard: _guard,
         } = self;
-        let collect = Limited::new(body, MAX_ANSWER_BYTES).collect();
-        let body = match tokio::time::timeout_at(deadline, collect).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(error)) => return Err(error.to_string()),
-            Err(_) => return Err("the answer did not end in time".to_owned()),
-        };
-        lease.give_back();
+        let body = lease.read_body(body, MAX_ANSWER_BYTES, deadline).await?;
         Ok(WholeAnswer {
             status: facts.status,
             headers: AnswerFacts::caller_headers(&headers),
--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use tokio::sync::Notify;
+use zinniahinge_serving::AccountTable;
 use zinniahinge_serving::DutyTerm;
 use zinniahinge_serving::DutyTimes;
 use zinniahinge_serving::FleetLedger;
@@ -102,9 +103,10 @@
 
     fn report(&mut self, report: &FleetReport, now: MonotonicTime) -> FleetView {
         let table = self.state.table.load_full();
-        let accounts = table.config.as_ref().map(|config| config.accounts.clone());
-        let accounts = accounts.unwrap_or_default();
-        self.ledger.apply(report, &accounts, now);
+        let no_accounts = AccountTable::default();
+        let config = table.config.as_ref();
+        let accounts = config.map_or(&no_accounts, |config| &config.accounts);
+        self.ledger.apply(report, accounts, now);
         for used in &report.models {
             if let Some(planner) = self.planners.get_mut(&used.service) {
                 let tokens = (used.prompt_tokens, used.output_tokens);
@@ -138,7 +140,7 @@
         FleetView {
             fence: self.fence,
             hosts: self.ledger.host_count(now),
-            accounts: self.ledger.levels(&report.host, &accounts, now),
+            accounts: self.ledger.levels(&report.host, accounts, now),
             backends: self.ledger.backends(&report.host, &groups, now),
             view_version,
             engines,
--- a/crates/host/src/event_relay.rs
+++ b/crates/host/src/event_relay.rs
@@ -206,7 +206,7 @@
             self.log.backend = Some(backend.clone());
             let sent = send(state, context, &target, Some(last_event), context.deadline).await;
             let opened = match sent {
-                Ok(answer) if answer.facts.status.is_success() && answer.facts.is_sealed => {
+                Ok(answer) if answer.facts.status.is_success() && answer.facts.is_genuine() => {
                     OpenStream::start(answer, backend.clone(), context.deadline).await
                 }
                 Ok(answer) => Err(answer.facts.status.to_string()),
--- a/crates/host/src/filters.rs
+++ b/crates/host/src/filters.rs
@@ -9,10 +9,11 @@
 use http::request::Parts;
 use hyper::body::Incoming;
 use tokio::time::Instant;
+use zinniahinge_platform::HeaderFault;
 use zinniahinge_platform::caller_key;
-use zinniahinge_platform::read_facts;
 use zinniahinge_serving::AccountSpec;
 use zinniahinge_serving::KeyDigest;
+use zinniahinge_serving::RequestFacts;
 use zinniahinge_serving::RouteRule;
 use zinniahinge_serving::ServingConfig;
 
@@ -20,7 +21,6 @@
 use crate::answer::RefusalKind;
 use crate::answer::Result;
 use crate::body_reader::BodyReader;
-use crate::body_reader::HeldBytes;
 use crate::host_state::HostState;
 use crate::request_context::RequestContext;
 
@@ -31,18 +31,19 @@
 /// Pause that callers are told while no configuration is known.
 const UNKNOWN_RETRY: Duration = Duration::from_millis(500);
 
-/// Runs all filters.
+/// Runs all filters. `facts` is what the headers say.
 pub(crate) async fn admit(
     state: &HostState,
     bodies: &BodyReader,
     request: Request<Incoming>,
+    facts: Result<RequestFacts, HeaderFault>,
     arrived: Instant,
-) -> Result<(RequestContext, HeldBytes)> {
+) -> Result<RequestContext> {
     let (head, body) = request.into_parts();
     check_framing(&head.headers)?;
     let (config, rule) = find_route(state, &head)?;
     let account = find_account(state, &config, &rule, &head.headers)?;
-    let facts = read_facts(&head.headers).map_err(|fault| {
+    let facts = facts.map_err(|fault| {
         slog::info!(state.logger, "bad headers"; "fault" => %fault);
         Refusal::not_run(RefusalKind::BadHeaders)
     })?;
@@ -56,6 +57,7 @@
         uri: head.uri,
         headers: head.headers,
         body,
+        _held: held,
         facts,
         service,
         account,
@@ -64,7 +66,7 @@
         rule,
     };
     charge(state, &context)?;
-    Ok((context, held))
+    Ok(context)
 }
 
 /// A body may be framed in one way only. The HTTP library refuses contradictory lengths and unknown codings itself, and
--- a/crates/host/src/fleet_reporter.rs
+++ b/crates/host/src/fleet_reporter.rs
@@ -120,12 +120,8 @@
             engines,
         } = view;
         let known_hosts = state.with_source(|source| source.hosts.len() as u32);
-        {
-            let mut meter = state.meter();
-            meter.set_hosts(hosts.max(known_hosts));
-            meter.apply_levels(&accounts, asked_at);
-        }
-        state.retries.set_hosts(hosts.max(known_hosts));
+        state.set_hosts(hosts.max(known_hosts));
+        state.meter().apply_levels(&accounts, asked_at);
         for slot in state.table.load().services.values().flatten() {
             let total = backends.iter().find(|total| total.backend == slot.entry.id);
             match total {
--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -47,14 +47,19 @@
 /// Part of a request's time, in percent, for which it may wait for the retry budget.
 const RETRY_WAIT_PERCENT: u32 = 40;
 
-/// How one send ended.
-enum Sent {
-    /// The caller has its answer.
-    Answered(Response<AnswerBody>, &'static str),
-    /// A stream has begun.
-    Streaming(Response<()>, OpenStream),
-    /// Not usable.
-    Ended(SendEnd, Option<WholeAnswer>),
+/// What a caller gets.
+enum Delivery {
+    /// A whole answer, with its outcome for the log.
+    Whole(Response<AnswerBody>, &'static str),
+    /// A stream that has begun.
+    Stream(Response<()>, OpenStream),
+}
+
+/// A send without a usable answer.
+struct FailedSend {
+    end: SendEnd,
+    /// Answer of a server that ran the request and failed.
+    answer: Option<WholeAnswer>,
 }
 
 /// Sends a request to backend servers until it is answered, and answers the caller.
@@ -65,7 +70,7 @@
 ) -> Response<AnswerBody> {
     let mut tries = TryLog::default();
     let (response, outcome) = match run(state, &context, &mut tries, &mut log).await {
-        Ok(Sent::Streaming(head, stream)) => {
+        Ok(Delivery::Stream(head, stream)) => {
             let relay = EventRelay {
                 state: state.clone(),
                 context,
@@ -75,8 +80,7 @@
             let (parts, ()) = head.into_parts();
             return Response::from_parts(parts, relay.start(stream));
         }
-        Ok(Sent::Answered(response, outcome)) => (response, outcome),
-        Ok(Sent::Ended(..)) => unreachable_end(),
+        Ok(Delivery::Whole(response, outcome)) => (response, outcome),
         Err(refusal) => {
             if !refusal.may_have_run
                 && let Some((account, _)) = &context.account
@@ -90,80 +94,56 @@
     response
 }
 
-fn unreachable_end() -> (Response<AnswerBody>, &'static str) {
-    let refusal = Refusal {
-        kind: RefusalKind::BackendFailed,
-        retry_after: None,
-        may_have_run: true,
-    };
-    (refusal.to_response(), refusal.kind.name())
-}
-
 async fn run(
     state: &Arc<HostState>,
     context: &RequestContext,
     tries: &mut TryLog,
     log: &mut RequestLog,
-) -> Result<Sent> {
+) -> Result<Delivery> {
     note_use(state, context);
     state.retries.of(&context.service).record_request();
-    // Answer of a server that ran the request and failed; the caller gets it if no other server does better.
+    // The caller gets it if no other server does better.
     let mut failed_answer: Option<WholeAnswer> = None;
     loop {
-        let give_up = |kind: RefusalKind, tries: &TryLog, failed: Option<WholeAnswer>| match failed
-        {
-            Some(answer) => Ok(Sent::Answered(answer.into_response(), "server-failed")),
-            None => Err(Refusal {
-                kind,
-                retry_after: None,
-                may_have_run: tries.has_maybe_run(),
-            }),
-        };
         if context.time_left() < MIN_SEND_TIME {
-            return give_up(RefusalKind::DeadlinePassed, tries, failed_answer);
+            let refusal = Refusal::not_run(RefusalKind::DeadlinePassed);
+            return give_up(refusal, tries, failed_answer);
         }
         let target = match choose_target(state, context, tries).await {
             Ok(target) => target,
-            Err(refusal) => return refuse(refusal, tries, failed_answer),
+            Err(refusal) => return give_up(refusal, tries, failed_answer),
         };
         // The choice may have waited.
         if let Err(refusal) = check_key(state, context) {
-            return refuse(refusal, tries, failed_answer);
+            return give_up(refusal, tries, failed_answer);
         }
         if tries.arrivals > 0 && !take_retry(state, context, tries).await {
-            return give_up(RefusalKind::Overloaded, tries, failed_answer);
+            let refusal = Refusal::not_run(RefusalKind::Overloaded);
+            return give_up(refusal, tries, failed_answer);
         }
         let backend = target.entry.id.clone();
         log.note_send(&backend);
         let sent = attempt(state, context, &target).await;
-        let (end, answer) = match sent {
-            Sent::Ended(end, answer) => (end, answer),
-            sent => {
-                log.arrivals += 1;
+        let is_arrived = !matches!(&sent, Err(failed) if failed.is_unsent());
+        tries.arrivals += u32::from(is_arrived);
+        log.arrivals = tries.arrivals;
+        let FailedSend { end, answer } = match sent {
+            Ok(delivery) => {
                 log.note_answer();
-                return Ok(sent);
+                return Ok(delivery);
             }
+            Err(failed) => failed,
         };
         info!(state.logger, "send ended"; "id" => &*context.facts.attempt_id, "backend" => &*backend,
             "end" => %end);
-        let label = match &end {
-            SendEnd::NotSent(_) => "not-sent",
-            SendEnd::NotRun(_) => "not-run",
-            SendEnd::MayHaveRun(_) => "may-have-run",
-            SendEnd::TimedOut => "timed-out",
-        };
-        state.counters.sends.with_label_values(&[label]).inc();
+        state.counters.sends.with_label_values(&[end.label()]).inc();
         match end {
             SendEnd::NotSent(_) => tries.note_unreached(&backend),
             SendEnd::NotRun(status) => {
-                tries.arrivals += 1;
-                log.arrivals += 1;
                 let pause = note_not_run(state, context, tries, &target, status);
                 tokio::time::sleep(pause.min(context.time_left())).await;
             }
             SendEnd::MayHaveRun(_) | SendEnd::TimedOut => {
-                tries.arrivals += 1;
-                log.arrivals += 1;
                 tries.note_ran(&backend);
                 failed_answer = answer.or(failed_answer);
                 if !may_repeat(state, context, tries) {
@@ -172,13 +152,25 @@
                     } else {
                         RefusalKind::BackendFailed
                     };
-                    return give_up(kind, tries, failed_answer);
+                    return give_up(Refusal::not_run(kind), tries, failed_answer);
                 }
             }
         }
     }
 }
 
+/// Ends a request: with the answer of a server that failed, if there is one, otherwise with the refusal, which promises
+/// nothing if a server may have run the request.
+fn give_up(refusal: Refusal, tries: &TryLog, failed: Option<WholeAnswer>) -> Result<Delivery> {
+    match failed {
+        Some(answer) => Ok(Delivery::Whole(answer.into_response(), "server-failed")),
+        None => Err(Refusal {
+            may_have_run: tries.has_maybe_run(),
+            ..refusal
+        }),
+    }
+}
+
 /// Takes a retry from the budget. A request that has not run may wait for one: it is not worth less than those whose
 /// first send comes later.
 async fn take_retry(state: &HostState, context: &RequestContext, tries: &TryLog) -> bool {
@@ -194,16 +186,6 @@
     }
 }
 
-fn refuse(refusal: Refusal, tries: &TryLog, failed: Option<WholeAnswer>) -> Result<Sent> {
-    match failed {
-        Some(answer) => Ok(Sent::Answered(answer.into_response(), "server-failed")),
-        None => Err(Refusal {
-            may_have_run: tries.has_maybe_run(),
-            ..refusal
-        }),
-    }
-}
-
 fn note_use(state: &HostState, context: &RequestContext) {
     let facts = &context.facts;
     if let Some(model) = &facts.model {
@@ -238,10 +220,7 @@
     }
     // Also a server that is about to unload or still loads the model answers so.
     let adapter = context.facts.adapter.as_deref();
-    state.update(|source| {
-        source.forget_model(backend, model, adapter);
-        true
-    });
+    state.update(|source| source.forget_model(backend, model, adapter));
     tries.absent_at = Some(backend.clone());
     ABSENT_PAUSE
 }
@@ -254,60 +233,63 @@
         && state.retries.of(&context.service).balance() > 0
 }
 
-async fn attempt(state: &Arc<HostState>, context: &RequestContext, target: &ChosenBackend) -> Sent {
+async fn attempt(
+    state: &Arc<HostState>,
+    context: &RequestContext,
+    target: &ChosenBackend,
+) -> Result<Delivery, FailedSend> {
     let patience = (context.rule.goal * PATIENCE_GOALS).max(MIN_PATIENCE);
     let deadline = if context.rule.kind.is_repeatable() {
         context.deadline.min(Instant::now() + patience)
     } else {
         context.deadline
     };
-    let answer = match send(state, context, target, None, deadline).await {
-        Ok(answer) => answer,
-        Err(end) => return Sent::Ended(end, None),
-    };
-    let load = target.load.clone();
-    let sent = match context.rule.kind {
+    let answer = send(state, context, target, None, deadline).await?;
+    let delivered = match context.rule.kind {
         RouteKind::Streaming { .. } if answer.facts.status.is_success() => {
             open_stream(answer, target, deadline).await
         }
         _ => read_answer(context, answer, deadline).await,
     };
-    match &sent {
-        Sent::Ended(..) | Sent::Answered(_, "server-failed") => load.count_failure(),
-        Sent::Answered(..) => load.count_success(),
-        Sent::Streaming(..) => {}
+    match &delivered {
+        Err(_) => target.load.count_failure(),
+        Ok(Delivery::Whole(..)) => target.load.count_success(),
+        // Counted when it ends.
+        Ok(Delivery::Stream(..)) => {}
     }
-    sent
+    delivered
 }
 
-async fn open_stream(answer: BackendAnswer, target: &ChosenBackend, deadline: Instant) -> Sent {
-    if !answer.facts.is_sealed || answer.facts.is_recoded {
-        return broken("the answer is not the server's own");
+async fn open_stream(
+    answer: BackendAnswer,
+    target: &ChosenBackend,
+    deadline: Instant,
+) -> Result<Delivery, FailedSend> {
+    if !answer.facts.is_genuine() {
+        return Err(broken("the answer is not the server's own"));
     }
     let mut head = Response::new(());
     *head.status_mut() = answer.facts.status;
     *head.headers_mut() = AnswerFacts::caller_headers(&answer.headers);
-    match OpenStream::start(answer, target.entry.id.clone(), deadline).await {
-        Ok(stream) => Sent::Streaming(head, stream),
-        Err(reason) => broken(reason),
-    }
+    let opened = OpenStream::start(answer, target.entry.id.clone(), deadline).await;
+    let stream = opened.map_err(broken)?;
+    Ok(Delivery::Stream(head, stream))
 }
 
-async fn read_answer(context: &RequestContext, answer: BackendAnswer, deadline: Instant) -> Sent {
-    let facts = answer.facts.clone();
-    if !facts.is_sealed || facts.is_recoded {
-        return broken(format!(
-            "status {} without the server's signature",
-            facts.status
-        ));
+async fn read_answer(
+    context: &RequestContext,
+    answer: BackendAnswer,
+    deadline: Instant,
+) -> Result<Delivery, FailedSend> {
+    let status = answer.facts.status;
+    if !answer.facts.is_genuine() {
+        let reason = format!("status {status} without the server's signature");
+        return Err(broken(reason));
     }
-    let whole = match answer.read_whole(deadline).await {
-        Ok(whole) => whole,
-        Err(reason) => return broken(reason),
-    };
-    let status = facts.status;
+    let read = answer.read_whole(deadline).await;
+    let whole = read.map_err(|failure| broken(failure.to_string()))?;
     if status.is_success() {
-        return Sent::Answered(whole.into_response(), "served");
+        return Ok(Delivery::Whole(whole.into_response(), "served"));
     }
     // These statuses promise that a request was not run, and the server did not say so.
     let promises = [
@@ -316,14 +298,30 @@
         StatusCode::REQUEST_TIMEOUT,
     ];
     if promises.contains(&status) && !context.rule.kind.is_repeatable() {
-        return broken(format!("status {status} of a request that may have run"));
+        let reason = format!("status {status} of a request that may have run");
+        return Err(broken(reason));
     }
     if status.is_server_error() {
-        return Sent::Ended(SendEnd::MayHaveRun(status.to_string()), Some(whole));
+        return Err(FailedSend {
+            end: SendEnd::MayHaveRun(status.to_string()),
+            answer: Some(whole),
+        });
     }
-    Sent::Answered(whole.into_response(), "server-refused")
+    Ok(Delivery::Whole(whole.into_response(), "server-refused"))
+}
+
+fn broken(reason: impl Into<String>) -> FailedSend {
+    SendEnd::MayHaveRun(reason.into()).into()
 }
 
-fn broken(reason: impl Into<String>) -> Sent {
-    Sent::Ended(SendEnd::MayHaveRun(reason.into()), None)
+impl FailedSend {
+    fn is_unsent(&self) -> bool {
+        matches!(self.end, SendEnd::NotSent(_))
+    }
+}
+
+impl From<SendEnd> for FailedSend {
+    fn from(end: SendEnd) -> Self {
+        Self { end, answer: None }
+    }
 }
--- a/crates/host/src/host_state.rs
+++ b/crates/host/src/host_state.rs
@@ -74,6 +74,12 @@
         }
     }
 
+    /// Sets the number of hosts that share rates and budgets.
+    pub(crate) fn set_hosts(&self, hosts: u32) {
+        self.meter().set_hosts(hosts);
+        self.retries.set_hosts(hosts);
+    }
+
     /// Reads what the host has heard.
     pub(crate) fn with_source<T>(&self, read: impl FnOnce(&TableSource) -> T) -> T {
         read(&self.source.lock().unwrap_or_else(PoisonError::into_inner))
--- a/crates/host/src/request_context.rs
+++ b/crates/host/src/request_context.rs
@@ -13,6 +13,8 @@
 use zinniahinge_serving::ServingConfig;
 use zinniahinge_types::Name;
 
+use crate::body_reader::HeldBytes;
+
 /// A request after all filters: where it goes, for whom, and until when.
 pub(crate) struct RequestContext {
     pub(crate) arrived: Instant,
@@ -21,6 +23,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Counts the body as held, for streams until they end: they may be sent again.
+    pub(crate) _held: HeldBytes,
     pub(crate) facts: RequestFacts,
     /// Configuration under which it was admitted.
     pub(crate) config: Arc<ServingConfig>,
--- a/crates/host/src/request_handler.rs
+++ b/crates/host/src/request_handler.rs
@@ -23,9 +23,10 @@
 ) -> Result<Response<AnswerBody>, Infallible> {
     let arrived = Instant::now();
     let facts = read_facts(request.headers());
-    let id = facts.map_or_else(|_| Name::from("unknown"), |facts| facts.attempt_id);
+    let id = facts.as_ref().map(|facts| facts.attempt_id.clone());
+    let id = id.unwrap_or_else(|_| Name::from("unknown"));
     let mut log = RequestLog::new(state.clone(), id, arrived);
-    let (context, _held) = match admit(&state, &bodies, request, arrived).await {
+    let context = match admit(&state, &bodies, request, facts, arrived).await {
         Ok(admitted) => admitted,
         Err(refusal) => {
             let response = refusal.to_response();
--- a/crates/host/src/store_follower.rs
+++ b/crates/host/src/store_follower.rs
@@ -105,6 +105,7 @@
             source.roster.replace(backends, revision, now);
             true
         });
+        self.count_hosts();
         state.confirmed.confirm(sent);
         self.log_belief("listed the store", revision);
         Ok(revision)
@@ -171,9 +172,16 @@
             }
             is_changed
         });
+        self.count_hosts();
         state.confirmed.confirm(sent);
     }
 
+    /// Recorded hosts share rates and budgets; those that are gone are counted, too, which is on the safe side.
+    fn count_hosts(&self) {
+        let hosts = self.state.with_source(|source| source.hosts.len());
+        self.state.set_hosts(hosts as u32);
+    }
+
     fn apply_change(&self, source: &mut TableSource, change: StoreChange, now: MonotonicTime) {
         let StoreChange {
             key,
@@ -243,8 +251,6 @@
                 let address = address.and_then(|address| address.parse().ok());
                 if let Some((host, address)) = host.zip(address) {
                     source.hosts.insert(host.into(), address);
-                    self.state.retries.set_hosts(source.hosts.len() as u32);
-                    self.state.meter().set_hosts(source.hosts.len() as u32);
                 }
             }
         }
--- a/crates/host/src/table_source.rs
+++ b/crates/host/src/table_source.rs
@@ -74,20 +74,28 @@
         is_changed
     }
 
-    /// Notes that a backend server said not to have a model or an adapter, until the next view says otherwise.
-    pub(crate) fn forget_model(&mut self, backend: &str, model: &str, adapter: Option<&str>) {
+    /// Notes that a backend server said not to have a model or an adapter, until the next view says otherwise; true if
+    /// it was thought to have it.
+    pub(crate) fn forget_model(
+        &mut self,
+        backend: &str,
+        model: &str,
+        adapter: Option<&str>,
+    ) -> bool {
         let Some(view) = self.views.get_mut(backend) else {
-            return;
+            return false;
         };
-        match adapter {
-            None => view.models.retain(|held| *held.0 != *model),
-            Some(adapter) => {
-                let held = view.models.iter_mut().filter(|held| *held.0 == *model);
-                for (_, adapters) in held {
-                    adapters.retain(|name| **name != *adapter);
-                }
-            }
-        }
+        let Some(index) = view.models.iter().position(|held| *held.0 == *model) else {
+            return false;
+        };
+        let Some(adapter) = adapter else {
+            view.models.remove(index);
+            return true;
+        };
+        let adapters = &mut view.models[index].1;
+        let count = adapters.len();
+        adapters.retain(|name| **name != *adapter);
+        adapters.len() != count
     }
 
     /// Builds the table.
--- a/crates/serving/src/engine_record.rs
+++ b/crates/serving/src/engine_record.rs
@@ -181,6 +181,11 @@
         open.max(self.blocked_until.since(now))
     }
 
+    /// True if it has the model, or will have it, and doesn't unload it.
+    pub(crate) fn keeps(&self, model: &str) -> bool {
+        self.held.get(model).is_some_and(|held| !held.is_leaving)
+    }
+
     pub(crate) fn is_ready(&self, model: &str, now: MonotonicTime) -> bool {
         let held = self.held.get(model);
         self.is_accepting
--- a/crates/serving/src/engine_report.rs
+++ b/crates/serving/src/engine_report.rs
@@ -19,8 +19,4 @@
     pub memory_copies: Vec<Name>,
     /// Models with a copy on disk.
     pub disk_copies: Vec<Name>,
-    /// Requests that wait.
-    pub waiting: u32,
-    /// Requests that run.
-    pub running: u32,
 }
--- a/crates/serving/src/residency_load.rs
+++ b/crates/serving/src/residency_load.rs
@@ -113,7 +113,7 @@
 
     fn is_held(&self, model: &Name) -> bool {
         let mut engines = self.engines.values().filter(|record| record.is_accepting);
-        engines.any(|record| record.held.get(model).is_some_and(|held| !held.is_leaving))
+        engines.any(|record| record.keeps(model))
     }
 
     /// Next order towards a replica of the model that costs at most `limit_s`.
@@ -168,7 +168,7 @@
             .as_ref()
             .is_some_and(|claim| claim.model != *model);
         let is_paused = record.paused.get(model).is_some_and(|until| now < *until);
-        let is_there = record.held.get(model).is_some_and(|held| !held.is_leaving);
+        let is_there = record.keeps(model);
         if !record.is_accepting
             || record.sequence.is_none()
             || claimed_by_other
@@ -245,9 +245,7 @@
 
     fn replicas(&self, model: &Name) -> usize {
         let engines = self.engines.values().filter(|record| record.is_accepting);
-        engines
-            .filter(|record| record.held.get(model).is_some_and(|held| !held.is_leaving))
-            .count()
+        engines.filter(|record| record.keeps(model)).count()
     }
 
     fn rate(&self, model: &Name, now: MonotonicTime) -> f64 {
@@ -334,13 +332,13 @@
         let spec = &self.spec;
         let engines = self.engines.values();
         let able = engines.filter(|record| record.is_free(now) && record.is_ready(model, now));
-        let best = able.min_by_key(|record| {
-            let is_full = record.adapter_count(now) >= spec.max_adapters
+        let ranked = able.map(|record| {
+            let count = record.adapter_count(now);
+            let is_full = count >= spec.max_adapters
                 || spec.memory_mb - record.used_mb(spec, now) < needed + ROUNDING_MB;
-            (is_full, record.adapter_count(now))
-        })?;
-        let is_full = best.adapter_count(now) >= spec.max_adapters
-            || spec.memory_mb - best.used_mb(spec, now) < needed + ROUNDING_MB;
+            (is_full, count, record)
+        });
+        let (is_full, _, best) = ranked.min_by_key(|(is_full, count, _)| (*is_full, *count))?;
         if !is_full {
             return order_for(
                 best,
--- a/crates/serving/src/route_table.rs
+++ b/crates/serving/src/route_table.rs
@@ -52,9 +52,4 @@
         }
         None
     }
-
-    /// All routes, in no order.
-    pub fn iter(&self) -> impl Iterator<Item = &Arc<RouteRule>> {
-        self.rules.values().flat_map(HashMap::values)
-    }
 }
--- a/crates/transport/src/http_pool.rs
+++ b/crates/transport/src/http_pool.rs
@@ -154,11 +154,6 @@
         })
     }
 
-    /// Closes the idle connections to addresses that `keep` does not want.
-    pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
-        self.idle.lock().retain(|address, _| keep(address));
-    }
-
     /// Sends `request` and waits for the head of the answer until `deadline`.
     ///
     /// A request that a kept connection turns out not to have written goes out on another one.
@@ -179,9 +174,7 @@
         }
         let sender = self.connect(address, deadline).await?;
         let sent = self.exchange(sender, address, request, deadline).await;
-        let mut exchange = sent.map_err(|(failure, _)| failure)?;
-        exchange.is_new = true;
-        Ok(exchange)
+        sent.map_err(|(failure, _)| failure)
     }
 
     async fn exchange(
@@ -210,11 +203,7 @@
             idle_time: self.idle_time(response.headers()),
             idle: self.idle.clone(),
         };
-        Ok(PooledExchange {
-            response,
-            lease,
-            is_new: false,
-        })
+        Ok(PooledExchange { response, lease })
     }
 
     async fn connect(
--- a/crates/transport/src/pooled_exchange.rs
+++ b/crates/transport/src/pooled_exchange.rs
@@ -5,10 +5,15 @@
 
 use bytes::Bytes;
 use http::Response;
+use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
+use tokio::time::Instant;
 
+use crate::Result;
+use crate::SendFailure;
 use crate::http_pool::IdleTable;
 
 /// Time for a connection to become idle after its answer was read to the end. Longer means that bytes are still due
@@ -22,8 +27,6 @@
     pub response: Response<Incoming>,
     /// Keeps the connection. Dropped before the body was read to its end, the connection is closed.
     pub lease: ConnectionLease,
-    /// True if the connection was set up for this request.
-    pub is_new: bool,
 }
 
 /// A connection in use.
@@ -43,6 +46,20 @@
 }
 
 impl ConnectionLease {
+    /// Reads the answer's body to its end, at most `limit` bytes, and returns the connection to its pool. A body that is
+    /// cut, too long or late ends the connection.
+    pub async fn read_body(self, body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes> {
+        let collect = Limited::new(body, limit).collect();
+        match tokio::time::timeout_at(deadline, collect).await {
+            Ok(Ok(collected)) => {
+                self.give_back();
+                Ok(collected.to_bytes())
+            }
+            Ok(Err(error)) => Err(SendFailure::unanswered(error)),
+            Err(_) => Err(SendFailure::TimedOut),
+        }
+    }
+
     /// Returns the connection to its pool, for an answer that was read to its end and is in order.
     pub fn give_back(self) {
         let Self {
