Pass the store's changes on through the coordinating host

Cause: each host watched all keys of the store; under constant change (servers write whenever they load a model) that was one call per host and 0.9 s. Ruled out: longer pauses between watches, because they end at the deadlines of configurations and leaving servers; a second watch for the configuration alone, which doubles the calls at rest. Now answers to reports carry the changes since the reporter's revision and the age of the reading. A host whose reading is older than 70% of those deadlines watches by itself. The separate flag for leaving servers goes, because their entries are passed on. Tests: change_log, relay (calls at rest, a paused coordinating host).

--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -24,6 +24,7 @@
 
 use crate::host_state::HostState;
 use crate::host_state::meter_settings;
+use crate::store_relay::reading_since;
 
 /// Bits of view versions below the fencing number: 16 million changes under each.
 const FENCE_SHIFT: u32 = 24;
@@ -113,16 +114,9 @@
                 planner.note_use(&used.model, used.adapter.as_ref(), used.count, tokens, now);
             }
         }
-        let groups: Vec<Vec<(Name, bool)>> = table
-            .services
-            .values()
-            .map(|slots| {
-                let servers = slots.iter();
-                servers
-                    .map(|slot| (slot.entry.id.clone(), !slot.is_accepting()))
-                    .collect()
-            })
-            .collect();
+        let groups = table.services.values();
+        let groups = groups.map(|slots| slots.iter().map(|slot| slot.entry.id.clone()).collect());
+        let groups: Vec<Vec<Name>> = groups.collect();
         let mut engines = Vec::new();
         let mut view_version = 0;
         for planner in self.planners.values_mut() {
@@ -144,6 +138,9 @@
             backends: self.ledger.backends(&report.host, &groups, now),
             view_version,
             engines,
+            store: report
+                .store_revision
+                .and_then(|after| reading_since(&self.state, after)),
         }
     }
 }
--- a/crates/host/src/fleet_reporter.rs
+++ b/crates/host/src/fleet_reporter.rs
@@ -4,6 +4,7 @@
 use slog::info;
 use slog::warn;
 use tokio_util::sync::CancellationToken;
+use zinniahinge_types::BackendTotal;
 use zinniahinge_types::BackendUse;
 use zinniahinge_types::FleetReply;
 use zinniahinge_types::FleetReport;
@@ -12,13 +13,20 @@
 
 use crate::fleet_table::DutyHolder;
 use crate::host_state::HostState;
+use crate::store_relay::StoreRelay;
+use crate::table_source::TableSource;
 
 /// A host without traffic reports this many times less often.
-const IDLE_FACTOR: u32 = 4;
+const IDLE_FACTOR: u32 = 2;
+
+/// Time between two reports for each host of the fleet: the coordinating host answers 400 reports a second at most.
+const INTERVAL_PER_HOST: Duration = Duration::from_micros(2500);
 
 /// Tells the coordinating host what this one does, and takes in what the fleet does.
 pub(crate) struct FleetReporter {
     pub(crate) state: Arc<HostState>,
+    pub(crate) relay: StoreRelay,
+    /// Shortest time between two reports.
     pub(crate) interval: Duration,
 }
 
@@ -36,11 +44,13 @@
     pub(crate) async fn run(self, token: CancellationToken) {
         let mut memory = ReportMemory::default();
         loop {
-            let pause = tokio::time::sleep(self.interval);
+            let hosts = self.state.with_source(|source| source.hosts.len() as u32);
+            let interval = self.interval.max(INTERVAL_PER_HOST * hosts);
+            let pause = tokio::time::sleep(interval);
             if token.run_until_cancelled(pause).await.is_none() {
                 return;
             }
-            self.state.retries.accrue(self.interval);
+            self.state.retries.accrue(interval);
             let holder = self.state.table.load().holder.clone();
             if let Some(holder) = holder {
                 self.round(&holder, &mut memory).await;
@@ -103,6 +113,7 @@
             host: state.boot.host.clone(),
             fence,
             view_version: state.with_source(|source| source.view_version),
+            store_revision: state.with_source(TableSource::known_revision),
             accounts,
             backends: backends.collect(),
             models: state.uses().take(),
@@ -118,6 +129,7 @@
             backends,
             view_version,
             engines,
+            store,
         } = view;
         let known_hosts = state.with_source(|source| source.hosts.len() as u32);
         state.set_hosts(hosts.max(known_hosts));
@@ -126,16 +138,21 @@
             let total = backends.iter().find(|total| total.backend == slot.entry.id);
             match total {
                 Some(total) => {
-                    if total.is_leaving {
-                        slot.load.set_leaving();
-                    }
-                    slot.load
-                        .set_others(total.in_flight, total.pending_tokens, total.is_suspect);
+                    let BackendTotal {
+                        in_flight,
+                        pending_tokens,
+                        is_suspect,
+                        ..
+                    } = *total;
+                    slot.load.set_others(in_flight, pending_tokens, is_suspect);
                 }
                 None => slot.load.set_others(0, 0, false),
             }
         }
         let now = state.now();
         state.update(|source| source.apply_views(engines, view_version, now));
+        if let Some(reading) = store {
+            self.relay.apply(reading, asked_at);
+        }
     }
 }
--- a/crates/host/src/fleet_table.rs
+++ b/crates/host/src/fleet_table.rs
@@ -46,7 +46,7 @@
 
 impl BackendSlot {
     pub(crate) fn is_accepting(&self) -> bool {
-        self.entry.phase == BackendPhase::Ready && !self.load.is_leaving()
+        self.entry.phase == BackendPhase::Ready
     }
 
     /// True if it has the model and the adapter.
--- a/crates/host/src/host_process.rs
+++ b/crates/host/src/host_process.rs
@@ -57,7 +57,9 @@
 use crate::retry_budgets::RetryBudgets;
 use crate::side_servers::metrics;
 use crate::side_servers::readiness;
+use crate::store_changes::StoreChanges;
 use crate::store_follower::StoreFollower;
+use crate::store_relay::StoreRelay;
 use crate::table_source::TableSource;
 
 /// Bounds on peers, the balancer and the metrics reader.
@@ -225,15 +227,24 @@
         cell,
         ..
     } = parts;
+    let changes = StoreChanges {
+        state: state.clone(),
+        keys: keys.clone(),
+    };
     let follower = StoreFollower {
         state: state.clone(),
+        changes: changes.clone(),
         store: store.clone(),
-        keys: keys.clone(),
         watch_wait: settings.watch_wait,
     };
     tokio::spawn(follower.run(token.clone()));
     let reporter = FleetReporter {
         state: state.clone(),
+        relay: StoreRelay {
+            changes,
+            store: store.clone(),
+            is_reading: Arc::default(),
+        },
         interval: settings.report_interval,
     };
     tokio::spawn(reporter.run(token.clone()));
--- a/crates/host/src/table_source.rs
+++ b/crates/host/src/table_source.rs
@@ -4,12 +4,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use zinniahinge_serving::BackendEntry;
 use zinniahinge_serving::BackendLoad;
 use zinniahinge_serving::BackendRoster;
+use zinniahinge_serving::ChangeLog;
 use zinniahinge_serving::ServingConfig;
 use zinniahinge_types::EngineModels;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
+use zinniahinge_types::Revision;
 
 use crate::fleet_table::BackendSlot;
 use crate::fleet_table::DutyHolder;
@@ -18,7 +21,7 @@
 /// Time within which the entries of living backend servers are back after an outage of the store.
 const RETURN_TIME: Duration = Duration::from_secs(2);
 
-/// Age up to which the coordinating host's view of models goes before what the servers wrote into the store.
+/// Age of the coordinating host's views from which what a server writes into the store goes before them.
 const VIEW_LIMIT: Duration = Duration::from_secs(5);
 
 /// What the host has heard, from which [`FleetTable`] is built.
@@ -35,6 +38,10 @@
     pub(crate) has_peer_keys: bool,
     /// Entries that can't be decoded, with why; each is logged once.
     pub(crate) unreadable: HashMap<Name, String>,
+    /// The newest changes, to be passed on.
+    pub(crate) log: ChangeLog,
+    /// True once the store was listed.
+    pub(crate) is_listed: bool,
     views: HashMap<Name, EngineModels>,
     pub(crate) view_version: u64,
     viewed_at: MonotonicTime,
@@ -51,6 +58,8 @@
             hosts: HashMap::new(),
             has_peer_keys: false,
             unreadable: HashMap::new(),
+            log: ChangeLog::default(),
+            is_listed: false,
             views: HashMap::new(),
             view_version: 0,
             viewed_at: MonotonicTime::ZERO,
@@ -58,6 +67,24 @@
         }
     }
 
+    /// Revision of the store up to which every change is known; `None` before the first listing.
+    pub(crate) fn known_revision(&self) -> Option<Revision> {
+        self.is_listed.then(|| self.log.revision())
+    }
+
+    /// Takes a server's entry in. What it holds comes from the entry again if no host coordinates any more.
+    pub(crate) fn put_backend(
+        &mut self,
+        entry: BackendEntry,
+        revision: Revision,
+        now: MonotonicTime,
+    ) {
+        if now.since(self.viewed_at) >= VIEW_LIMIT && self.views.remove(&entry.id).is_some() {
+            self.view_version = 0;
+        }
+        self.roster.put(entry, revision);
+    }
+
     /// Takes in changed views of the coordinating host; true if there were any.
     pub(crate) fn apply_views(
         &mut self,
@@ -101,7 +128,6 @@
     /// Builds the table.
     pub(crate) fn build(&mut self, now: MonotonicTime) -> FleetTable {
         self.roster.expire(now);
-        let has_view = now.since(self.viewed_at) < VIEW_LIMIT;
         let mut services: HashMap<Name, Vec<BackendSlot>> = HashMap::new();
         let mut alive = HashSet::new();
         for (entry, is_listed) in self.roster.entries() {
@@ -109,7 +135,7 @@
             let load = self.loads.entry(run.clone()).or_default().clone();
             alive.insert(run);
             let view = self.views.get(&entry.id);
-            let view = view.filter(|view| has_view && view.born_ms == entry.born_ms);
+            let view = view.filter(|view| view.born_ms == entry.born_ms);
             let models: HashMap<Name, Vec<Name>> = match view {
                 Some(view) => view.models.iter().cloned().collect(),
                 None => {
--- /dev/null
+++ b/crates/host/tests/relay.rs
@@ -0,0 +1,98 @@
+//! Hosts that learn the store's changes from the coordinating host.
+
+mod common;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use nix::sys::signal::Signal;
+use zinniahinge_platform_standins::Caller;
+use zinniahinge_platform_standins::CallerRequest;
+use zinniahinge_platform_standins::ConfigText;
+use zinniahinge_platform_standins::HostProcess;
+use zinniahinge_platform_standins::RouteText;
+
+use crate::common::Outcome;
+use crate::common::TestBed;
+use crate::common::all_config;
+use crate::common::wait_until;
+
+/// Time within which a configuration is in force and a leaving server gets no more requests, from the platform's settings.
+const CHANGE_DEADLINE: Duration = Duration::from_secs(2);
+
+/// Hosts beside the coordinating one.
+const OTHERS: [&str; 8] = ["h2", "h3", "h4", "h5", "h6", "h7", "h8", "h9"];
+
+async fn start_others(bed: &mut TestBed) -> Outcome<Vec<HostProcess>> {
+    let holds = wait_until(Duration::from_secs(5), || {
+        !bed.host.log_lines(&["duty acquired"]).is_empty()
+    });
+    assert_that!(holds.await, eq(true));
+    let mut others = Vec::new();
+    for name in OTHERS {
+        others.push(bed.fleet.start(name).await?);
+    }
+    Ok(others)
+}
+
+fn second_config() -> ConfigText {
+    let mut config = all_config();
+    config.version = 2;
+    config.routes.push(RouteText {
+        prefix: "/added/",
+        ..RouteText::default()
+    });
+    config
+}
+
+async fn status(host: &HostProcess, id: &str, path: &str) -> Outcome<Option<u16>> {
+    let request = CallerRequest::new(id, path);
+    Ok(Caller::once(host.callers, &request).await?.status)
+}
+
+/// Guards against a fleet whose calls on the store grow with its hosts.
+#[tokio::test]
+async fn resting_hosts_leave_the_store_to_the_coordinating_one() -> Outcome {
+    const SPAN: Duration = Duration::from_secs(4);
+    /// Watches of 300 ms and renewals each 400 ms of one host, and three more.
+    const ALLOWED: u64 = 4000 / 300 + 4000 / 400 + 3;
+    let mut bed = TestBed::start().await?;
+    let others = start_others(&mut bed).await?;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let before = bed.store.calls();
+    tokio::time::sleep(SPAN).await;
+    let calls = bed.store.calls() - before;
+    assert_that!(calls <= ALLOWED, eq(true), "{calls} calls");
+
+    // Changes arrive all the same.
+    bed.store.put_config(second_config().to_text());
+    bed.plain[0].leave();
+    tokio::time::sleep(CHANGE_DEADLINE).await;
+    let at_leaver = bed.plain[0].requests().len();
+    for host in &others {
+        let id = format!("added-{}", host.name);
+        assert_that!(status(host, &id, "/added/x").await?, some(eq(200)), "{id}");
+    }
+    assert_that!(bed.plain[0].requests().len(), eq(at_leaver));
+    Ok(())
+}
+
+/// Guards against hosts that trust a coordinating host which tells them nothing any more.
+#[tokio::test]
+async fn a_paused_coordinating_host_delays_no_change() -> Outcome {
+    let mut bed = TestBed::start().await?;
+    let others = start_others(&mut bed).await?;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    bed.host.signal(Signal::SIGSTOP)?;
+    bed.store.put_config(second_config().to_text());
+    bed.plain[0].leave();
+    tokio::time::sleep(CHANGE_DEADLINE).await;
+    let at_leaver = bed.plain[0].requests().len();
+    for host in &others {
+        let id = format!("added-{}", host.name);
+        assert_that!(status(host, &id, "/added/x").await?, some(eq(200)), "{id}");
+    }
+    assert_that!(bed.plain[0].requests().len(), eq(at_leaver));
+    bed.host.signal(Signal::SIGCONT)?;
+    Ok(())
+}
--- a/crates/serving/src/backend_entry.rs
+++ b/crates/serving/src/backend_entry.rs
@@ -52,4 +52,11 @@
     pub fn is_older_than(&self, other: &Self) -> bool {
         (self.born_ms, self.sequence) < (other.born_ms, other.sequence)
     }
+
+    /// True if requests are sent to `other` as to this entry. What the server holds doesn't matter: the coordinating
+    /// host tells it to all hosts.
+    pub fn serves_like(&self, other: &Self) -> bool {
+        let key = |entry: &Self| (entry.address, entry.slots, entry.phase, entry.born_ms);
+        key(self) == key(other) && self.service == other.service && self.place == other.place
+    }
 }
--- a/crates/serving/src/backend_load.rs
+++ b/crates/serving/src/backend_load.rs
@@ -33,7 +33,6 @@
     others_in_flight: AtomicU32,
     others_pending: AtomicU64,
     is_suspect: AtomicBool,
-    is_leaving: AtomicBool,
     avoid_until_us: AtomicU64,
     succeeded: AtomicU32,
     failed: AtomicU32,
@@ -71,16 +70,6 @@
         self.is_suspect.store(is_suspect, Ordering::Relaxed);
     }
 
-    /// Notes that the server leaves. It never comes back in this run.
-    pub fn set_leaving(&self) {
-        self.is_leaving.store(true, Ordering::Relaxed);
-    }
-
-    /// True if another host knows that the server leaves.
-    pub fn is_leaving(&self) -> bool {
-        self.is_leaving.load(Ordering::Relaxed)
-    }
-
     /// True if the fleet sees the server fail more often than its peers.
     pub fn is_suspect(&self) -> bool {
         self.is_suspect.load(Ordering::Relaxed)
--- a/crates/serving/src/backend_roster.rs
+++ b/crates/serving/src/backend_roster.rs
@@ -41,7 +41,18 @@
 
     /// Notes that the store could not be used at `now`.
     pub fn note_outage(&mut self, now: MonotonicTime) {
-        self.disturbed_at = Some(now);
+        self.disturbed_at = self.disturbed_at.max(Some(now));
+    }
+
+    /// Time since the store last could not be used; `None` if entries that lapsed then would be back by now.
+    pub fn outage_age(&self, now: MonotonicTime) -> Option<Duration> {
+        let age = now.since(self.disturbed_at?);
+        (age < self.return_time).then_some(age)
+    }
+
+    /// The entry of a server, if it is known.
+    pub fn find(&self, id: &str) -> Option<&BackendEntry> {
+        self.records.get(id).map(|record| &*record.entry)
     }
 
     /// Takes a written entry in. One that is older than what is known changes nothing.
@@ -75,7 +86,7 @@
 
     /// Takes the removal of an entry in. Also called for an entry that became unreadable: it names no server to use.
     pub fn remove(&mut self, id: &str, revision: Revision, now: MonotonicTime) {
-        let keeps = self.is_disturbed(now);
+        let keeps = self.outage_age(now).is_some();
         let Some(record) = self.records.get_mut(id) else {
             return;
         };
@@ -143,9 +154,4 @@
         let mut records = self.records.values();
         records.any(|record| record.missing_since.is_some())
     }
-
-    fn is_disturbed(&self, now: MonotonicTime) -> bool {
-        self.disturbed_at
-            .is_some_and(|at| now.since(at) < self.return_time)
-    }
 }
--- a/crates/serving/src/fleet_ledger.rs
+++ b/crates/serving/src/fleet_ledger.rs
@@ -140,12 +140,11 @@
         levels.collect()
     }
 
-    /// What the other hosts have on backend servers, for `host`. `groups` lists servers that serve the same requests, with
-    /// whether they leave.
+    /// What the other hosts have on backend servers, for `host`. `groups` lists servers that serve the same requests.
     pub fn backends(
         &mut self,
         host: &str,
-        groups: &[Vec<(Name, bool)>],
+        groups: &[Vec<Name>],
         now: MonotonicTime,
     ) -> Vec<BackendTotal> {
         let mut totals: HashMap<&Name, (u32, u64)> = HashMap::new();
@@ -161,23 +160,19 @@
         let health = &mut self.health;
         let suspects: Vec<Name> = groups
             .iter()
-            .flat_map(|group| {
-                let peers: Vec<Name> = group.iter().map(|peer| peer.0.clone()).collect();
-                health.suspects(&peers, now)
-            })
+            .flat_map(|group| health.suspects(group, now))
             .collect();
-        let listed = groups.iter().flatten().map(|(backend, is_leaving)| {
+        let listed = groups.iter().flatten().map(|backend| {
             let (in_flight, pending_tokens) = totals.get(backend).copied().unwrap_or_default();
             BackendTotal {
                 backend: backend.clone(),
                 in_flight,
                 pending_tokens,
                 is_suspect: suspects.contains(backend),
-                is_leaving: *is_leaving,
             }
         });
         listed
-            .filter(|total| total.in_flight > 0 || total.is_suspect || total.is_leaving)
+            .filter(|total| total.in_flight > 0 || total.is_suspect)
             .collect()
     }
 
--- a/crates/types/src/copy_message.rs
+++ b/crates/types/src/copy_message.rs
@@ -41,7 +41,7 @@
 }
 
 /// One record, MessagePack.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecordBytes(
     /// Bytes of the record.
     #[serde(with = "serde_with::As::<serde_with::Bytes>")]
--- a/crates/types/src/fleet_message.rs
+++ b/crates/types/src/fleet_message.rs
@@ -5,6 +5,8 @@
 
 use crate::HostId;
 use crate::Name;
+use crate::Revision;
+use crate::StoreReading;
 
 /// What a host has done since its last report, and has under way.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -15,6 +17,8 @@
     pub fence: u64,
     /// Version of the newest view that the sender has.
     pub view_version: u64,
+    /// Revision of the store up to which the sender knows every change; `None` before it has read the store.
+    pub store_revision: Option<Revision>,
     /// Units that client accounts used since the last acknowledged report.
     pub accounts: Vec<AccountUse>,
     /// Requests by backend server.
@@ -82,12 +86,14 @@
     pub hosts: u32,
     /// Client accounts with a limit.
     pub accounts: Vec<AccountLevel>,
-    /// Backend servers that other hosts use, that fail or that leave.
+    /// Backend servers that other hosts use or that fail.
     pub backends: Vec<BackendTotal>,
     /// Newest version of the models on engines.
     pub view_version: u64,
     /// Engines whose models changed since the version of the report.
     pub engines: Vec<EngineModels>,
+    /// What changed in the store since the report's revision; `None` if the holder can't tell.
+    pub store: Option<StoreReading>,
 }
 
 /// What a client account may still use.
@@ -112,8 +118,6 @@
     pub pending_tokens: u64,
     /// True if it fails more often than its peers.
     pub is_suspect: bool,
-    /// True if it leaves.
-    pub is_leaving: bool,
 }
 
 /// Models that requests can use on an engine.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -10,6 +10,7 @@
 mod monotonic_time;
 mod pool_message;
 mod resource_key;
+mod store_message;
 
 pub use copy_message::CopiesReply;
 pub use copy_message::CopiesRequest;
@@ -75,3 +76,6 @@
 pub use resource_key::ResourceKey;
 pub use resource_key::SHARD_COUNT;
 pub use resource_key::ShardId;
+pub use store_message::RelayedChange;
+pub use store_message::RelayedValue;
+pub use store_message::StoreReading;
