--- a/crates/host/src/event_relay.rs
+++ b/crates/host/src/event_relay.rs
@@ -141,8 +141,10 @@
                     return;
                 }
             }
+            let waits_since = Instant::now();
             let reason = match self.step(&mut stream).await {
                 StreamStep::Events(next) => {
+                    self.log.note_pause(waits_since.elapsed());
                     events = next;
                     continue;
                 }
--- a/crates/host/src/request_log.rs
+++ b/crates/host/src/request_log.rs
@@ -23,6 +23,7 @@
     pub(crate) arrivals: u32,
     /// Events passed on.
     pub(crate) events: u64,
+    longest_pause: Option<Duration>,
     first_send: Option<Duration>,
     first_answer: Option<Duration>,
     is_finished: bool,
@@ -44,6 +45,7 @@
             backend: None,
             arrivals: 0,
             events: 0,
+            longest_pause: None,
             first_send: None,
             first_answer: None,
             is_finished: false,
@@ -84,6 +86,11 @@
         }
     }
 
+    /// Notes the time between two chunks of events; the longest one is logged.
+    pub(crate) fn note_pause(&mut self, pause: Duration) {
+        self.longest_pause = self.longest_pause.max(Some(pause));
+    }
+
     /// Writes the line.
     pub(crate) fn finish(&mut self, outcome: &str, status: u16) {
         if std::mem::replace(&mut self.is_finished, true) {
@@ -98,7 +105,7 @@
             "route" => self.route.as_deref(), "service" => self.service.as_deref(),
             "account" => self.account.as_deref(), "model" => self.model.as_deref(),
             "backend" => self.backend.as_deref(), "arrivals" => self.arrivals, "events" => self.events,
-            "sent_ms" => millis(self.first_send), "answer_ms" => millis(self.first_answer),
+            "pause_ms" => millis(self.longest_pause), "sent_ms" => millis(self.first_send), "answer_ms" => millis(self.first_answer),
             "total_ms" => self.arrived.elapsed().as_millis() as u64,
             "config" => self.config, "confirmed_ms" => millis(confirmed));
     }
