Keep replicas over a change of holder, use copies beside slow loads, and refuse what its caller will not wait for

Now: a new holder assumes demand by the number of replicas, which fades like measured demand; an unload counts from when it is sent; a load that ends in more than 1.5 s does not keep a copy elsewhere from being used; the weight store's speed is measured; a request whose model comes after its caller's patience is refused at once with the time of the load. Ruled out: the duty (the next holder acted within 0.3 s), the store's listing. Tests: residency_replicas.

--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -41,6 +41,8 @@
     pub(crate) fence: u64,
     pub(crate) planners: HashMap<Name, ResidencyPlanner>,
     pub(crate) ledger: FleetLedger,
+    /// True if no host held the duty before.
+    is_first: bool,
 }
 
 /// The coordinator while this host has the duty.
@@ -63,6 +65,7 @@
             fence,
             planners: HashMap::new(),
             ledger,
+            is_first,
         }
     }
 
@@ -79,6 +82,7 @@
         let first_version = self.fence << FENCE_SHIFT;
         let load_window = self.state.boot.bounds.load_window;
         for (service, spec) in engines {
+            let is_new = !self.planners.contains_key(&service);
             let planner = self.planners.entry(service.clone()).or_insert_with(|| {
                 let settings = ResidencySettings {
                     store_loads_at_once: store_loads,
@@ -93,6 +97,9 @@
                 planner.observe_entry(&slot.entry, now);
             }
             planner.retain_engines(|id| backends.iter().any(|slot| slot.entry.id == *id));
+            if is_new && !self.is_first {
+                planner.assume_demand(now);
+            }
         }
         self.planners
             .retain(|service, _| config.services.contains_key(service));
--- a/crates/host/src/request_context.rs
+++ b/crates/host/src/request_context.rs
@@ -53,6 +53,14 @@
         self.deadline.saturating_duration_since(self.arrived)
     }
 
+    /// When the caller leaves if nothing of the answer has come.
+    pub(crate) fn first_answer_by(&self) -> Instant {
+        let patience = self.rule.first_event_patience();
+        patience.map_or(self.deadline, |patience| {
+            self.deadline.min(self.arrived + patience)
+        })
+    }
+
     /// Units that the request counts against its account's rate.
     pub(crate) fn cost(&self) -> u64 {
         let account = self.account.as_ref();
--- a/crates/host/src/target_choice.rs
+++ b/crates/host/src/target_choice.rs
@@ -23,6 +23,9 @@
 /// Part of a request's time, in percent, for which it may wait for a model to be placed.
 const HOLD_PERCENT: u32 = 50;
 
+/// Time that must be left for the first event when a model is there.
+const ANSWER_MARGIN: Duration = Duration::from_millis(300);
+
 /// Pause that callers are told when no backend server of the service is known.
 const NO_BACKEND_RETRY: Duration = Duration::from_millis(700);
 
@@ -124,7 +127,9 @@
     tries: &mut TryLog,
 ) -> Result<ChosenBackend> {
     let unplaced = Refusal::not_run(RefusalKind::ModelUnavailable).retry_after(UNPLACED_RETRY);
+    let answer_by = context.first_answer_by();
     let hold_until = context.arrived + context.whole_time() * HOLD_PERCENT / 100;
+    let hold_until = hold_until.min(answer_by - ANSWER_MARGIN);
     loop {
         let now = Instant::now();
         if now >= hold_until {
@@ -139,7 +144,7 @@
                 ready_in_ms,
             }) => {
                 let ready_in = Duration::from_millis(ready_in_ms);
-                if now + ready_in >= context.deadline {
+                if now + ready_in + ANSWER_MARGIN >= answer_by {
                     return Err(unplaced.retry_after(ready_in));
                 }
                 wait_for_load(state, ready_in, unplaced).await?;
@@ -154,7 +159,13 @@
                     None => ASK_PAUSE,
                 }
             }
-            Some(PlaceReply::AskAgain { again_in_ms }) => Duration::from_millis(again_in_ms),
+            Some(PlaceReply::AskAgain { again_in_ms }) => {
+                let again_in = Duration::from_millis(again_in_ms);
+                if now + again_in >= hold_until {
+                    return Err(unplaced.retry_after(again_in));
+                }
+                again_in
+            }
             Some(PlaceReply::Refused { retry_after_ms }) => {
                 let mut refusal = Refusal::not_run(RefusalKind::ModelUnavailable);
                 refusal.retry_after = retry_after_ms.map(Duration::from_millis);
--- a/crates/serving/src/engine_record.rs
+++ b/crates/serving/src/engine_record.rs
@@ -29,6 +29,8 @@
     pub(crate) open: Option<OpenOrder>,
     /// An order was sent and its answer is due.
     pub(crate) in_call: bool,
+    /// Model of an unload that was sent and not answered yet.
+    pub(crate) evicted: Option<Name>,
     /// A host could not reach it; until then it gets no requests unless a report arrives.
     pub(crate) unreached_until: MonotonicTime,
     /// No order before this time.
@@ -77,10 +79,37 @@
     /// Estimate.
     pub(crate) done_at: MonotonicTime,
     pub(crate) from_store: bool,
+    pub(crate) started_at: MonotonicTime,
+    /// Loads from the weight store under way when it started, with it.
+    pub(crate) store_loads: usize,
     /// A report shows that it has ended.
     pub(crate) is_confirmed: bool,
 }
 
+/// How long a load from the weight store took.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StoreLoadSample {
+    pub(crate) time: Duration,
+    /// Loads under way when it started, with it.
+    pub(crate) at_once: usize,
+}
+
+/// A load that took at most this many times as long as one alone was not slowed down by others. Reports lag a little.
+const UNSLOWED: f64 = 1.15;
+
+impl StoreLoadSample {
+    /// Loads that run at full speed at once, given what was `known` and how long one load alone takes.
+    pub(crate) fn full_speed_loads(self, known: f64, alone: Duration) -> f64 {
+        let Self { time, at_once } = self;
+        let slowness = time.as_secs_f64() / alone.as_secs_f64().max(0.001);
+        if slowness > UNSLOWED {
+            (at_once as f64 / slowness).max(1.0)
+        } else {
+            known.max(at_once as f64)
+        }
+    }
+}
+
 /// Memory that is freed on an engine for a model.
 #[derive(Debug)]
 pub(crate) struct RoomClaim {
@@ -115,6 +144,7 @@
             disk_copies: entry.disk_copies.clone(),
             open: None,
             in_call: false,
+            evicted: None,
             unreached_until: MonotonicTime::ZERO,
             blocked_until: now,
             conflicts: 0,
@@ -183,7 +213,8 @@
 
     /// True if it has the model, or will have it, and doesn't unload it.
     pub(crate) fn keeps(&self, model: &str) -> bool {
-        self.held.get(model).is_some_and(|held| !held.is_leaving)
+        let is_evicted = self.evicted.as_deref() == Some(model);
+        !is_evicted && self.held.get(model).is_some_and(|held| !held.is_leaving)
     }
 
     pub(crate) fn is_ready(&self, model: &str, now: MonotonicTime) -> bool {
@@ -245,20 +276,31 @@
     }
 
     /// Takes in that a report lists the model that is being loaded: the load has ended, however old the report is.
-    pub(crate) fn note_loaded(&mut self, held: &[HeldModel], now: MonotonicTime) {
-        let Some(open) = &mut self.open else {
-            return;
-        };
+    /// Returns what the load says of the weight store's speed.
+    pub(crate) fn note_loaded(
+        &mut self,
+        held: &[HeldModel],
+        now: MonotonicTime,
+    ) -> Option<(Name, StoreLoadSample)> {
+        let open = self.open.as_mut()?;
         let is_listed = held.iter().any(|held| held.model == open.model);
         if open.action != ResidencyAction::Load || !is_listed {
-            return;
+            return None;
         }
+        let sample = (open.from_store && !open.is_confirmed).then(|| {
+            let sample = StoreLoadSample {
+                time: now.since(open.started_at),
+                at_once: open.store_loads,
+            };
+            (open.model.clone(), sample)
+        });
         open.done_at = open.done_at.min(now);
         if let Some(held) = self.held.get_mut(&open.model) {
             held.is_doubted = false;
             held.ready_at = held.ready_at.min(now);
         }
         open.is_confirmed = true;
+        sample
     }
 
     /// Takes the end of the order under way for granted, because the engine accepted another or reports to be idle.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -19,6 +19,7 @@
 mod order_outcome;
 mod part_memory;
 mod request_facts;
+mod residency_background;
 mod residency_demand;
 mod residency_load;
 mod residency_observation;
--- /dev/null
+++ b/crates/serving/src/residency_background.rs
@@ -0,0 +1,104 @@
+//! What a [`ResidencyPlanner`] does while no request waits, and what it takes for granted when it starts.
+
+use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::Name;
+
+use crate::EngineOrder;
+use crate::ResidencyPlanner;
+use crate::residency_demand::CopyLevel;
+use crate::residency_load::LoadLimit;
+use crate::residency_load::RELOAD_S;
+use crate::residency_load::SPREAD_S;
+
+/// Time that a further replica may take to come from the weight store, seconds.
+const REPLICA_LOAD_S: f64 = 7.0;
+
+/// Cost up to which a model without any copy is fetched before a request asks for it, seconds: two loads from the weight
+/// store, and little that it displaces.
+const FIRST_LOAD_LIMIT_S: f64 = 12.6;
+
+/// Requests a second that a new planner assumes for each replica of a model with several ones.
+const ASSUMED_RATE: f64 = 2.0;
+
+/// The same for a model with one replica.
+const ASSUMED_SINGLE_RATE: f64 = 0.2;
+
+impl ResidencyPlanner {
+    /// Assumes that what the engines hold is wanted as much as its number of replicas says. A new holder knows no demand, and
+    /// would take the replicas of busy models for useless. The assumption fades as fast as measured demand.
+    pub fn assume_demand(&mut self, now: MonotonicTime) {
+        let models: Vec<Name> = self.spec.models.keys().cloned().collect();
+        let half_life = self.settings.demand_half_life;
+        for model in models {
+            let replicas = self.replicas(&model) as f64;
+            let rate = match replicas {
+                0.0 => continue,
+                1.0 => ASSUMED_SINGLE_RATE,
+                _ => ASSUMED_RATE * replicas,
+            };
+            let work = self.settings.replica_load * (replicas - 0.5);
+            let demand = self.demand.entry(model).or_default();
+            demand.assume(rate, work, half_life, now);
+        }
+    }
+
+    /// Next order towards a further replica of a busy model, the busiest first.
+    pub(crate) fn plan_replica(&mut self, now: MonotonicTime) -> Option<EngineOrder> {
+        let models = self.models_by_rate(now).into_iter();
+        let busy: Vec<(f64, Name)> = models
+            .filter(|(_, model)| {
+                let replicas = self.replicas(model);
+                replicas > 0 && replicas < self.target_replicas(model, now)
+            })
+            .collect();
+        busy.into_iter().find_map(|(rate, model)| {
+            let level = self.best_target(&model, LoadLimit::NONE, now)?.level;
+            let time_s = match level {
+                CopyLevel::Store => REPLICA_LOAD_S,
+                CopyLevel::Memory | CopyLevel::Disk => RELOAD_S,
+            };
+            let gain_s = rate * SPREAD_S * self.settings.eviction_horizon_s;
+            let limit = LoadLimit {
+                cost_s: gain_s + time_s,
+                ..LoadLimit::NONE
+            };
+            self.plan_model(&model, limit, now)
+        })
+    }
+
+    /// Brings models nearer that no request waits for: first those without any copy, then those that fit into free memory.
+    pub(crate) fn plan_absent(&mut self, now: MonotonicTime) -> Option<EngineOrder> {
+        let models = self.models_by_rate(now).into_iter();
+        let absent: Vec<Name> = models
+            .map(|(_, model)| model)
+            .filter(|model| !self.is_held(model))
+            .collect();
+        let without_copy = absent.iter().filter(|model| !self.has_copy(model));
+        let without_copy = without_copy.map(|model| (model, FIRST_LOAD_LIMIT_S));
+        let tries: Vec<(&Name, f64)> = without_copy
+            .chain(absent.iter().map(|model| (model, RELOAD_S)))
+            .collect();
+        tries.into_iter().find_map(|(model, cost_s)| {
+            let limit = LoadLimit {
+                cost_s,
+                ..LoadLimit::NONE
+            };
+            self.plan_model(model, limit, now)
+        })
+    }
+
+    /// All models with their requests a second, the busiest first.
+    fn models_by_rate(&self, now: MonotonicTime) -> Vec<(f64, Name)> {
+        let models = self.spec.models.keys();
+        let mut models: Vec<(f64, Name)> = models
+            .map(|model| (self.rate(model, now), model.clone()))
+            .collect();
+        models.sort_by(|one, other| other.0.total_cmp(&one.0).then_with(|| one.1.cmp(&other.1)));
+        models
+    }
+
+    fn has_copy(&self, model: &Name) -> bool {
+        let mut engines = self.engines.values().filter(|record| record.is_accepting);
+        engines.any(|record| record.level(model) != CopyLevel::Store)
+    }
+}
--- a/crates/serving/src/residency_demand.rs
+++ b/crates/serving/src/residency_demand.rs
@@ -37,6 +37,13 @@
         self.work += work_ms / 1000.0 * weight;
     }
 
+    /// Raises the demand to at least `rate` requests and `work` engines.
+    pub(crate) fn assume(&mut self, rate: f64, work: f64, half_life: Duration, now: MonotonicTime) {
+        self.decay(half_life, now);
+        self.rate = self.rate.max(rate);
+        self.work = self.work.max(work);
+    }
+
     pub(crate) fn rate(&self, half_life: Duration, now: MonotonicTime) -> f64 {
         self.rate * self.kept(half_life, now)
     }
--- a/crates/serving/src/residency_load.rs
+++ b/crates/serving/src/residency_load.rs
@@ -23,24 +23,41 @@
 const ROUNDING_MB: f64 = 1.0;
 
 /// Delay that a request sees when its model has to be loaded from a copy: the unload, the load and the messages, seconds.
-const RELOAD_S: f64 = 1.0;
+pub(crate) const RELOAD_S: f64 = 1.0;
 
 /// Extra delay, seconds, that requests of a model see when one of several replicas goes.
-const SPREAD_S: f64 = 0.15;
+pub(crate) const SPREAD_S: f64 = 0.15;
 
 /// Added to a victim that was used a moment ago: its unload waits for its requests, and blocks the engine meanwhile.
 const IN_USE_S: f64 = 20.0;
 
-/// Cost up to which a model that no request waits for may displace others, seconds.
-const BACKGROUND_LIMIT_S: f64 = 0.6;
+/// A load whose end is further away than this is slow: a copy elsewhere may be faster.
+pub(crate) const SLOW_LOAD: Duration = Duration::from_millis(1500);
+
+/// What a load may take at most.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LoadLimit {
+    /// Cost, seconds.
+    pub(crate) cost_s: f64,
+    /// Farthest place to load from.
+    pub(crate) level: CopyLevel,
+}
+
+impl LoadLimit {
+    /// Anything that is possible.
+    pub(crate) const NONE: Self = Self {
+        cost_s: f64::INFINITY,
+        level: CopyLevel::Store,
+    };
+}
 
 /// Where a model would be loaded.
 #[derive(Debug)]
-struct LoadTarget {
+pub(crate) struct LoadTarget {
     backend: Name,
     /// First model to unload; `None` if there is room.
     victim: Option<Name>,
-    level: CopyLevel,
+    pub(crate) level: CopyLevel,
     cost_s: f64,
     is_free: bool,
 }
@@ -61,12 +78,13 @@
                 Some(adapter) if self.is_held(&key.model) => {
                     self.plan_adapter(&key.model, adapter, now)
                 }
-                _ => self.plan_model(&key.model, f64::INFINITY, now),
+                _ => self.plan_wanted(&key.model, now),
             };
             orders.extend(order.map(|order| self.sent(order)));
         }
         if self.wants.is_empty() {
-            let order = self.plan_background(now);
+            let order = self.plan_replica(now);
+            let order = order.or_else(|| self.plan_absent(now));
             orders.extend(order.map(|order| self.sent(order)));
         }
         orders
@@ -79,6 +97,9 @@
                 let held = record.held.get(&key.model).filter(|held| !held.is_leaving);
                 record.is_accepting
                     && held.is_some_and(|held| {
+                        if held.ready_at.since(now) > SLOW_LOAD {
+                            return false;
+                        }
                         let adapter = key.adapter.as_ref();
                         adapter.is_none_or(|adapter| {
                             let held = held.adapters.get(adapter);
@@ -111,16 +132,37 @@
     // ---------------------------------------------------------------------------------------------
     // Models
 
-    fn is_held(&self, model: &Name) -> bool {
+    pub(crate) fn is_held(&self, model: &Name) -> bool {
         let mut engines = self.engines.values().filter(|record| record.is_accepting);
         engines.any(|record| record.keeps(model))
     }
 
-    /// Next order towards a replica of the model that costs at most `limit_s`.
-    fn plan_model(
+    /// Next order towards a replica of a model that requests wait for. One that comes slowly is loaded from a copy besides.
+    fn plan_wanted(&mut self, model: &Name, now: MonotonicTime) -> Option<EngineOrder> {
+        let limit = match self.coming_in(model, now) {
+            None => LoadLimit::NONE,
+            Some(ready_in) => LoadLimit {
+                cost_s: ready_in.as_secs_f64(),
+                level: CopyLevel::Disk,
+            },
+        };
+        self.plan_model(model, limit, now)
+    }
+
+    /// Time until a replica is there that is loaded or being loaded; `None` if there is none.
+    pub(crate) fn coming_in(&self, model: &Name, now: MonotonicTime) -> Option<Duration> {
+        let engines = self.engines.values().filter(|record| record.is_accepting);
+        let held = engines
+            .filter(|record| record.keeps(model))
+            .filter_map(|record| record.held.get(model));
+        held.map(|held| held.ready_at.since(now)).min()
+    }
+
+    /// Next order towards a replica of the model within `limit`.
+    pub(crate) fn plan_model(
         &mut self,
         model: &Name,
-        limit_s: f64,
+        limit: LoadLimit,
         now: MonotonicTime,
     ) -> Option<EngineOrder> {
         let claimed = self.engines.values().find(|record| {
@@ -129,9 +171,9 @@
         });
         let target = match claimed {
             Some(record) => self.target(record, model, now)?,
-            None => self.best_target(model, now)?,
+            None => self.best_target(model, limit, now)?,
         };
-        if target.cost_s > limit_s || !target.is_free {
+        if target.cost_s > limit.cost_s || target.level > limit.level || !target.is_free {
             return None;
         }
         let is_from_store = target.level == CopyLevel::Store;
@@ -150,8 +192,14 @@
         order_for(record, action, model, None)
     }
 
-    fn best_target(&self, model: &Name, now: MonotonicTime) -> Option<LoadTarget> {
+    pub(crate) fn best_target(
+        &self,
+        model: &Name,
+        limit: LoadLimit,
+        now: MonotonicTime,
+    ) -> Option<LoadTarget> {
         let engines = self.engines.values();
+        let engines = engines.filter(|record| record.level(model) <= limit.level);
         let targets = engines.filter_map(|record| self.target(record, model, now));
         targets.min_by(|one, other| one.cost_s.total_cmp(&other.cost_s))
     }
@@ -243,18 +291,18 @@
         rate * delay * horizon + in_use + 0.02 / (1.0 + idle.as_secs_f64())
     }
 
-    fn replicas(&self, model: &Name) -> usize {
+    pub(crate) fn replicas(&self, model: &Name) -> usize {
         let engines = self.engines.values().filter(|record| record.is_accepting);
         engines.filter(|record| record.keeps(model)).count()
     }
 
-    fn rate(&self, model: &Name, now: MonotonicTime) -> f64 {
+    pub(crate) fn rate(&self, model: &Name, now: MonotonicTime) -> f64 {
         let half_life = self.settings.demand_half_life;
         let demand = self.demand.get(model);
         demand.map_or(0.0, |demand| demand.rate(half_life, now))
     }
 
-    fn target_replicas(&self, model: &Name, now: MonotonicTime) -> usize {
+    pub(crate) fn target_replicas(&self, model: &Name, now: MonotonicTime) -> usize {
         let half_life = self.settings.demand_half_life;
         let demand = self.demand.get(model);
         let work = demand.map_or(0.0, |demand| demand.work(half_life, now));
@@ -271,8 +319,7 @@
             CopyLevel::Memory => spec.memory_load,
             CopyLevel::Disk => spec.disk_load,
             CopyLevel::Store => {
-                let at_once = self.settings.store_loads_at_once.max(1);
-                let share = (self.open_store_loads(now) + 1) as f64 / at_once as f64;
+                let share = (self.open_store_loads(now) + 1) as f64 / self.full_speed_loads;
                 spec.store_load.mul_f64(share.max(1.0))
             }
         }
@@ -285,7 +332,7 @@
             && record.is_some_and(|record| record.level(&order.model) == CopyLevel::Store)
     }
 
-    fn open_store_loads(&self, now: MonotonicTime) -> usize {
+    pub(crate) fn open_store_loads(&self, now: MonotonicTime) -> usize {
         let opens = self
             .engines
             .values()
@@ -307,6 +354,26 @@
             && self.store_starts.len() + in_call < allowed
     }
 
+    /// Time until the model could be there from a copy on an engine that doesn't have it; `None` if there is no copy.
+    fn copy_estimate(&self, model: &Name, now: MonotonicTime) -> Option<Duration> {
+        let engines = self.engines.values().filter(|record| {
+            record.is_accepting && !record.keeps(model) && record.level(model) < CopyLevel::Store
+        });
+        let times = engines.map(|record| record.wait(now) + self.load_time(&record.id, model, now));
+        times.min()
+    }
+
+    /// Time until the model could be there from a copy, if it comes slowly otherwise: in `ready_in`.
+    pub(crate) fn faster_copy(
+        &self,
+        model: &Name,
+        ready_in: Duration,
+        now: MonotonicTime,
+    ) -> Option<Duration> {
+        let from_copy = self.copy_estimate(model, now)?;
+        (ready_in > SLOW_LOAD && from_copy < ready_in).then_some(from_copy)
+    }
+
     /// Time until a request for the model could be served; `None` if no engine can hold it.
     pub(crate) fn estimate(&self, model: &Name, now: MonotonicTime) -> Option<Duration> {
         if self.is_held(model) {
@@ -367,53 +434,6 @@
             Some(victim.clone()),
         )
     }
-
-    // ---------------------------------------------------------------------------------------------
-    // Without waiting requests
-
-    /// Brings models nearer that no request waits for: first those without any copy, then those that fit into free
-    /// memory, then further replicas of busy ones.
-    fn plan_background(&mut self, now: MonotonicTime) -> Option<EngineOrder> {
-        let mut models: Vec<(f64, Name)> = self
-            .spec
-            .models
-            .keys()
-            .map(|model| (self.rate(model, now), model.clone()))
-            .collect();
-        models.sort_by(|one, other| other.0.total_cmp(&one.0).then_with(|| one.1.cmp(&other.1)));
-        let busy = models.iter().filter(|(_, model)| {
-            let replicas = self.replicas(model);
-            replicas > 0 && replicas < self.target_replicas(model, now)
-        });
-        let busy: Vec<Name> = busy.map(|(_, model)| model.clone()).collect();
-        let absent: Vec<Name> = models
-            .into_iter()
-            .filter(|(_, model)| !self.is_held(model))
-            .map(|(_, model)| model)
-            .collect();
-        let without_copy = absent.iter().filter(|model| !self.has_copy(model));
-        let mut tries: Vec<(Name, f64)> = Vec::new();
-        tries.extend(busy.into_iter().map(|model| {
-            let gain = self.rate(&model, now) * SPREAD_S * self.settings.eviction_horizon_s;
-            let level = self.best_target(&model, now).map(|target| target.level);
-            let time = if level == Some(CopyLevel::Store) {
-                7.0
-            } else {
-                1.0
-            };
-            (model, gain + time)
-        }));
-        tries.extend(without_copy.map(|model| (model.clone(), 12.0 + BACKGROUND_LIMIT_S)));
-        tries.extend(absent.iter().map(|model| (model.clone(), RELOAD_S)));
-        tries
-            .into_iter()
-            .find_map(|(model, limit_s)| self.plan_model(&model, limit_s, now))
-    }
-
-    fn has_copy(&self, model: &Name) -> bool {
-        let mut engines = self.engines.values().filter(|record| record.is_accepting);
-        engines.any(|record| record.level(model) != CopyLevel::Store)
-    }
 }
 
 fn order_for(
--- a/crates/serving/src/residency_observation.rs
+++ b/crates/serving/src/residency_observation.rs
@@ -50,9 +50,16 @@
         asked_at: MonotonicTime,
         now: MonotonicTime,
     ) {
-        let lag = self.settings.report_lag;
-        let interval = self.settings.report_interval;
-        let Some(record) = self.engines.get_mut(backend) else {
+        let Self {
+            settings,
+            spec,
+            engines,
+            full_speed_loads,
+            ..
+        } = self;
+        let lag = settings.report_lag;
+        let interval = settings.report_interval;
+        let Some(record) = engines.get_mut(backend) else {
             return;
         };
         record.is_asked = false;
@@ -67,7 +74,11 @@
             return;
         }
         record.unreached_until = MonotonicTime::ZERO;
-        record.note_loaded(&report.held, now);
+        if let Some((model, sample)) = record.note_loaded(&report.held, now)
+            && let Some(model) = spec.models.get(&model)
+        {
+            *full_speed_loads = sample.full_speed_loads(*full_speed_loads, model.store_load);
+        }
         let is_loading = record
             .open
             .as_ref()
--- a/crates/serving/src/residency_outcome.rs
+++ b/crates/serving/src/residency_outcome.rs
@@ -38,6 +38,9 @@
     pub(crate) fn sent(&mut self, order: EngineOrder) -> EngineOrder {
         if let Some(record) = self.engines.get_mut(&order.backend) {
             record.in_call = true;
+            if order.action == ResidencyAction::Unload && order.adapter.is_none() {
+                record.evicted = Some(order.model.clone());
+            }
         }
         order
     }
@@ -46,11 +49,18 @@
     pub fn order_ended(&mut self, order: &EngineOrder, outcome: OrderOutcome, now: MonotonicTime) {
         let estimate = self.load_time(&order.backend, &order.model, now);
         let from_store = self.is_store_load(order);
+        // 0 for other orders.
+        let store_loads = if from_store {
+            self.open_store_loads(now) + 1
+        } else {
+            0
+        };
         let late_until = now + self.settings.late_order_time;
         let Some(record) = self.engines.get_mut(&order.backend) else {
             return;
         };
         record.in_call = false;
+        record.evicted = None;
         if outcome != OrderOutcome::Conflict {
             record.conflicts = 0;
         }
@@ -63,7 +73,7 @@
                 for late in &mut record.late {
                     late.is_settled |= late.expected <= order.expected;
                 }
-                apply_accepted(record, order, now, estimate, from_store);
+                apply_accepted(record, order, now, estimate, store_loads);
                 if from_store {
                     self.store_starts.push_back(now);
                 }
@@ -135,7 +145,7 @@
     order: &EngineOrder,
     now: MonotonicTime,
     load_time: Duration,
-    from_store: bool,
+    store_loads: usize,
 ) {
     let EngineOrder {
         action,
@@ -172,7 +182,9 @@
                 action: *action,
                 model: model.clone(),
                 done_at: now + load_time + ORDER_MARGIN,
-                from_store,
+                from_store: store_loads > 0,
+                started_at: now,
+                store_loads,
                 is_confirmed: false,
             });
             record.report_due = now + load_time;
@@ -198,6 +210,8 @@
                 model: model.clone(),
                 done_at: now + MODEL_UNLOAD,
                 from_store: false,
+                started_at: now,
+                store_loads: 0,
                 is_confirmed: false,
             });
         }
--- a/crates/serving/src/residency_planner.rs
+++ b/crates/serving/src/residency_planner.rs
@@ -73,6 +73,8 @@
     pub(crate) engines: BTreeMap<Name, EngineRecord>,
     pub(crate) demand: HashMap<Name, ModelDemand>,
     pub(crate) wants: BTreeMap<WantKey, Want>,
+    /// Loads from the weight store that run at full speed at once, as far as measured.
+    pub(crate) full_speed_loads: f64,
     /// Starts of loads from the weight store.
     pub(crate) store_starts: VecDeque<MonotonicTime>,
     pub(crate) views: BTreeMap<Name, ResidencyView>,
@@ -84,6 +86,7 @@
     /// A planner without engines. `first_version` is larger than the versions of any predecessor's views.
     pub fn new(spec: EngineSpec, settings: ResidencySettings, first_version: u64) -> Self {
         Self {
+            full_speed_loads: settings.store_loads_at_once.max(1) as f64,
             settings,
             spec,
             engines: BTreeMap::new(),
@@ -149,6 +152,12 @@
         if let Some(backend) = self.ready_engine(model, adapter, now) {
             return Placement::Ready { backend };
         }
+        let coming_in = self.coming_in(model, now).filter(|time| !time.is_zero());
+        let faster_copy = coming_in.and_then(|time| self.faster_copy(model, time, now));
+        if let Some(again_in) = faster_copy {
+            self.want(model, None, urgency, time_left, now);
+            return Placement::Wait { again_in };
+        }
         match self.loading_engine(model, adapter, now) {
             Some((backend, Some(ready_in))) => return Placement::Loading { backend, ready_in },
             Some((_, None)) => {
@@ -167,6 +176,24 @@
                 };
             }
         }
+        if let Some(again_in) = coming_in {
+            // An adapter can be loaded when its model is there.
+            return Placement::Wait { again_in };
+        }
+        self.want(model, adapter, urgency, time_left, now);
+        Placement::Wait {
+            again_in: ASK_AGAIN,
+        }
+    }
+
+    fn want(
+        &mut self,
+        model: &Name,
+        adapter: Option<&Name>,
+        urgency: u8,
+        time_left: Duration,
+        now: MonotonicTime,
+    ) {
         let key = WantKey {
             model: model.clone(),
             adapter: adapter.cloned(),
@@ -178,9 +205,6 @@
         });
         want.urgency = want.urgency.min(urgency);
         want.until = want.until.max(now + WANT_TIME.min(time_left));
-        Placement::Wait {
-            again_in: ASK_AGAIN,
-        }
     }
 
     fn is_defined(&self, model: &Name, adapter: Option<&Name>) -> bool {
--- a/crates/serving/src/route_rule.rs
+++ b/crates/serving/src/route_rule.rs
@@ -57,6 +57,8 @@
     pub timeout: Duration,
     /// Time until the answer, or its first event, that callers count as good.
     pub goal: Duration,
+    /// Longest pause between two events that callers count as good; `None` if the route states none.
+    pub pause_goal: Option<Duration>,
     /// Rank, 0 is the most urgent.
     pub priority: u8,
     /// Services by weight; never empty.
@@ -67,7 +69,20 @@
     pub is_open: bool,
 }
 
+/// Callers leave a stream without an event for the longest of these: a time, and multiples of the route's goals.
+const MIN_PATIENCE: Duration = Duration::from_secs(2);
+const PATIENCE_GOALS: u32 = 4;
+const PATIENCE_PAUSES: u32 = 8;
+
 impl RouteRule {
+    /// How long callers wait for the first event of a stream, from the users' protocol page; `None` for other answers,
+    /// for which they wait until their deadline.
+    pub fn first_event_patience(&self) -> Option<Duration> {
+        let pause = self.pause_goal.unwrap_or_default();
+        let patience = (self.goal * PATIENCE_GOALS).max(pause * PATIENCE_PAUSES);
+        self.kind.is_stream().then(|| patience.max(MIN_PATIENCE))
+    }
+
     /// Service for a request, by weight; `draw` is uniform over all values.
     pub fn service(&self, draw: u32) -> Option<&Name> {
         let total: u64 = self
--- /dev/null
+++ b/crates/serving/tests/residency_replicas.rs
@@ -0,0 +1,156 @@
+//! Replicas of busy models when requests wait for others, after a change of holder, and beside a slow load.
+
+mod common;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use zinniahinge_serving::EngineReport;
+use zinniahinge_serving::OrderOutcome;
+use zinniahinge_serving::Placement;
+use zinniahinge_serving::ResidencyAction;
+use zinniahinge_serving::ResidencyPlanner;
+use zinniahinge_serving::ResidencySettings;
+
+use crate::common::at;
+use crate::common::engine_spec;
+use crate::common::entry;
+use crate::common::name;
+use crate::common::report;
+use crate::common::want;
+
+const MODELS: [&str; 9] = ["busy", "r0", "r1", "r2", "r3", "r4", "r5", "r6", "r7"];
+
+/// Engine with the models that it holds and those that it has on disk.
+type HeldCase = (
+    &'static str,
+    &'static [&'static str],
+    &'static [&'static str],
+);
+
+fn planner(engines: &[HeldCase]) -> ResidencyPlanner {
+    let settings = ResidencySettings::default();
+    let mut planner = ResidencyPlanner::new(engine_spec(&MODELS), settings, 0);
+    for (id, held, _) in engines {
+        planner.observe_entry(&entry(id, 1, held), at(0));
+    }
+    planner.due_reports(at(0));
+    for (id, held, disk) in engines {
+        planner.observe_report(id, Some(&report(5, held, disk)), at(0), at(0));
+    }
+    planner
+}
+
+/// Guards against a planner that unloads all replicas of a model at once, each because of the others.
+#[test]
+fn one_plan_leaves_a_replica_of_each_model() {
+    let mut planner = planner(&[
+        ("e1", &["busy", "r0"], &["r4"]),
+        ("e2", &["busy", "r1"], &["r5"]),
+        ("e3", &["busy", "r2"], &["r6"]),
+    ]);
+    for model in ["busy", "busy", "busy", "r0", "r1", "r2"] {
+        planner.note_use(&name(model), None, 1, (9_000, 50), at(0));
+    }
+    for model in ["r4", "r5", "r6"] {
+        want(&mut planner, model, at(2_000));
+    }
+    let orders = planner.plan(at(2_000));
+    let unloads = orders
+        .iter()
+        .filter(|order| order.action == ResidencyAction::Unload && &*order.model == "busy");
+    assert_that!(unloads.count(), eq(2));
+}
+
+/// Guards against a new holder that takes all models for unused, because it has seen no requests yet.
+#[test]
+fn a_new_holder_keeps_replicas_of_busy_models() {
+    let mut planner = planner(&[
+        ("e1", &["busy", "r0"], &["r4"]),
+        ("e2", &["busy", "r1"], &["r5"]),
+        ("e3", &["busy", "r2"], &["r6"]),
+    ]);
+    planner.assume_demand(at(0));
+    for model in ["r4", "r5", "r6"] {
+        want(&mut planner, model, at(10));
+    }
+    let orders = planner.plan(at(10));
+    assert_that!(orders.len(), eq(3));
+    for order in orders {
+        assert_that!(order.action, eq(ResidencyAction::Unload));
+        assert_that!(&*order.model, not(eq("busy")));
+    }
+}
+
+/// Guards against requests that wait for the weight store although another engine has a copy.
+#[test]
+fn a_copy_is_used_beside_a_slow_load() {
+    let mut planner = planner(&[("e1", &["r1"], &[]), ("e2", &["r2", "r3"], &["r0"])]);
+    // The engine with the copy can't take orders at first.
+    let busy = EngineReport {
+        is_busy: true,
+        ..report(5, &["r2", "r3"], &["r0"])
+    };
+    planner.observe_report("e2", Some(&busy), at(0), at(0));
+    want(&mut planner, "r0", at(0));
+    let first = planner.plan(at(0));
+    assert_that!(first.len(), eq(1));
+    assert_that!(&*first[0].backend, eq("e1"));
+    planner.order_ended(&first[0], OrderOutcome::Accepted, at(0));
+
+    let free = report(5, &["r2", "r3"], &["r0"]);
+    planner.observe_report("e2", Some(&free), at(600), at(600));
+    let placement = want(&mut planner, "r0", at(600));
+    let again_in = match placement {
+        Placement::Wait { again_in } => again_in,
+        other => panic!("{other:?}"),
+    };
+    assert_that!(again_in <= Duration::from_secs(1), eq(true), "{again_in:?}");
+    let second = planner.plan(at(600));
+    assert_that!(second.len(), eq(1));
+    assert_that!(&*second[0].backend, eq("e2"));
+    assert_that!(second[0].action, eq(ResidencyAction::Unload));
+}
+
+/// Guards against estimates that hold requests back for a load that ends much later.
+#[test]
+fn estimates_follow_the_weight_stores_speed() {
+    let mut planner = planner(&[
+        ("e1", &["r1"], &[]),
+        ("e2", &["r2"], &[]),
+        ("e3", &["r3"], &[]),
+        ("e4", &["r3"], &[]),
+    ]);
+    for model in ["r4", "r5"] {
+        want(&mut planner, model, at(0));
+    }
+    for order in planner.plan(at(0)) {
+        planner.order_ended(&order, OrderOutcome::Accepted, at(0));
+    }
+    // The first ends in time; the second takes twice as long, so one runs at full speed.
+    planner.observe_report(
+        "e1",
+        Some(&report(6, &["r1", "r4"], &[])),
+        at(6_100),
+        at(6_100),
+    );
+    planner.observe_report(
+        "e2",
+        Some(&report(6, &["r2", "r5"], &[])),
+        at(12_000),
+        at(12_000),
+    );
+    want(&mut planner, "r6", at(13_000));
+    want(&mut planner, "r7", at(13_000));
+    for order in planner.plan(at(13_000)) {
+        planner.order_ended(&order, OrderOutcome::Accepted, at(13_000));
+    }
+    let longest =
+        ["r6", "r7"]
+            .into_iter()
+            .filter_map(|model| match want(&mut planner, model, at(13_000)) {
+                Placement::Loading { ready_in, .. } => Some(ready_in),
+                _ => None,
+            });
+    assert_that!(longest.max(), some(eq(Duration::from_secs(12))));
+}
