--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -101,6 +101,13 @@
                 planner.assume_demand(now);
             }
         }
+        let shown = self.state.with_source(|source| {
+            let hosts = source.hosts.iter();
+            hosts
+                .map(|(host, known)| (host.clone(), known.shown_at))
+                .collect()
+        });
+        self.ledger.set_hosts(shown);
         self.planners
             .retain(|service, _| config.services.contains_key(service));
         self.ledger.retain_backends(|id| {
--- a/crates/host/src/fleet_reporter.rs
+++ b/crates/host/src/fleet_reporter.rs
@@ -4,6 +4,7 @@
 use slog::info;
 use slog::warn;
 use tokio_util::sync::CancellationToken;
+use zinniahinge_serving::SHOW_INTERVAL;
 use zinniahinge_types::BackendTotal;
 use zinniahinge_types::BackendUse;
 use zinniahinge_types::FleetReply;
@@ -13,12 +14,16 @@
 
 use crate::fleet_table::DutyHolder;
 use crate::host_state::HostState;
+use crate::record_keys::host_record;
 use crate::store_relay::StoreRelay;
 use crate::table_source::TableSource;
 
 /// A host without traffic reports this many times less often.
 const IDLE_FACTOR: u32 = 2;
 
+/// Longest time between two reports; the coordinating host counts on a host's own share after 1.5 s.
+const MAX_IDLE_INTERVAL: Duration = Duration::from_millis(1200);
+
 /// Time between two reports for each host of the fleet: the coordinating host answers 400 reports a second at most.
 const INTERVAL_PER_HOST: Duration = Duration::from_micros(2500);
 
@@ -37,12 +42,20 @@
     fence: u64,
     is_lost: bool,
     idle_rounds: u32,
+    /// When a report was sent that a holder answered.
+    answered_at: MonotonicTime,
+    /// When this host last wrote its record again.
+    shown_at: MonotonicTime,
 }
 
 impl FleetReporter {
     /// Runs until `token` is cancelled.
     pub(crate) async fn run(self, token: CancellationToken) {
-        let mut memory = ReportMemory::default();
+        let mut memory = ReportMemory {
+            // The record was written at the start.
+            shown_at: self.state.now(),
+            ..ReportMemory::default()
+        };
         loop {
             let hosts = self.state.with_source(|source| source.hosts.len() as u32);
             let interval = self.interval.max(INTERVAL_PER_HOST * hosts);
@@ -53,17 +66,41 @@
             self.state.retries.accrue(interval);
             let holder = self.state.table.load().holder.clone();
             if let Some(holder) = holder {
-                self.round(&holder, &mut memory).await;
+                self.round(&holder, interval, &mut memory).await;
+            }
+            self.show_alive(&mut memory).await;
+        }
+    }
+
+    /// Writes this host's record again while it reaches no holder for long, so that the holder keeps this host's share of
+    /// the accounts' rates for it.
+    async fn show_alive(&self, memory: &mut ReportMemory) {
+        let state = &self.state;
+        let now = state.now();
+        let last = memory.answered_at.max(memory.shown_at);
+        if now.since(last) < SHOW_INTERVAL {
+            return;
+        }
+        memory.shown_at = now;
+        let write = host_record(&state.boot);
+        match self.relay.store.transact(&[], &[write], &[]).await {
+            Ok(_) => info!(
+                state.logger,
+                "host record written again, no coordinating host answers"
+            ),
+            Err(error) => {
+                info!(state.logger, "host record not written"; "error" => %error);
             }
         }
     }
 
-    async fn round(&self, holder: &DutyHolder, memory: &mut ReportMemory) {
+    async fn round(&self, holder: &DutyHolder, interval: Duration, memory: &mut ReportMemory) {
         let state = &self.state;
         let is_idle = state.uses().is_empty() && state.counters.active.get() == 0;
         memory.idle_rounds = if is_idle { memory.idle_rounds + 1 } else { 0 };
         let is_known = memory.fence == holder.fence;
         if is_known
+            && interval * IDLE_FACTOR <= MAX_IDLE_INTERVAL
             && memory.idle_rounds > IDLE_FACTOR
             && !memory.idle_rounds.is_multiple_of(IDLE_FACTOR)
         {
@@ -74,6 +111,7 @@
         match state.link.report(holder, &report, state).await {
             Ok(FleetReply::View(view)) => {
                 memory.fence = view.fence;
+                memory.answered_at = now;
                 if memory.is_lost {
                     info!(state.logger, "coordinating host regained"; "host" => &*holder.host,
                         "fence" => holder.fence);
--- a/crates/host/src/store_changes.rs
+++ b/crates/host/src/store_changes.rs
@@ -25,6 +25,7 @@
 use crate::record_keys::HOSTS_PREFIX;
 use crate::record_keys::PEER_KEYS_KEY;
 use crate::record_keys::TERM_KEY;
+use crate::table_source::KnownHost;
 use crate::table_source::TableSource;
 
 /// Applies what the store says, whether this host read it itself or the coordinating host passed it on.
@@ -195,7 +196,10 @@
                 let address = std::str::from_utf8(&item.value).ok();
                 let address = address.and_then(|address| address.parse().ok());
                 if let Some((host, address)) = host.zip(address) {
-                    source.hosts.insert(host.into(), address);
+                    let shown_at = self.state.now();
+                    source
+                        .hosts
+                        .insert(host.into(), KnownHost { address, shown_at });
                 }
             }
         }
--- a/crates/host/src/store_follower.rs
+++ b/crates/host/src/store_follower.rs
@@ -16,8 +16,8 @@
 use zinniahinge_types::Revision;
 
 use crate::host_state::HostState;
-use crate::record_keys::HOSTS_PREFIX;
 use crate::record_keys::PEER_KEYS_KEY;
+use crate::record_keys::host_record;
 use crate::store_changes::StoreChanges;
 use crate::store_relay::relayed_rest;
 
@@ -148,16 +148,11 @@
     /// Records this host's address, and the fleet's peer keys if there are none yet.
     async fn register(&self) -> StoreResult<()> {
         let boot = &self.state.boot;
-        let address = boot.peers.to_string();
         let known = self
             .state
-            .with_source(|source| source.hosts.get(&boot.host).copied());
+            .with_source(|source| source.hosts.get(&boot.host).map(|known| known.address));
         if known != Some(boot.peers) {
-            let write = Write {
-                key: format!("{HOSTS_PREFIX}{}", boot.host).into(),
-                value: address.into(),
-                lease: None,
-            };
+            let write = host_record(boot);
             self.store.transact(&[], &[write], &[]).await?;
         }
         if self.state.with_source(|source| source.has_peer_keys) {
--- a/crates/host/src/table_source.rs
+++ b/crates/host/src/table_source.rs
@@ -24,6 +24,15 @@
 /// Age of the coordinating host's views from which what a server writes into the store goes before them.
 const VIEW_LIMIT: Duration = Duration::from_secs(5);
 
+/// A host of the fleet, from its record in the store.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct KnownHost {
+    /// Where it takes messages.
+    pub(crate) address: SocketAddr,
+    /// When this host heard of the record's last write.
+    pub(crate) shown_at: MonotonicTime,
+}
+
 /// What the host has heard, from which [`FleetTable`] is built.
 #[derive(Debug)]
 pub(crate) struct TableSource {
@@ -32,8 +41,8 @@
     pub(crate) holder: Option<DutyHolder>,
     /// Host that coordinated last.
     pub(crate) last_holder: Option<Name>,
-    /// Hosts of the fleet and where they take messages.
-    pub(crate) hosts: HashMap<Name, SocketAddr>,
+    /// Hosts of the fleet.
+    pub(crate) hosts: HashMap<Name, KnownHost>,
     /// True once the fleet's peer keys were read.
     pub(crate) has_peer_keys: bool,
     /// Entries that can't be decoded, with why; each is logged once.
--- a/crates/serving/src/account_meter.rs
+++ b/crates/serving/src/account_meter.rs
@@ -9,10 +9,15 @@
 use crate::AccountSpec;
 
 /// Age up to which the fleet's levels are used. Several reports have failed then.
-const LEVEL_LIMIT: Duration = Duration::from_millis(1500);
+pub(crate) const LEVEL_LIMIT: Duration = Duration::from_millis(1500);
 
-/// Part of the tolerated excess that levels may go below zero: what hosts admit between two reports uses the rest.
-const LEVEL_SLACK_SHARE: f64 = 0.45;
+/// Time between two signs of life in the store of a host that reaches no holder, so that its share of the rates is kept
+/// for it.
+pub const SHOW_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Part of the tolerated excess that levels may go below zero. What hosts admit between two reports while the load jumps
+/// needs the rest.
+const LEVEL_SLACK_SHARE: f64 = 0.1;
 
 /// Part of the tolerated excess that hosts without levels share.
 const BLIND_SLACK_SHARE: f64 = 0.3;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -36,6 +36,7 @@
 pub use account_meter::AccountMeter;
 pub use account_meter::ChargeRefusal;
 pub use account_meter::MeterSettings;
+pub use account_meter::SHOW_INTERVAL;
 pub use account_spec::AccountSpec;
 pub use account_spec::QuotaUnit;
 pub use account_table::AccountTable;
--- a/crates/serving/tests/account_usage.rs
+++ b/crates/serving/tests/account_usage.rs
@@ -45,16 +45,28 @@
 
 struct FleetCase {
     name: &'static str,
-    /// Requests a second over all hosts; a tenth of them at each of two hosts, the rest spread.
+    hosts: usize,
+    /// Requests a second over all hosts from the fourth second on; a tenth of them at each of two hosts, the rest spread.
     per_s: u64,
+    /// Requests a second before.
+    usual_per_s: u64,
     /// The holder answers from, and until, then, milliseconds.
     holder: (u64, u64),
     /// All processes start anew then.
     killed_at: Option<u64>,
+    /// The last hosts can't reach the holder from and until then, milliseconds.
+    cut: Option<CutHosts>,
     /// Share of the rate that is used at least.
     least: f64,
 }
 
+#[derive(Clone, Copy)]
+struct CutHosts {
+    count: usize,
+    from: u64,
+    until: u64,
+}
+
 /// Guards against accounts that get more than their rate when their load jumps, when the holder is lost, and when all
 /// processes are killed meanwhile; and against ones that get far less.
 #[test]
@@ -62,46 +74,102 @@
     let cases = [
         FleetCase {
             name: "within the rate",
+            hosts: HOSTS,
             per_s: 4,
+            usual_per_s: 4,
             holder: (0, 40_000),
             killed_at: None,
+            cut: None,
             least: 0.55,
         },
         FleetCase {
             name: "seven times the usual",
+            hosts: HOSTS,
             per_s: 30,
+            usual_per_s: 30,
             holder: (0, 40_000),
             killed_at: None,
+            cut: None,
             least: 0.95,
         },
         FleetCase {
             name: "no holder",
+            hosts: HOSTS,
             per_s: 30,
+            usual_per_s: 30,
             holder: (0, 0),
             killed_at: None,
+            cut: None,
             least: 0.5,
         },
         FleetCase {
             name: "holder lost",
+            hosts: HOSTS,
             per_s: 30,
+            usual_per_s: 30,
             holder: (0, 10_000),
             killed_at: None,
+            cut: None,
             least: 0.5,
         },
         FleetCase {
             name: "all killed",
+            hosts: HOSTS,
             per_s: 30,
+            usual_per_s: 30,
             holder: (0, 40_000),
             killed_at: Some(9_000),
+            cut: None,
             least: 0.7,
         },
         FleetCase {
             name: "all killed, holder late",
+            hosts: HOSTS,
             per_s: 30,
+            usual_per_s: 30,
             holder: (12_000, 40_000),
             killed_at: Some(9_000),
+            cut: None,
             least: 0.4,
         },
+        FleetCase {
+            name: "a third cut off",
+            hosts: HOSTS,
+            per_s: 60,
+            usual_per_s: 60,
+            holder: (0, 40_000),
+            killed_at: None,
+            cut: Some(CutHosts {
+                count: 7,
+                from: 1_000,
+                until: 13_000,
+            }),
+            least: 0.85,
+        },
+        FleetCase {
+            name: "half cut off for long",
+            hosts: HOSTS,
+            per_s: 60,
+            usual_per_s: 60,
+            holder: (0, 40_000),
+            killed_at: None,
+            cut: Some(CutHosts {
+                count: 9,
+                from: 2_000,
+                until: 29_000,
+            }),
+            least: 0.75,
+        },
+        FleetCase {
+            name: "load jumps over many hosts",
+            hosts: 96,
+            per_s: 80,
+            usual_per_s: 4,
+            holder: (0, 40_000),
+            killed_at: None,
+            cut: None,
+            least: 0.9,
+        },
     ];
     for case in cases {
         let admitted = play(&case);
@@ -137,24 +205,31 @@
     accounts.insert(account.clone(), ["key"]);
     let meter = |is_first| {
         let mut meter = AccountMeter::new(SETTINGS, is_first);
-        meter.set_hosts(HOSTS as u32);
+        meter.set_hosts(case.hosts as u32);
         meter
     };
-    let mut meters: Vec<AccountMeter> = (0..HOSTS).map(|_| meter(true)).collect();
+    let mut meters: Vec<AccountMeter> = (0..case.hosts).map(|_| meter(true)).collect();
     let mut ledger = FleetLedger::new(SETTINGS, true, at(0));
+    let mut shown = vec![at(0); case.hosts];
     let mut admitted = Vec::new();
     let mut number = 0;
+    let mut due = 0;
     for now in (0..30_000).step_by(10) {
         if case.killed_at == Some(now) {
-            meters = (0..HOSTS).map(|_| meter(false)).collect();
+            meters = (0..case.hosts).map(|_| meter(false)).collect();
             ledger = FleetLedger::new(SETTINGS, false, at(now));
         }
-        while number * 1000 < now * case.per_s {
+        due += if now < 4_000 {
+            case.usual_per_s
+        } else {
+            case.per_s
+        };
+        while number * 100 < due {
             // Callers are uneven: every fifth request goes to one of the first two hosts.
             let host = if number % 5 == 0 {
                 (number / 5 % 2) as usize
             } else {
-                number as usize * 7 % HOSTS
+                number as usize * 7 % case.hosts
             };
             if meters[host].charge(&account, COST, at(now)).is_ok() {
                 admitted.push((now, COST));
@@ -163,9 +238,18 @@
         }
         let answers = (case.holder.0..case.holder.1).contains(&now);
         for (index, meter) in meters.iter_mut().enumerate() {
-            if !answers || (now / 10) as usize % 30 != index {
+            let is_cut = case.cut.is_some_and(|cut| {
+                index >= case.hosts - cut.count && (cut.from..cut.until).contains(&now)
+            });
+            // A host that reaches no holder shows in the store each five seconds that it lives.
+            if is_cut && now % 5_000 == 0 {
+                shown[index] = at(now);
+            }
+            if is_cut || !answers || (now / 10) as usize % 30 != index % 30 {
                 continue;
             }
+            let hosts = (0..case.hosts).map(|index| (format!("h{index}").into(), shown[index]));
+            ledger.set_hosts(hosts.collect());
             let report = FleetReport {
                 host: format!("h{index}").into(),
                 accounts: meter.take_unreported(),
