Add a fault soak with real host processes

One process plays a seed: hosts are paused, killed, stopped and killed all at once; links to the store and to backend servers are delayed, reset, cut one way and silenced by proxies; store and backend servers misbehave; configurations and keys change. Promises are checked from what callers and backend servers saw, and each check has a case that breaks it.

--- /dev/null
+++ b/crates/soak/src/fault_plan.rs
@@ -0,0 +1,127 @@
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use zinniahinge_platform_standins::BackendFault;
+use zinniahinge_platform_standins::StoreFault;
+
+use crate::LinkMode;
+
+/// Faults a second. They last longer than the time between them, so that they overlap.
+const FAULTS_PER_S: f64 = 0.8;
+
+/// Quiet time at the start, in which hosts start and the first one gets the duty.
+const LEAD: Duration = Duration::from_secs(1);
+
+/// What strikes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum FaultKind {
+    /// A host's process is stopped by a signal and goes on later.
+    PauseHost(usize),
+    /// A host's process is killed and started again later.
+    KillHost(usize),
+    /// A host's process is asked to end, and started again when it has ended.
+    StopHost(usize),
+    /// All host processes are killed at once.
+    KillAllHosts,
+    /// The store misbehaves for all.
+    Store(StoreFault),
+    /// The store forgets its history.
+    DropHistory,
+    /// The link from a host to the store.
+    StoreLink(usize, LinkMode),
+    /// The link from all hosts to a backend server.
+    BackendLink(usize, LinkMode),
+    /// A backend server misbehaves.
+    Backend(usize, BackendFault),
+    /// A plain backend server leaves, and another one comes.
+    ReplaceBackend(usize),
+    /// The configuration gets another version.
+    ChangeConfig,
+    /// The second key of the account is withdrawn, or given again.
+    TurnKey,
+}
+
+/// A fault and its time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlannedFault {
+    /// Time from the start.
+    pub at: Duration,
+    /// How long it lasts, where it lasts.
+    pub lasts: Duration,
+    /// What strikes.
+    pub kind: FaultKind,
+}
+
+/// Draws the faults of a run; `backends` counts all backend servers, `plain` those without models, which come first.
+pub fn plan_faults(
+    seed: u64,
+    time: Duration,
+    hosts: usize,
+    (plain, backends): (usize, usize),
+) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let count = (time.as_secs_f64() * FAULTS_PER_S).ceil() as usize;
+    let faults = (0..count).map(|_| {
+        let at = LEAD + time.saturating_sub(LEAD).mul_f64(random.random::<f64>());
+        let lasts = Duration::from_millis(random.random_range(200..4_000));
+        let host = random.random_range(0..hosts);
+        let kind = match random.random_range(0..20) {
+            0..3 => FaultKind::PauseHost(host),
+            3..5 => FaultKind::KillHost(host),
+            5..7 => FaultKind::StopHost(host),
+            7 => FaultKind::KillAllHosts,
+            8..10 => FaultKind::Store(store_fault(&mut random)),
+            10 => FaultKind::DropHistory,
+            11..13 => FaultKind::StoreLink(host, link_mode(&mut random)),
+            13..15 => {
+                FaultKind::BackendLink(random.random_range(0..backends), link_mode(&mut random))
+            }
+            15..17 => {
+                FaultKind::Backend(random.random_range(0..backends), backend_fault(&mut random))
+            }
+            17 => FaultKind::ReplaceBackend(random.random_range(0..plain)),
+            18 => FaultKind::ChangeConfig,
+            _ => FaultKind::TurnKey,
+        };
+        PlannedFault { at, lasts, kind }
+    });
+    let mut faults: Vec<PlannedFault> = faults.collect();
+    faults.sort_by_key(|fault| fault.at);
+    faults
+}
+
+fn store_fault(random: &mut StdRng) -> StoreFault {
+    match random.random_range(0..3) {
+        0 => StoreFault::Busy,
+        1 => StoreFault::Silent,
+        _ => StoreFault::LoseAnswers,
+    }
+}
+
+fn link_mode(random: &mut StdRng) -> LinkMode {
+    match random.random_range(0..5) {
+        0 => LinkMode::Delayed(Duration::from_millis(random.random_range(20..400))),
+        1 => LinkMode::CutToServer,
+        2 => LinkMode::CutToClient,
+        3 => LinkMode::Silent,
+        _ => LinkMode::Reset,
+    }
+}
+
+fn backend_fault(random: &mut StdRng) -> BackendFault {
+    const FAULTS: [BackendFault; 10] = [
+        BackendFault::LoseAnswer,
+        BackendFault::Shed,
+        BackendFault::Error,
+        BackendFault::Hang,
+        BackendFault::Cross,
+        BackendFault::Extra,
+        BackendFault::CutBody,
+        BackendFault::Garbage,
+        BackendFault::Unsigned,
+        BackendFault::BreakStream,
+    ];
+    FAULTS[random.random_range(0..FAULTS.len())]
+}
--- /dev/null
+++ b/crates/soak/src/fault_task.rs
@@ -0,0 +1,182 @@
+use std::time::Duration;
+use std::time::Instant;
+
+use nix::sys::signal::Signal;
+use zinniahinge_platform_standins::BackendFault;
+use zinniahinge_platform_standins::HostProcess;
+use zinniahinge_platform_standins::RouteText;
+use zinniahinge_platform_standins::StoreFault;
+
+use crate::FaultKind;
+use crate::LinkMode;
+use crate::PlannedFault;
+use crate::Result;
+use crate::SoakError;
+use crate::soak_world::KEPT_KEY;
+use crate::soak_world::SoakWorld;
+use crate::soak_world::TURNED_KEY;
+use crate::soak_world::locked;
+use crate::soak_world::start_backend;
+
+/// Time for a host to end after it was asked to: its grace period and a little more.
+const END_LIMIT: Duration = Duration::from_secs(9);
+
+/// Time for which a killed host stays away at most.
+const MAX_DOWN: Duration = Duration::from_millis(1500);
+
+/// Time for which a backend server serves on after it said that it leaves: the platform's two seconds and a little more.
+const LEAVE_TIME: Duration = Duration::from_millis(2300);
+
+/// Prefixes of routes that are added.
+const ADDED_PREFIXES: [&str; 4] = ["/v1/", "/v2/", "/v3/", "/v4/"];
+
+/// Lets a fault strike at its time and ends it.
+pub(crate) async fn strike(world: &SoakWorld, fault: PlannedFault) -> Result<()> {
+    tokio::time::sleep(fault.at).await;
+    let PlannedFault { lasts, kind, .. } = fault;
+    match kind {
+        FaultKind::PauseHost(host) => pause_host(world, host, lasts).await,
+        FaultKind::KillHost(host) => kill_host(world, host, lasts).await,
+        FaultKind::StopHost(host) => stop_host(world, host).await,
+        FaultKind::KillAllHosts => {
+            let hosts = 0..world.hosts.len();
+            let kills = hosts.map(|host| kill_host(world, host, lasts));
+            let killed = futures::future::join_all(kills).await;
+            killed.into_iter().collect()
+        }
+        FaultKind::Store(kind) => {
+            world.store.set_fault(kind);
+            tokio::time::sleep(lasts).await;
+            world.store.set_fault(StoreFault::None);
+            Ok(())
+        }
+        FaultKind::DropHistory => {
+            world.store.drop_history();
+            Ok(())
+        }
+        FaultKind::StoreLink(host, mode) => {
+            let slot = &world.hosts[host];
+            let from = Instant::now();
+            slot.store_link.set_mode(mode);
+            tokio::time::sleep(lasts).await;
+            slot.store_link.set_mode(LinkMode::Open);
+            world.disturb(&slot.name, from, Instant::now());
+            Ok(())
+        }
+        FaultKind::BackendLink(backend, mode) => {
+            set_backend_link(world, backend, mode);
+            tokio::time::sleep(lasts).await;
+            set_backend_link(world, backend, LinkMode::Open);
+            Ok(())
+        }
+        FaultKind::Backend(backend, kind) => {
+            locked(&world.backends)[backend].server.set_fault(kind);
+            tokio::time::sleep(lasts).await;
+            let backends = locked(&world.backends);
+            backends[backend].server.set_fault(BackendFault::None);
+            Ok(())
+        }
+        FaultKind::ReplaceBackend(backend) => replace_backend(world, backend).await,
+        FaultKind::ChangeConfig => {
+            let mut config = locked(&world.config);
+            config.version += 1;
+            let prefix = ADDED_PREFIXES[config.version as usize % ADDED_PREFIXES.len()];
+            let known = config
+                .routes
+                .iter()
+                .position(|route| route.prefix == prefix);
+            match known {
+                Some(index) => drop(config.routes.remove(index)),
+                None => config.routes.push(RouteText {
+                    prefix,
+                    ..RouteText::default()
+                }),
+            }
+            world.store.put_config(config.to_text());
+            Ok(())
+        }
+        FaultKind::TurnKey => {
+            let mut config = locked(&world.config);
+            config.version += 1;
+            let is_given = config.keys.len() == 1;
+            config.keys = if is_given {
+                vec![KEPT_KEY, TURNED_KEY]
+            } else {
+                vec![KEPT_KEY]
+            };
+            world.store.put_config(config.to_text());
+            locked(&world.key_turns).push((Instant::now(), is_given));
+            Ok(())
+        }
+    }
+}
+
+fn set_backend_link(world: &SoakWorld, backend: usize, mode: LinkMode) {
+    locked(&world.backends)[backend].link.set_mode(mode);
+}
+
+fn signal(process: &HostProcess, signal: Signal) -> Result<()> {
+    process
+        .signal(signal)
+        .map_err(SoakError::of("signal a host"))
+}
+
+async fn pause_host(world: &SoakWorld, host: usize, lasts: Duration) -> Result<()> {
+    let slot = &world.hosts[host];
+    let process = slot.process.lock().await;
+    let from = Instant::now();
+    if let Some(process) = &*process {
+        signal(process, Signal::SIGSTOP)?;
+        tokio::time::sleep(lasts).await;
+        signal(process, Signal::SIGCONT)?;
+        world.disturb(&slot.name, from, Instant::now());
+    }
+    Ok(())
+}
+
+async fn kill_host(world: &SoakWorld, host: usize, lasts: Duration) -> Result<()> {
+    let slot = &world.hosts[host];
+    let mut process = slot.process.lock().await;
+    let from = Instant::now();
+    if let Some(killed) = process.take() {
+        signal(&killed, Signal::SIGKILL)?;
+        world.keep_log(&killed);
+    }
+    tokio::time::sleep(lasts.min(MAX_DOWN)).await;
+    *process = Some(world.restart_host(slot).await?);
+    world.disturb(&slot.name, from, Instant::now());
+    Ok(())
+}
+
+async fn stop_host(world: &SoakWorld, host: usize) -> Result<()> {
+    let slot = &world.hosts[host];
+    let mut process = slot.process.lock().await;
+    let from = Instant::now();
+    if let Some(mut stopped) = process.take() {
+        signal(&stopped, Signal::SIGTERM)?;
+        let ended = stopped.wait_end(END_LIMIT).await;
+        ended.map_err(SoakError::of("see a host end within its grace period"))?;
+        world.keep_log(&stopped);
+    }
+    *process = Some(world.restart_host(slot).await?);
+    world.disturb(&slot.name, from, Instant::now());
+    Ok(())
+}
+
+async fn replace_backend(world: &SoakWorld, backend: usize) -> Result<()> {
+    let id = format!("app-{}", locked(&world.backends).len());
+    let next = start_backend(&world.store, &id, &[]).await?;
+    let former = {
+        let mut backends = locked(&world.backends);
+        backends[backend].server.leave();
+        // The former one's requests are judged to the end, so it stays in the list behind the others.
+        let former = std::mem::replace(&mut backends[backend], next);
+        backends.push(former);
+        backends.len() - 1
+    };
+    tokio::time::sleep(LEAVE_TIME).await;
+    let backends = locked(&world.backends);
+    backends[former].server.vanish();
+    backends[former].link.set_mode(LinkMode::Reset);
+    Ok(())
+}
--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,29 @@
+//! Randomized faults against real host processes, judged by what callers and backend servers see.
+
+mod caller_record;
+mod caller_task;
+mod fault_plan;
+mod fault_task;
+mod link_proxy;
+mod promise_check;
+mod soak_error;
+mod soak_run;
+mod soak_settings;
+mod soak_world;
+
+pub use caller_record::CallerRecord;
+pub use caller_record::RequestKind;
+pub use fault_plan::FaultKind;
+pub use fault_plan::PlannedFault;
+pub use fault_plan::plan_faults;
+pub use link_proxy::LinkMode;
+pub use link_proxy::LinkProxy;
+pub use promise_check::Disturbance;
+pub use promise_check::SoakRecords;
+pub use promise_check::broken_promises;
+pub use soak_error::Result;
+pub use soak_error::SoakError;
+pub use soak_run::SoakReport;
+pub use soak_run::run;
+pub use soak_settings::SoakSettings;
+pub use soak_settings::soak_arguments;
--- /dev/null
+++ b/crates/soak/src/soak_world.rs
@@ -0,0 +1,186 @@
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Instant;
+
+use zinniahinge_platform_standins::BackendServer;
+use zinniahinge_platform_standins::ConfigText;
+use zinniahinge_platform_standins::HostFleet;
+use zinniahinge_platform_standins::HostProcess;
+use zinniahinge_platform_standins::PlatformStore;
+use zinniahinge_platform_standins::RouteText;
+
+use crate::LinkProxy;
+use crate::Result;
+use crate::SoakError;
+use crate::SoakSettings;
+use crate::promise_check::Disturbance;
+
+/// Plain backend servers; they come before the engines.
+pub(crate) const PLAIN_SERVERS: usize = 3;
+
+/// Models of each engine at the start. A third model is on none.
+const ENGINES: [&[&str]; 3] = [&["m1", "m2"], &["m1"], &["m2"]];
+
+/// Key that is never withdrawn.
+pub(crate) const KEPT_KEY: &str = "key-1";
+
+/// Key that is withdrawn and given again.
+pub(crate) const TURNED_KEY: &str = "key-2";
+
+/// A backend server behind a proxy.
+pub(crate) struct LinkedBackend {
+    pub(crate) server: BackendServer,
+    pub(crate) link: LinkProxy,
+}
+
+/// A host's place in the fleet: its processes come and go.
+pub(crate) struct HostSlot {
+    pub(crate) name: String,
+    pub(crate) process: tokio::sync::Mutex<Option<HostProcess>>,
+    /// Where callers connect to the present process.
+    pub(crate) callers: Mutex<SocketAddr>,
+    pub(crate) store_link: LinkProxy,
+}
+
+/// Everything that a run plays with.
+pub(crate) struct SoakWorld {
+    pub(crate) store: PlatformStore,
+    pub(crate) backends: Mutex<Vec<LinkedBackend>>,
+    pub(crate) hosts: Vec<HostSlot>,
+    pub(crate) fleet: tokio::sync::Mutex<HostFleet>,
+    pub(crate) config: Mutex<ConfigText>,
+    /// When the second key was withdrawn (false) or given again (true).
+    pub(crate) key_turns: Mutex<Vec<(Instant, bool)>>,
+    pub(crate) disturbances: Mutex<Vec<Disturbance>>,
+    /// Logs of processes that have ended.
+    pub(crate) ended_logs: Mutex<Vec<(String, String)>>,
+}
+
+impl SoakWorld {
+    /// Starts the stand-ins, the proxies and the hosts.
+    pub(crate) async fn start(settings: &SoakSettings) -> Result<Self> {
+        let store = PlatformStore::start()
+            .await
+            .map_err(SoakError::of("start the store"))?;
+        let config = first_config();
+        store.put_config(config.to_text());
+        let mut backends = Vec::new();
+        for number in 0..PLAIN_SERVERS {
+            backends.push(start_backend(&store, &format!("app-{number}"), &[]).await?);
+        }
+        for (number, models) in ENGINES.into_iter().enumerate() {
+            backends.push(start_backend(&store, &format!("llm-{number}"), models).await?);
+        }
+        let mut fleet = HostFleet::new(&settings.program, &store)
+            .map_err(SoakError::of("make a folder for the hosts"))?;
+        let mut hosts = Vec::new();
+        for number in 0..settings.hosts {
+            let name = format!("h{number}");
+            let link = LinkProxy::start(store.address())
+                .await
+                .map_err(SoakError::of("start a proxy"))?;
+            fleet.route_store(&name, link.address());
+            let process = fleet.spawn(&name, true);
+            let process = process.map_err(SoakError::of("start a host"))?;
+            hosts.push(HostSlot {
+                name,
+                callers: Mutex::new(process.callers),
+                process: tokio::sync::Mutex::new(Some(process)),
+                store_link: link,
+            });
+        }
+        for slot in &hosts {
+            if let Some(process) = &*slot.process.lock().await {
+                let ready = process.wait_ready(true).await;
+                ready.map_err(SoakError::of("see a host ready"))?;
+            }
+        }
+        Ok(Self {
+            store,
+            backends: Mutex::new(backends),
+            hosts,
+            fleet: tokio::sync::Mutex::new(fleet),
+            config: Mutex::new(config),
+            key_turns: Mutex::default(),
+            disturbances: Mutex::default(),
+            ended_logs: Mutex::default(),
+        })
+    }
+
+    /// Starts a host's next process, which does not wait until it is ready.
+    pub(crate) async fn restart_host(&self, slot: &HostSlot) -> Result<HostProcess> {
+        let started = self.fleet.lock().await.spawn(&slot.name, false);
+        let process = started.map_err(SoakError::of("start a host again"))?;
+        *locked(&slot.callers) = process.callers;
+        Ok(process)
+    }
+
+    /// Keeps the log of a process that has ended.
+    pub(crate) fn keep_log(&self, process: &HostProcess) {
+        let name = process.name.clone();
+        locked(&self.ended_logs).push((name, process.log_text()));
+    }
+
+    pub(crate) fn disturb(&self, host: &str, from: Instant, until: Instant) {
+        let host = host.to_owned();
+        locked(&self.disturbances).push(Disturbance { host, from, until });
+    }
+}
+
+/// Starts a backend server behind a proxy; one without models is a plain one.
+pub(crate) async fn start_backend(
+    store: &PlatformStore,
+    id: &str,
+    models: &[&str],
+) -> Result<LinkedBackend> {
+    let service = if models.is_empty() { "app" } else { "llm" };
+    let server = BackendServer::start(store, id, service, models)
+        .await
+        .map_err(SoakError::of("start a backend server"))?;
+    let link = LinkProxy::start(server.address())
+        .await
+        .map_err(SoakError::of("start a proxy"))?;
+    server.advertise(link.address());
+    Ok(LinkedBackend { server, link })
+}
+
+fn first_config() -> ConfigText {
+    let base = RouteText::default();
+    let stream = RouteText {
+        kind: "streaming",
+        service: "llm",
+        timeout_ms: 6000,
+        ..base
+    };
+    ConfigText {
+        routes: vec![
+            base,
+            RouteText {
+                prefix: "/book/",
+                kind: "non_idempotent",
+                attempts: 1,
+                ..base
+            },
+            RouteText {
+                prefix: "/llm/",
+                attempts: 1,
+                ..stream
+            },
+            RouteText {
+                prefix: "/resume/",
+                attempts: 3,
+                resume: true,
+                ..stream
+            },
+        ],
+        keys: vec![KEPT_KEY, TURNED_KEY],
+        ..ConfigText::default()
+    }
+}
+
+/// The value, also after a thread panicked with it: the run reports what it saw.
+pub(crate) fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -28,6 +28,8 @@
 fi
 step "tests"
 cargo test --workspace --quiet --no-fail-fast -- "${skips[@]}"
+step "fault soak, kept seeds"
+scripts/soak.sh
 if [ -s KNOWN-RED.txt ]; then
   step "known failures, not run"
   cat KNOWN-RED.txt
