Choose the server again after a wait for the retry budget

Now a request that waited chooses again, and its key is checked again. Test: a_request_that_waited_for_a_retry_passes_over_leaving_servers.

--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -55,6 +55,16 @@
     Stream(Response<()>, OpenStream),
 }
 
+/// Whether a request may be sent once more.
+enum RetryTake {
+    /// At once.
+    AtOnce,
+    /// After a wait.
+    Waited,
+    /// The budget was empty for too long.
+    Refused,
+}
+
 /// A send without a usable answer.
 struct FailedSend {
     end: SendEnd,
@@ -104,6 +114,7 @@
     state.retries.of(&context.service).record_request();
     // The caller gets it if no other server does better.
     let mut failed_answer: Option<WholeAnswer> = None;
+    let mut has_retry = false;
     loop {
         if context.time_left() < MIN_SEND_TIME {
             let refusal = Refusal::not_run(RefusalKind::DeadlinePassed);
@@ -117,10 +128,21 @@
         if let Err(refusal) = check_key(state, context) {
             return give_up(refusal, tries, failed_answer);
         }
-        if tries.arrivals > 0 && !take_retry(state, context, tries).await {
-            let refusal = Refusal::not_run(RefusalKind::Overloaded);
-            return give_up(refusal, tries, failed_answer);
+        if tries.arrivals > 0 && !has_retry {
+            match take_retry(state, context, tries).await {
+                RetryTake::AtOnce => {}
+                RetryTake::Waited => {
+                    // The server may have left and the key been withdrawn meanwhile.
+                    has_retry = true;
+                    continue;
+                }
+                RetryTake::Refused => {
+                    let refusal = Refusal::not_run(RefusalKind::Overloaded);
+                    return give_up(refusal, tries, failed_answer);
+                }
+            }
         }
+        has_retry = false;
         let backend = target.entry.id.clone();
         log.note_send(&backend);
         let sent = attempt(state, context, &target).await;
@@ -173,16 +195,18 @@
 
 /// Takes a retry from the budget. A request that has not run may wait for one: it is not worth less than those whose
 /// first send comes later.
-async fn take_retry(state: &HostState, context: &RequestContext, tries: &TryLog) -> bool {
+async fn take_retry(state: &HostState, context: &RequestContext, tries: &TryLog) -> RetryTake {
     let wait_until = context.arrived + context.whole_time() * RETRY_WAIT_PERCENT / 100;
+    let mut taken = RetryTake::AtOnce;
     loop {
         if state.retries.of(&context.service).try_retry() {
-            return true;
+            return taken;
         }
         if tries.has_maybe_run() || Instant::now() + RETRY_POLL >= wait_until {
-            return false;
+            return RetryTake::Refused;
         }
         tokio::time::sleep(RETRY_POLL).await;
+        taken = RetryTake::Waited;
     }
 }
 
--- a/crates/host/tests/platform_changes.rs
+++ b/crates/host/tests/platform_changes.rs
@@ -6,7 +6,9 @@
 use std::time::Instant;
 
 use googletest::prelude::*;
+use zinniahinge_platform_standins::BackendFault;
 use zinniahinge_platform_standins::BackendServer;
+use zinniahinge_platform_standins::Caller;
 use zinniahinge_platform_standins::CallerRequest;
 use zinniahinge_platform_standins::ConfigText;
 use zinniahinge_platform_standins::RouteText;
@@ -176,3 +178,46 @@
     assert_that!(bed.plain[0].requests().len(), eq(before));
     Ok(())
 }
+
+/// Guards against requests that wait for the retry budget and then go to a server that left meanwhile.
+#[tokio::test]
+async fn a_request_that_waited_for_a_retry_passes_over_leaving_servers() -> Outcome {
+    let mut config = all_config();
+    config.routes.push(RouteText {
+        prefix: "/patient/",
+        timeout_ms: 20_000,
+        ..RouteText::default()
+    });
+    let bed = TestBed::with_config(&config).await?;
+    for server in &bed.plain {
+        server.set_fault(BackendFault::Shed);
+    }
+    let callers = bed.host.callers;
+    let calls = (0..60).map(|index| {
+        let request = CallerRequest {
+            deadline_ms: 20_000,
+            ..CallerRequest::new(&format!("p{index}"), "/patient/x")
+        };
+        tokio::spawn(async move { Caller::once(callers, &request).await })
+    });
+    let calls: Vec<_> = calls.collect();
+    // By now the budget is used up and most requests wait for it.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let third = BackendServer::start(&bed.store, "app-3", "app", &[]).await?;
+    for server in &bed.plain {
+        server.leave();
+    }
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let arrivals = || -> usize {
+        let servers = bed.plain.iter();
+        servers.map(|server| server.requests().len()).sum()
+    };
+    let before = arrivals();
+    for call in calls {
+        let answer = call.await??;
+        assert_that!(matches!(answer.status, Some(200 | 503)), eq(true));
+    }
+    assert_that!(arrivals(), eq(before));
+    assert_that!(third.requests().is_empty(), eq(false));
+    Ok(())
+}
