Count a load that was carried out late until a report shows it

If the engine's number had gone past it by itself, that order had been carried out, and its model took memory which the planner gave out before a report listed it. Ruled out by reading: two orders under one expected number, copies beside slow loads, entries passed on without what servers hold. Now only an order of the same expected number ends it at once; one that was passed counts until a current report.

--- a/crates/serving/src/engine_record.rs
+++ b/crates/serving/src/engine_record.rs
@@ -127,7 +127,10 @@
     /// Number of accepted orders at which it would still be carried out.
     pub(crate) expected: u64,
     pub(crate) until: MonotonicTime,
-    /// The engine's number has gone past the expected one.
+    /// The engine's number has gone past the expected one, and not by an order of this planner: it may have been carried
+    /// out, and takes memory until a report shows what there is.
+    pub(crate) is_passed: bool,
+    /// It takes no memory beside what is known, and never will.
     pub(crate) is_settled: bool,
 }
 
@@ -163,6 +166,7 @@
     pub(crate) fn restart(&mut self, entry: &BackendEntry, now: MonotonicTime) {
         let mut late = std::mem::take(&mut self.late);
         for order in &mut late {
+            order.is_passed = false;
             order.is_settled = false;
         }
         let disk_copies = std::mem::take(&mut self.disk_copies);
--- a/crates/serving/src/residency_observation.rs
+++ b/crates/serving/src/residency_observation.rs
@@ -114,6 +114,9 @@
         }
         record.settle_open();
         record.adopt_held(&report.held, now);
+        for late in &mut record.late {
+            late.is_settled |= late.is_passed;
+        }
         for (model, adapter) in &report.pending {
             if let Some(held) = record.held.get_mut(model) {
                 held.adapters.entry(adapter.clone()).or_default();
--- a/crates/serving/src/residency_outcome.rs
+++ b/crates/serving/src/residency_outcome.rs
@@ -71,7 +71,8 @@
                 record.changed_at = now;
                 record.late.retain(|late| now < late.until);
                 for late in &mut record.late {
-                    late.is_settled |= late.expected <= order.expected;
+                    late.is_settled |= late.expected == order.expected;
+                    late.is_passed |= late.expected < order.expected;
                 }
                 apply_accepted(record, order, now, estimate, store_loads);
                 if from_store {
@@ -100,6 +101,7 @@
                     is_load: order.action == ResidencyAction::Load,
                     expected: order.expected,
                     until: late_until,
+                    is_passed: false,
                     is_settled: false,
                 });
                 // A report from now on shows whether it was carried out at once.
--- a/crates/serving/tests/residency_unknown_orders.rs
+++ b/crates/serving/tests/residency_unknown_orders.rs
@@ -91,6 +91,34 @@
     }
 }
 
+/// Guards against a load that was carried out late and is forgotten before a report shows it: the engine's number of orders
+/// has gone past it, which a newer order confirms, but the report was older than the load.
+#[test]
+fn a_load_that_was_carried_out_late_counts_until_a_report_shows_it() {
+    let copies = ["x", "y", "z"];
+    let mut planner = planner_with(&["v", "x", "y", "z"], &["v"], &copies);
+    want(&mut planner, "x", at(0));
+    let orders = planner.plan(at(0));
+    assert_that!(orders.len(), eq(1));
+    planner.order_ended(&orders[0], OrderOutcome::Unknown, at(600));
+    let stale = report(6, &["v"], &copies);
+    planner.observe_report("e1", Some(&stale), at(3_000), at(3_000));
+    // What the engine really holds: two models fit.
+    let mut held = vec![name("v"), name("x")];
+    for step in 0..40 {
+        let now = at(3_000 + step * 50);
+        want(&mut planner, "y", now);
+        want(&mut planner, "z", now);
+        for order in accept_all(&mut planner, now) {
+            match order.action {
+                ResidencyAction::Load => held.push(order.model),
+                ResidencyAction::Unload => held.retain(|model| *model != order.model),
+            }
+            assert_that!(held.len() <= 2, eq(true), "{held:?}");
+        }
+    }
+}
+
 /// Guards against memory that is given out twice because a host was refused by an engine that has the model: its request
 /// may have come before the load ended, and the host's word after it.
 #[test]
