Wait for the former holder's orders also after a restart within the pause; specify the duty in Promela

Cause, found by the new model spec/duty.pml (mutant M_OWN_TERM is what the program did): a host that took the duty over waits until the former holder's orders are old. If it was killed in that pause, or the answer to its acquisition was lost, it found itself as the last holder when it started again and gave orders at once, less than a turn after the former holder's last one. Ruled out by the model: every other interleaving of calls, lost answers, pauses and planned ends at these times. Now the record of the last term says whether its holder has waited; it is written once more when the pause is over.

--- a/crates/host/src/duty_keeper.rs
+++ b/crates/host/src/duty_keeper.rs
@@ -18,6 +18,7 @@
 use crate::coordinator::Coordinator;
 use crate::coordinator::CoordinatorCell;
 use crate::fleet_table::DutyRecord;
+use crate::fleet_table::TermRecord;
 use crate::host_state::HostState;
 use crate::record_keys::DUTY_KEY;
 use crate::record_keys::TERM_KEY;
@@ -119,7 +120,7 @@
         let rank = self.state.with_source(|source| {
             let mut hosts: Vec<&Name> = source.hosts.keys().collect();
             hosts.sort();
-            let last = source.last_holder.as_ref();
+            let last = source.last_term.as_ref().map(|term| &term.host);
             let start = last.and_then(|last| hosts.binary_search(&last).ok());
             let start = start.map_or(0, |last| last + 1);
             let position = hosts.binary_search(&own).unwrap_or(hosts.len());
@@ -166,6 +167,9 @@
             address: boot.peers,
             nonce: rand::random(),
         };
+        let last_term = state.with_source(|source| source.last_term.clone());
+        let is_first = last_term.is_none() && boot.is_first_start;
+        let had_predecessor = last_term.is_some_and(|last| last.makes_wait(&boot.host));
         let value = serde_json::to_vec(&record).unwrap_or_default();
         let duty = Name::from(DUTY_KEY);
         let condition = Condition {
@@ -175,16 +179,11 @@
         let writes = [
             Write {
                 key: duty,
-                value: value.clone().into(),
-                lease: Some(grant.lease),
-            },
-            Write {
-                key: TERM_KEY.into(),
                 value: value.into(),
-                lease: None,
+                lease: Some(grant.lease),
             },
+            self.term_write(!had_predecessor),
         ];
-        let last_holder = state.with_source(|source| source.last_holder.clone());
         let fence = match self.store.transact(&[condition], &writes, &[]).await {
             Ok(TransactOutcome::Done { revision }) => revision,
             Ok(TransactOutcome::LeaseGone) => return Ok(None),
@@ -198,8 +197,6 @@
                 None => return Err(error),
             },
         };
-        let is_first = last_holder.is_none() && boot.is_first_start;
-        let had_predecessor = last_holder.is_some_and(|last| last != boot.host);
         let now = state.now();
         self.cell.start_term(
             Coordinator::new(state.clone(), fence, is_first),
@@ -213,6 +210,43 @@
         Ok(Some(grant.lease))
     }
 
+    fn term_write(&self, is_settled: bool) -> Write {
+        let record = TermRecord {
+            host: self.state.boot.host.clone(),
+            is_settled,
+        };
+        Write {
+            key: TERM_KEY.into(),
+            value: serde_json::to_vec(&record).unwrap_or_default().into(),
+            lease: None,
+        }
+    }
+
+    /// Records that this term may have given orders, so that this host need not wait again if it starts anew. Returns
+    /// true once that is recorded; a failed call is made again at the next renewal.
+    async fn settle_term(&self) -> bool {
+        let state = &self.state;
+        let Some(fence) = self.cell.order_fence(state.now()) else {
+            return false;
+        };
+        let condition = Condition {
+            key: DUTY_KEY.into(),
+            revision: fence,
+        };
+        let writes = [self.term_write(true)];
+        match self.store.transact(&[condition], &writes, &[]).await {
+            Ok(outcome) => {
+                info!(state.logger, "term settled"; "fence" => fence,
+                    "recorded" => matches!(outcome, TransactOutcome::Done { .. }));
+                true
+            }
+            Err(error) => {
+                info!(state.logger, "term not settled yet"; "error" => %error);
+                false
+            }
+        }
+    }
+
     /// Fencing number if the record is in the store: the answer to its write was lost.
     async fn read_back(&self, record: &DutyRecord) -> StoreResult<Option<u64>> {
         let item = self.store.get(DUTY_KEY).await?;
@@ -227,8 +261,12 @@
     async fn hold(&self, lease: u64) {
         let mut pause = RENEW_INTERVAL;
         let mut is_lapsed = false;
+        let mut is_settled = self.is_settled();
         loop {
             tokio::time::sleep(pause).await;
+            if !is_settled {
+                is_settled = self.settle_term().await;
+            }
             let sent = self.state.now();
             match self.store.keep_lease(lease).await {
                 Ok(true) => {
@@ -255,6 +293,15 @@
         }
     }
 
+    /// True if the store's record of the last term says that this host need not wait.
+    fn is_settled(&self) -> bool {
+        let state = &self.state;
+        state.with_source(|source| {
+            let term = source.last_term.as_ref();
+            term.is_some_and(|term| !term.makes_wait(&state.boot.host))
+        })
+    }
+
     fn is_lapsed(&self, now: MonotonicTime) -> bool {
         self.cell.fence(now).is_none()
     }
--- a/crates/host/src/fleet_table.rs
+++ b/crates/host/src/fleet_table.rs
@@ -22,7 +22,23 @@
     pub(crate) fence: u64,
 }
 
-/// Record of the host that coordinates, and of the one that did last.
+/// Record of the last term; it stays when the duty ends.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct TermRecord {
+    /// Host that coordinated last.
+    pub(crate) host: HostId,
+    /// True once it may have given orders: those of the holder before it are old then.
+    pub(crate) is_settled: bool,
+}
+
+impl TermRecord {
+    /// True if a new holder must wait until the orders of another host are old.
+    pub(crate) fn makes_wait(&self, host: &str) -> bool {
+        *self.host != *host || !self.is_settled
+    }
+}
+
+/// Record of the host that coordinates.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct DutyRecord {
     /// Host.
--- a/crates/host/src/store_changes.rs
+++ b/crates/host/src/store_changes.rs
@@ -20,6 +20,7 @@
 
 use crate::fleet_table::DutyHolder;
 use crate::fleet_table::DutyRecord;
+use crate::fleet_table::TermRecord;
 use crate::host_state::HostState;
 use crate::record_keys::DUTY_KEY;
 use crate::record_keys::HOSTS_PREFIX;
@@ -183,8 +184,8 @@
                 }
                 Err(error) => warn!(logger, "duty record ignored"; "error" => %error),
             },
-            TERM_KEY => match serde_json::from_slice::<DutyRecord>(&item.value) {
-                Ok(record) => source.last_holder = Some(record.host),
+            TERM_KEY => match serde_json::from_slice::<TermRecord>(&item.value) {
+                Ok(record) => source.last_term = Some(record),
                 Err(error) => warn!(logger, "term record ignored"; "error" => %error),
             },
             PEER_KEYS_KEY => {
--- a/crates/host/src/table_source.rs
+++ b/crates/host/src/table_source.rs
@@ -17,6 +17,7 @@
 use crate::fleet_table::BackendSlot;
 use crate::fleet_table::DutyHolder;
 use crate::fleet_table::FleetTable;
+use crate::fleet_table::TermRecord;
 
 /// Time within which the entries of living backend servers are back after an outage of the store.
 const RETURN_TIME: Duration = Duration::from_secs(2);
@@ -39,8 +40,8 @@
     pub(crate) config: Option<Arc<ServingConfig>>,
     pub(crate) roster: BackendRoster,
     pub(crate) holder: Option<DutyHolder>,
-    /// Host that coordinated last.
-    pub(crate) last_holder: Option<Name>,
+    /// The last term.
+    pub(crate) last_term: Option<TermRecord>,
     /// Hosts of the fleet.
     pub(crate) hosts: HashMap<Name, KnownHost>,
     /// True once the fleet's peer keys were read.
@@ -63,7 +64,7 @@
             config: None,
             roster: BackendRoster::new(RETURN_TIME),
             holder: None,
-            last_holder: None,
+            last_term: None,
             hosts: HashMap::new(),
             has_peer_keys: false,
             unreadable: HashMap::new(),
--- a/crates/host/tests/duty.rs
+++ b/crates/host/tests/duty.rs
@@ -29,6 +29,18 @@
     orders
 }
 
+/// Time between the last order of the first host and the first one of the second, which has a newer fencing number.
+fn turn_gap(engines: &[BackendServer]) -> Outcome<Duration> {
+    let orders = all_orders(engines);
+    let last = orders.iter().rfind(|order| order.holder == "h1");
+    let next = orders.iter().find(|order| order.holder == "h2");
+    let (Some(last), Some(next)) = (last, next) else {
+        return Err("both hosts should have given orders".into());
+    };
+    assert_that!(next.fence > last.fence, eq(true));
+    Ok(next.at.duration_since(last.at))
+}
+
 /// Guards against a rare model that nobody loads, and against memory that is given out twice.
 #[tokio::test]
 async fn absent_models_and_adapters_are_loaded_on_demand() -> Outcome {
@@ -73,14 +85,36 @@
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
     assert_that!(served, eq(true));
-    let orders = all_orders(&bed.engines);
-    let last = orders.iter().rfind(|order| order.holder == "h1");
-    let next = orders.iter().find(|order| order.holder == "h2");
-    let (Some(last), Some(next)) = (last, next) else {
-        return Err("both hosts should have given orders".into());
-    };
-    assert_that!(next.fence > last.fence, eq(true));
-    let gap = next.at.duration_since(last.at);
+    let gap = turn_gap(&bed.engines)?;
+    assert_that!(gap >= LEASE_TIME, eq(true), "{gap:?}");
+    Ok(())
+}
+
+/// Guards against a new holder that is killed while it waits and does not wait any more when it starts again.
+#[tokio::test]
+async fn a_new_holder_that_starts_again_waits_all_the_same() -> Outcome {
+    let mut bed = TestBed::start().await?;
+    let mut second = bed.fleet.start("h2").await?;
+    let first = bed
+        .ask(&model_request("first", "/llm/stream/x", "m3"))
+        .await?;
+    assert_that!(first.status, some(eq(200)));
+    bed.host.signal(Signal::SIGKILL)?;
+    let acquired = wait_until(Duration::from_secs(10), || {
+        !second.log_lines(&["duty acquired"]).is_empty()
+    });
+    assert_that!(acquired.await, eq(true));
+    second.signal(Signal::SIGKILL)?;
+    second = bed.fleet.restart("h2").await?;
+    let mut served = false;
+    let started = Instant::now();
+    while !served && started.elapsed() < Duration::from_secs(20) {
+        let request = model_request("second", "/llm/stream/x", "m2/a3");
+        served = Caller::once(second.callers, &request).await?.status == Some(200);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_that!(served, eq(true));
+    let gap = turn_gap(&bed.engines)?;
     assert_that!(gap >= LEASE_TIME, eq(true), "{gap:?}");
     Ok(())
 }
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -6,7 +6,7 @@
 spec=$(CDPATH='' cd -- "$(dirname -- "$0")" && pwd)
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT INT TERM
-cp "$spec"/authority.pml "$spec"/assignment.pml "$work"
+cp "$spec"/authority.pml "$spec"/assignment.pml "$spec"/duty.pml "$work"
 jobs=${SPEC_JOBS:-$(nproc)}
 
 # search NAME MODEL FLAGS...: runs one search and leaves its output in NAME.out.
@@ -47,7 +47,9 @@
 spec_line assignment-orders assignment 2800000 -DORDERS
 spec_line authority-t3 authority 1100000 -DT=3
 spec_line authority-t2 authority 400000
+spec_line duty duty 120000
 mutant_lines authority
+mutant_lines duty
 mutant_lines assignment -DMAX_REV=3
 
 # xargs joins a line that ends in a blank with the next one.
