--- a/crates/host/tests/relay.rs
+++ b/crates/host/tests/relay.rs
@@ -50,6 +50,20 @@
     Ok(Caller::once(host.callers, &request).await?.status)
 }
 
+/// Adds a route and lets a server leave; all of `others` know both in time.
+async fn check_changes_arrive(bed: &TestBed, others: &[HostProcess]) -> Outcome {
+    bed.store.put_config(second_config().to_text());
+    bed.plain[0].leave();
+    tokio::time::sleep(CHANGE_DEADLINE).await;
+    let at_leaver = bed.plain[0].requests().len();
+    for host in others {
+        let id = format!("added-{}", host.name);
+        assert_that!(status(host, &id, "/added/x").await?, some(eq(200)), "{id}");
+    }
+    assert_that!(bed.plain[0].requests().len(), eq(at_leaver));
+    Ok(())
+}
+
 /// Guards against a fleet whose calls on the store grow with its hosts.
 #[tokio::test]
 async fn resting_hosts_leave_the_store_to_the_coordinating_one() -> Outcome {
@@ -65,15 +79,7 @@
     assert_that!(calls <= ALLOWED, eq(true), "{calls} calls");
 
     // Changes arrive all the same.
-    bed.store.put_config(second_config().to_text());
-    bed.plain[0].leave();
-    tokio::time::sleep(CHANGE_DEADLINE).await;
-    let at_leaver = bed.plain[0].requests().len();
-    for host in &others {
-        let id = format!("added-{}", host.name);
-        assert_that!(status(host, &id, "/added/x").await?, some(eq(200)), "{id}");
-    }
-    assert_that!(bed.plain[0].requests().len(), eq(at_leaver));
+    check_changes_arrive(&bed, &others).await?;
     Ok(())
 }
 
@@ -84,15 +90,7 @@
     let others = start_others(&mut bed).await?;
     tokio::time::sleep(Duration::from_secs(2)).await;
     bed.host.signal(Signal::SIGSTOP)?;
-    bed.store.put_config(second_config().to_text());
-    bed.plain[0].leave();
-    tokio::time::sleep(CHANGE_DEADLINE).await;
-    let at_leaver = bed.plain[0].requests().len();
-    for host in &others {
-        let id = format!("added-{}", host.name);
-        assert_that!(status(host, &id, "/added/x").await?, some(eq(200)), "{id}");
-    }
-    assert_that!(bed.plain[0].requests().len(), eq(at_leaver));
+    check_changes_arrive(&bed, &others).await?;
     bed.host.signal(Signal::SIGCONT)?;
     Ok(())
 }
