--- a/crates/host/src/store_changes.rs
+++ b/crates/host/src/store_changes.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 
+use bytes::Bytes;
 use slog::info;
 use slog::warn;
 use zinniahinge_peer::KeyRing;
@@ -114,34 +115,38 @@
             revision,
             value,
         } = change;
-        if let Some(id) = key.strip_prefix(SERVERS_PREFIX) {
-            let entry = value
-                .as_ref()
-                .and_then(|value| self.decode_entry(source, id, value));
-            let known = source.roster.find(id);
-            let is_minor = known
-                .zip(entry.as_ref())
-                .is_some_and(|(known, entry)| known.serves_like(entry));
-            if !is_minor {
-                let value = relayed_value(&key, value.as_deref());
-                source.log.push(RelayedChange {
-                    key: key.clone(),
-                    revision,
-                    value,
-                });
-            }
-            match entry {
-                Some(entry) => source.put_backend(entry, revision, now),
-                None => source.roster.remove(id, revision, now),
-            }
-            return;
-        }
-        let relayed = relayed_value(&key, value.as_deref());
-        source.log.push(RelayedChange {
+        let relayed = RelayedChange {
+            value: relayed_value(&key, value.as_deref()),
             key: key.clone(),
             revision,
-            value: relayed,
-        });
+        };
+        let Some(id) = key.strip_prefix(SERVERS_PREFIX) else {
+            source.log.push(relayed);
+            self.apply_own_change(source, key, revision, value);
+            return;
+        };
+        let entry = value.and_then(|value| self.decode_entry(source, id, &value));
+        let known = source.roster.find(id);
+        let is_minor = known
+            .zip(entry.as_ref())
+            .is_some_and(|(known, entry)| known.serves_like(entry));
+        if !is_minor {
+            source.log.push(relayed);
+        }
+        match entry {
+            Some(entry) => source.put_backend(entry, revision, now),
+            None => source.roster.remove(id, revision, now),
+        }
+    }
+
+    /// Applies a change of the configuration or of one of this system's own records.
+    fn apply_own_change(
+        &self,
+        source: &mut TableSource,
+        key: Name,
+        revision: Revision,
+        value: Option<Bytes>,
+    ) {
         match value {
             Some(value) => {
                 let item = StoreItem {
--- a/crates/host/src/store_relay.rs
+++ b/crates/host/src/store_relay.rs
@@ -73,11 +73,9 @@
                 let value = item.map_or(RelayedValue::Removed, |item| {
                     RelayedValue::Written(RecordBytes(item.value.to_vec()))
                 });
-                let (key, revision) = (change.key.clone(), change.revision);
                 reading.changes.push(RelayedChange {
-                    key,
-                    revision,
                     value,
+                    ..change.clone()
                 });
             }
         }
--- a/crates/serving/src/fleet_ledger.rs
+++ b/crates/serving/src/fleet_ledger.rs
@@ -124,14 +124,15 @@
         self.shown = shown;
     }
 
-    /// Part of each account's rate that goes to hosts which live but don't report: they admit their share by themselves.
-    fn silent_share(&self, now: MonotonicTime) -> f64 {
+    /// Part of each account's rate that is left for hosts that report. Those which live but don't report admit their share
+    /// by themselves. Looks at every host, so callers compute it once for all accounts.
+    fn free_share(&self, now: MonotonicTime) -> f64 {
         let silent = self.shown.keys().filter(|host| {
             let silent_for = now.since(self.seen_at(host));
             let is_alive = now.since(self.shown_at(host)) < SHOWN_LIMIT;
             silent_for >= SILENT_AFTER && is_alive
         });
-        silent.count() as f64 / self.shown.len().max(1) as f64
+        1.0 - silent.count() as f64 / self.shown.len().max(1) as f64
     }
 
     /// When the host last reported, or this holder started.
@@ -158,12 +159,11 @@
 
     /// Settles all levels up to `now`, before the number of silent hosts changes.
     fn settle(&mut self, accounts: &AccountTable, now: MonotonicTime) {
-        let levels: Vec<(Name, f64)> = accounts
-            .iter()
-            .map(|account| (account.name.clone(), self.level(account, now)))
-            .collect();
-        for (account, units) in levels {
-            self.levels.insert(account, LedgerLevel { units, at: now });
+        let free_share = self.free_share(now);
+        for account in accounts.iter() {
+            let units = self.level(account, free_share, now);
+            let level = LedgerLevel { units, at: now };
+            self.levels.insert(account.name.clone(), level);
         }
     }
 
@@ -205,27 +205,27 @@
                 }
             }
         }
+        let free_share = self.free_share(now);
         for usage in &report.accounts {
             let Some(account) = accounts.get(&usage.account) else {
                 continue;
             };
             let recent = self.recent.entry(usage.account.clone()).or_default();
             recent.add(usage.units as f64, now);
-            let units = self.level(account, now) - usage.units as f64;
+            let units = self.level(account, free_share, now) - usage.units as f64;
             let level = LedgerLevel { units, at: now };
             self.levels.insert(usage.account.clone(), level);
         }
     }
 
     /// Units that an account has left at `now`.
-    fn level(&self, account: &AccountSpec, now: MonotonicTime) -> f64 {
+    fn level(&self, account: &AccountSpec, free_share: f64, now: MonotonicTime) -> f64 {
         let burst = account.burst as f64;
         let (units, at) = match self.levels.get(&account.name) {
             Some(level) => (level.units, level.at),
             None if self.starts_full => return burst,
             None => (self.settings.unknown_level(account), self.started_at),
         };
-        let free_share = 1.0 - self.silent_share(now);
         let earned = account.rate_per_s as f64 * free_share * now.since(at).as_secs_f64();
         (units + earned).min(burst)
     }
@@ -244,9 +244,10 @@
         accounts: &AccountTable,
         now: MonotonicTime,
     ) -> Vec<AccountLevel> {
+        let free_share = self.free_share(now);
         let limited = accounts.iter().filter(|account| account.rate_per_s > 0);
         let levels = limited.map(|account| {
-            let level = self.level(account, now);
+            let level = self.level(account, free_share, now);
             let heard = self.hosts.iter();
             let heard = heard.filter(|(_, record)| now.since(record.seen_at) < HOST_LIMIT);
             let (mut own, mut others) = (0.0, 0.0);
