--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -1,4 +1,5 @@
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -6,7 +7,6 @@
 use std::time::Duration;
 
 use tokio::sync::Notify;
-use zinniahinge_serving::AccountTable;
 use zinniahinge_serving::DutyTerm;
 use zinniahinge_serving::DutyTimes;
 use zinniahinge_serving::FleetLedger;
@@ -14,6 +14,8 @@
 use zinniahinge_serving::ResidencyPlanner;
 use zinniahinge_serving::ResidencySettings;
 use zinniahinge_types::EngineModels;
+use zinniahinge_types::FleetCharge;
+use zinniahinge_types::FleetChargeReply;
 use zinniahinge_types::FleetReply;
 use zinniahinge_types::FleetReport;
 use zinniahinge_types::FleetView;
@@ -22,6 +24,7 @@
 use zinniahinge_types::PlaceReply;
 use zinniahinge_types::PlaceRequest;
 
+use crate::fleet_table::FleetTable;
 use crate::host_state::HostState;
 use crate::host_state::meter_settings;
 use crate::store_relay::reading_since;
@@ -59,7 +62,10 @@
     /// `is_first`: no host held the duty before.
     pub(crate) fn new(state: Arc<HostState>, fence: u64, is_first: bool) -> Self {
         let settings = meter_settings(&state.boot.bounds);
-        let ledger = FleetLedger::new(settings, is_first, state.now());
+        let now = state.now();
+        let mut ledger = FleetLedger::new(settings, is_first, now);
+        let table = state.table.load_full();
+        ledger.note_stand_in(&state.take_stand_in(), table.accounts(), now);
         Self {
             state,
             fence,
@@ -96,7 +102,8 @@
             for slot in backends {
                 planner.observe_entry(&slot.entry, now);
             }
-            planner.retain_engines(|id| backends.iter().any(|slot| slot.entry.id == *id));
+            let listed: HashSet<&Name> = backends.iter().map(|slot| &slot.entry.id).collect();
+            planner.retain_engines(|id| listed.contains(id));
             if is_new && !self.is_first {
                 planner.assume_demand(now);
             }
@@ -110,17 +117,42 @@
         self.ledger.set_hosts(shown);
         self.planners
             .retain(|service, _| config.services.contains_key(service));
-        self.ledger.retain_backends(|id| {
-            let mut slots = table.services.values().flatten();
-            slots.any(|slot| slot.entry.id == *id)
-        });
+        let slots = table.services.values().flatten();
+        let listed: HashSet<&Name> = slots.map(|slot| &slot.entry.id).collect();
+        self.ledger.retain_backends(|id| listed.contains(id));
+    }
+
+    /// Does what the ledger does for all hosts and servers at once, if it is due.
+    fn settle(&mut self, table: &FleetTable, now: MonotonicTime) {
+        let accounts = table.accounts();
+        let groups = || {
+            let groups = table.services.values();
+            let groups = groups.map(|slots| {
+                let ids = slots.iter().map(|slot| slot.entry.id.clone());
+                ids.collect()
+            });
+            groups.collect()
+        };
+        self.ledger.settle(accounts, groups, now);
+    }
+
+    fn charge(&mut self, request: &FleetCharge, now: MonotonicTime) -> FleetChargeReply {
+        let table = self.state.table.load_full();
+        self.settle(&table, now);
+        let accounts = table.accounts();
+        let Some(account) = accounts.get(&request.account) else {
+            return FleetChargeReply::Unknown;
+        };
+        let FleetCharge { host, units, .. } = request;
+        let is_admitted = self.ledger.charge(host, account, *units, accounts, now);
+        let level = self.ledger.level(host, account, now);
+        FleetChargeReply::Holder { is_admitted, level }
     }
 
     fn report(&mut self, report: &FleetReport, now: MonotonicTime) -> FleetView {
         let table = self.state.table.load_full();
-        let no_accounts = AccountTable::default();
-        let config = table.config.as_ref();
-        let accounts = config.map_or(&no_accounts, |config| &config.accounts);
+        let accounts = table.accounts();
+        self.settle(&table, now);
         self.ledger.apply(report, accounts, now);
         for used in &report.models {
             if let Some(planner) = self.planners.get_mut(&used.service) {
@@ -128,9 +160,6 @@
                 planner.note_use(&used.model, used.adapter.as_ref(), used.count, tokens, now);
             }
         }
-        let groups = table.services.values();
-        let groups = groups.map(|slots| slots.iter().map(|slot| slot.entry.id.clone()).collect());
-        let groups: Vec<Vec<Name>> = groups.collect();
         let mut engines = Vec::new();
         let mut view_version = 0;
         for planner in self.planners.values_mut() {
@@ -145,11 +174,18 @@
                 }
             }));
         }
+        let totals_version = if report.fence == self.fence {
+            report.totals_version
+        } else {
+            0
+        };
+        let (backends, totals_version) = self.ledger.totals_since(totals_version);
         FleetView {
             fence: self.fence,
-            hosts: self.ledger.host_count(now),
+            hosts: self.ledger.host_count(),
             accounts: self.ledger.levels(&report.host, accounts, now),
-            backends: self.ledger.backends(&report.host, &groups, now),
+            backends,
+            totals_version,
             view_version,
             engines,
             store: report
@@ -227,6 +263,17 @@
         }
     }
 
+    /// Answers a host's question whether a request may be charged.
+    pub(crate) fn charge(&self, request: &FleetCharge, state: &HostState) -> FleetChargeReply {
+        let now = state.now();
+        let is_holder = self.fence(now).is_some();
+        let decided = is_holder.then(|| self.with(|coordinator| coordinator.charge(request, now)));
+        match decided.flatten() {
+            Some(reply) => reply,
+            None => state.stand_in_charge(request),
+        }
+    }
+
     /// Answers a host's question where a request can go.
     pub(crate) async fn place(&self, request: &PlaceRequest, state: &HostState) -> PlaceReply {
         let until = state.now() + PLACE_HOLD.min(Duration::from_millis(request.time_left_ms));
--- a/crates/host/src/coordinator_orders.rs
+++ b/crates/host/src/coordinator_orders.rs
@@ -139,7 +139,7 @@
         match &report {
             Ok(report) => info!(logger, "engine report"; "backend" => &*backend,
                 "accepted" => report.sequence, "busy" => report.is_busy,
-                "held" => ?report.held, "pending" => ?report.pending),
+                "models" => report.held.len(), "pending" => report.pending.len()),
             Err(error) => {
                 info!(logger, "no engine report"; "backend" => &*backend, "error" => error)
             }
--- a/crates/host/src/duty_keeper.rs
+++ b/crates/host/src/duty_keeper.rs
@@ -22,6 +22,7 @@
 use crate::host_state::HostState;
 use crate::record_keys::DUTY_KEY;
 use crate::record_keys::TERM_KEY;
+use crate::table_source::TableSource;
 
 /// Lease of the duty. Longer means a later successor, shorter that a slow store ends it.
 const LEASE_TIME: Duration = Duration::from_secs(2);
@@ -44,6 +45,9 @@
 /// The first host in the order of names tries to get the duty at once; the others give it this time to be seen.
 const CANDIDATE_DELAY: Duration = Duration::from_millis(450);
 
+/// Time for all hosts to be seen before the first holder is chosen: they start together, and read changes each 0.9 s.
+const FIRST_WAIT: Duration = Duration::from_millis(1500);
+
 /// Time between the tries of two hosts.
 const RANK_DELAY: Duration = Duration::from_millis(40);
 
@@ -100,6 +104,9 @@
         }
         let is_own = self.state.table.load().holder.is_some();
         if !is_own {
+            if self.state.with_source(|source| source.last_term.is_none()) {
+                let _ = tokio::time::timeout(FIRST_WAIT, self.until_taken()).await;
+            }
             let _ = tokio::time::timeout(self.delay(), self.until_taken()).await;
         }
         let revision = self.vacancy()?;
@@ -113,20 +120,12 @@
         }
     }
 
-    /// How long this host leaves the others the first try. The order changes with each holder, so that one host that is
-    /// cut off does not delay every change.
+    /// How long this host leaves the others the first try.
     fn delay(&self) -> Duration {
         let own = &self.state.boot.host;
-        let rank = self.state.with_source(|source| {
-            let mut hosts: Vec<&Name> = source.hosts.keys().collect();
-            hosts.sort();
-            let last = source.last_term.as_ref().map(|term| &term.host);
-            let start = last.and_then(|last| hosts.binary_search(&last).ok());
-            let start = start.map_or(0, |last| last + 1);
-            let position = hosts.binary_search(&own).unwrap_or(hosts.len());
-            (position + hosts.len() - start % hosts.len().max(1)) % hosts.len().max(1)
-        });
-        match rank {
+        let order = self.state.with_source(TableSource::duty_order);
+        let rank = order.iter().position(|host| host == own);
+        match rank.unwrap_or(order.len()) {
             0 => Duration::ZERO,
             rank => CANDIDATE_DELAY + (RANK_DELAY * rank as u32).min(MAX_RANK_DELAY),
         }
--- a/crates/host/src/filters.rs
+++ b/crates/host/src/filters.rs
@@ -17,6 +17,7 @@
 use zinniahinge_serving::RouteRule;
 use zinniahinge_serving::ServingConfig;
 
+use crate::account_charge::charge;
 use crate::answer::Refusal;
 use crate::answer::RefusalKind;
 use crate::answer::Result;
@@ -65,7 +66,7 @@
         config,
         rule,
     };
-    charge(state, &context)?;
+    charge_account(state, &context).await?;
     Ok(context)
 }
 
@@ -126,11 +127,11 @@
     Ok(Some((account.clone(), digest)))
 }
 
-fn charge(state: &HostState, context: &RequestContext) -> Result<()> {
+async fn charge_account(state: &HostState, context: &RequestContext) -> Result<()> {
     let Some((account, _)) = &context.account else {
         return Ok(());
     };
-    let charged = state.meter().charge(account, context.cost(), state.now());
+    let charged = charge(state, account, context.cost()).await;
     charged.map_err(|refusal| {
         slog::info!(state.logger, "rate exceeded"; "id" => &*context.facts.attempt_id,
             "account" => &*account.name, "cost" => context.cost(),
--- a/crates/host/src/fleet_reporter.rs
+++ b/crates/host/src/fleet_reporter.rs
@@ -1,3 +1,5 @@
+use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,7 +13,9 @@
 use zinniahinge_types::FleetReport;
 use zinniahinge_types::FleetView;
 use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::Name;
 
+use crate::account_charge::tell_stand_in;
 use crate::fleet_table::DutyHolder;
 use crate::host_state::HostState;
 use crate::record_keys::host_record;
@@ -24,8 +28,8 @@
 /// Longest time between two reports of a host without traffic. The coordinating host counts on a host's own share after 0.9 s.
 const MAX_IDLE_INTERVAL: Duration = Duration::from_millis(800);
 
-/// Time between two reports for each host of the fleet: the coordinating host answers 500 reports a second at most.
-const INTERVAL_PER_HOST: Duration = Duration::from_millis(2);
+/// Time between two reports for each host of the fleet: the coordinating host answers 333 reports a second at most.
+const INTERVAL_PER_HOST: Duration = Duration::from_millis(3);
 
 /// Tells the coordinating host what this one does, and takes in what the fleet does.
 pub(crate) struct FleetReporter {
@@ -46,6 +50,10 @@
     answered_at: MonotonicTime,
     /// When this host last wrote its record again.
     shown_at: MonotonicTime,
+    /// What all hosts have on backend servers, under the fencing number.
+    totals: HashMap<Name, BackendTotal>,
+    /// Version of those totals.
+    totals_version: u64,
 }
 
 impl FleetReporter {
@@ -107,9 +115,12 @@
             return;
         }
         let now = state.now();
-        let report = self.build(memory.fence);
+        let report = self.build(holder, memory);
         match state.link.report(holder, &report, state).await {
             Ok(FleetReply::View(view)) => {
+                if memory.fence != view.fence {
+                    memory.totals.clear();
+                }
                 memory.fence = view.fence;
                 memory.answered_at = now;
                 if memory.is_lost {
@@ -117,10 +128,11 @@
                         "fence" => holder.fence);
                     memory.is_lost = false;
                 }
-                self.apply(view, now);
+                self.apply(view, &report, memory, now);
             }
             answer => {
                 state.meter().return_unreported(report.accounts);
+                tell_stand_in(state).await;
                 if !memory.is_lost {
                     let error = answer.err().map(|error| error.to_string());
                     warn!(state.logger, "coordinating host does not answer"; "host" => &*holder.host,
@@ -131,9 +143,18 @@
         }
     }
 
-    fn build(&self, fence: u64) -> FleetReport {
+    fn build(&self, holder: &DutyHolder, memory: &ReportMemory) -> FleetReport {
         let state = &self.state;
-        let accounts = state.meter().take_unreported();
+        let is_new = memory.fence != holder.fence;
+        let (accounts, heard) = {
+            let mut meter = state.meter();
+            let heard = if is_new {
+                meter.heard_levels(state.now())
+            } else {
+                Vec::new()
+            };
+            (meter.take_unreported(&holder.host), heard)
+        };
         let table = state.table.load();
         let slots = table.services.values().flatten();
         let backends = slots.filter_map(|slot| {
@@ -149,48 +170,76 @@
         });
         FleetReport {
             host: state.boot.host.clone(),
-            fence,
+            fence: memory.fence,
+            totals_version: memory.totals_version,
             view_version: state.with_source(|source| source.view_version),
             store_revision: state.with_source(TableSource::known_revision),
             accounts,
+            heard,
             backends: backends.collect(),
             models: state.uses().take(),
         }
     }
 
-    fn apply(&self, view: FleetView, asked_at: MonotonicTime) {
+    fn apply(
+        &self,
+        view: FleetView,
+        report: &FleetReport,
+        memory: &mut ReportMemory,
+        asked_at: MonotonicTime,
+    ) {
         let state = &self.state;
         let FleetView {
             fence: _,
             hosts,
             accounts,
             backends,
+            totals_version,
             view_version,
             engines,
             store,
         } = view;
         let known_hosts = state.with_source(|source| source.hosts.len() as u32);
         state.set_hosts(hosts.max(known_hosts));
-        state.meter().apply_levels(&accounts, asked_at);
-        for slot in state.table.load().services.values().flatten() {
-            let total = backends.iter().find(|total| total.backend == slot.entry.id);
-            match total {
-                Some(total) => {
-                    let BackendTotal {
-                        in_flight,
-                        pending_tokens,
-                        is_suspect,
-                        ..
-                    } = *total;
-                    slot.load.set_others(in_flight, pending_tokens, is_suspect);
-                }
-                None => slot.load.set_others(0, 0, false),
-            }
+        {
+            let mut meter = state.meter();
+            meter.apply_levels(&accounts, asked_at);
+            meter.resume_asks();
         }
+        memory.totals_version = totals_version;
+        let changed = backends.into_iter();
+        let changed = changed.map(|total| (total.backend.clone(), total));
+        memory.totals.extend(changed);
+        self.apply_totals(report, memory);
         let now = state.now();
         state.update(|source| source.apply_views(engines, view_version, now));
         if let Some(reading) = store {
             self.relay.apply(reading, asked_at);
         }
     }
+
+    /// Tells this host's choice of servers what the other hosts have on them: the totals less what this host reported.
+    fn apply_totals(&self, report: &FleetReport, memory: &mut ReportMemory) {
+        let own = report.backends.iter();
+        let own: HashMap<&Name, &BackendUse> = own.map(|usage| (&usage.backend, usage)).collect();
+        let table = self.state.table.load();
+        let mut listed = HashSet::new();
+        for slot in table.services.values().flatten() {
+            let id = &slot.entry.id;
+            listed.insert(id.clone());
+            let Some(total) = memory.totals.get(id) else {
+                slot.load.set_others(0, 0, false);
+                continue;
+            };
+            let own = own.get(id);
+            let (own_requests, own_tokens) =
+                own.map_or((0, 0), |own| (own.in_flight, own.pending_tokens));
+            slot.load.set_others(
+                total.in_flight.saturating_sub(own_requests),
+                total.pending_tokens.saturating_sub(own_tokens),
+                total.is_suspect,
+            );
+        }
+        memory.totals.retain(|id, _| listed.contains(id));
+    }
 }
--- a/crates/host/src/fleet_table.rs
+++ b/crates/host/src/fleet_table.rs
@@ -1,9 +1,11 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::LazyLock;
 
 use serde::Deserialize;
 use serde::Serialize;
+use zinniahinge_serving::AccountTable;
 use zinniahinge_serving::BackendEntry;
 use zinniahinge_serving::BackendLoad;
 use zinniahinge_serving::BackendPhase;
@@ -85,7 +87,16 @@
     pub(crate) holder: Option<DutyHolder>,
 }
 
+/// Accounts of a fleet without a configuration.
+static NO_ACCOUNTS: LazyLock<AccountTable> = LazyLock::new(AccountTable::default);
+
 impl FleetTable {
+    /// Client accounts of the configuration in force.
+    pub(crate) fn accounts(&self) -> &AccountTable {
+        let config = self.config.as_ref();
+        config.map_or(&NO_ACCOUNTS, |config| &config.accounts)
+    }
+
     /// Backend servers of a service.
     pub(crate) fn backends(&self, service: &str) -> &[BackendSlot] {
         self.services.get(service).map_or(&[], Vec::as_slice)
--- a/crates/host/src/host_process.rs
+++ b/crates/host/src/host_process.rs
@@ -30,6 +30,7 @@
 use zinniahinge_platform::read_boot_file;
 use zinniahinge_serving::AccountMeter;
 use zinniahinge_serving::ConfirmedReading;
+use zinniahinge_serving::StandInMeter;
 use zinniahinge_telemetry::BootClock;
 use zinniahinge_telemetry::MetricError;
 use zinniahinge_telemetry::MetricsRegistry;
@@ -192,6 +193,7 @@
         confirmed: ConfirmedReading::default(),
         pool: HttpPool::new(BACKEND_POOL),
         meter: Mutex::new(meter),
+        stand_in: Mutex::new(StandInMeter::new(meter_settings(&boot.bounds))),
         retries: RetryBudgets::new(&boot.bounds),
         uses: Mutex::new(ModelUses::default()),
         link,
--- a/crates/host/src/host_state.rs
+++ b/crates/host/src/host_state.rs
@@ -13,8 +13,11 @@
 use zinniahinge_serving::AccountMeter;
 use zinniahinge_serving::ConfirmedReading;
 use zinniahinge_serving::MeterSettings;
+use zinniahinge_serving::StandInMeter;
 use zinniahinge_telemetry::BootClock;
 use zinniahinge_transport::HttpPool;
+use zinniahinge_types::FleetCharge;
+use zinniahinge_types::FleetChargeReply;
 use zinniahinge_types::MonotonicTime;
 
 use crate::fleet_table::FleetTable;
@@ -44,6 +47,8 @@
     /// Connections to backend servers.
     pub(crate) pool: HttpPool,
     pub(crate) meter: Mutex<AccountMeter>,
+    /// Admits requests of other hosts while no holder answers them.
+    pub(crate) stand_in: Mutex<StandInMeter>,
     pub(crate) retries: RetryBudgets,
     pub(crate) uses: Mutex<ModelUses>,
     pub(crate) link: PeerLink,
@@ -60,6 +65,31 @@
         self.meter.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What this host gave away in place of a holder, which it forgets.
+    pub(crate) fn take_stand_in(&self) -> StandInMeter {
+        let mut stand_in = self.stand_in.lock().unwrap_or_else(PoisonError::into_inner);
+        let fresh = StandInMeter::new(meter_settings(&self.boot.bounds));
+        std::mem::replace(&mut *stand_in, fresh)
+    }
+
+    /// Decides in place of a holder that doesn't answer.
+    pub(crate) fn stand_in_charge(&self, request: &FleetCharge) -> FleetChargeReply {
+        let hosts = self.with_source(|source| source.hosts.len() as u32);
+        let table = self.table.load();
+        let accounts = table.config.as_ref().map(|config| &config.accounts);
+        let now = self.now();
+        let mut stand_in = self.stand_in.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(account) = accounts.and_then(|accounts| accounts.get(&request.account)) else {
+            stand_in.note_host(&request.host, hosts, now);
+            return FleetChargeReply::Unknown;
+        };
+        let charged = stand_in.charge(&request.host, hosts, account, request.units, now);
+        FleetChargeReply::StandIn {
+            is_admitted: charged.is_ok(),
+            again_in_ms: charged.err().unwrap_or_default().as_millis() as u64,
+        }
+    }
+
     pub(crate) fn uses(&self) -> MutexGuard<'_, ModelUses> {
         self.uses.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -1,6 +1,7 @@
 //! The process of a host: takes requests from callers, forwards them to backend servers, and on one host at a time
 //! coordinates which models are loaded where.
 
+mod account_charge;
 mod answer;
 mod attempt;
 mod backend_answer;
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -1,9 +1,12 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use zinniahinge_peer::PeerClient;
 use zinniahinge_peer::PeerError;
 use zinniahinge_peer::PeerTarget;
+use zinniahinge_types::FleetCharge;
+use zinniahinge_types::FleetChargeReply;
 use zinniahinge_types::FleetReply;
 use zinniahinge_types::FleetReport;
 use zinniahinge_types::PlaceReply;
@@ -19,6 +22,12 @@
 /// Path of questions where a request can go.
 pub(crate) const PLACE_PATH: &str = "/peer/place";
 
+/// Path of questions whether a request may be charged.
+pub(crate) const CHARGE_PATH: &str = "/peer/charge";
+
+/// Time for the answer to such a question. Its request waits meanwhile.
+const CHARGE_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Time for the answer to a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -51,6 +60,21 @@
         self.client.call(target, report).await
     }
 
+    /// Asks the host at `address` to charge a request.
+    pub(crate) async fn charge(
+        &self,
+        address: SocketAddr,
+        request: &FleetCharge,
+    ) -> Result<FleetChargeReply, PeerError> {
+        let address = address.to_string();
+        let target = PeerTarget {
+            address: &address,
+            path: CHARGE_PATH,
+            timeout: CHARGE_TIMEOUT,
+        };
+        self.client.call(target, request).await
+    }
+
     /// Asks where a request can go.
     pub(crate) async fn place(
         &self,
--- a/crates/host/src/peer_routes.rs
+++ b/crates/host/src/peer_routes.rs
@@ -6,11 +6,13 @@
 use volo_http::request::Request;
 use volo_http::response::Response;
 use zinniahinge_peer::PeerGate;
+use zinniahinge_types::FleetCharge;
 use zinniahinge_types::FleetReport;
 use zinniahinge_types::PlaceRequest;
 
 use crate::coordinator::CoordinatorCell;
 use crate::host_state::HostState;
+use crate::peer_link::CHARGE_PATH;
 use crate::peer_link::PLACE_PATH;
 use crate::peer_link::REPORT_PATH;
 
@@ -37,6 +39,12 @@
                 })
                 .await
             }
+            CHARGE_PATH => {
+                gate.serve(request, async |question: FleetCharge| {
+                    cell.charge(&question, &state)
+                })
+                .await
+            }
             PLACE_PATH => {
                 gate.serve(request, async |question: PlaceRequest| {
                     cell.place(&question, &state).await
--- a/crates/host/src/store_changes.rs
+++ b/crates/host/src/store_changes.rs
@@ -27,6 +27,7 @@
 use crate::record_keys::HOSTS_PREFIX;
 use crate::record_keys::PEER_KEYS_KEY;
 use crate::record_keys::TERM_KEY;
+use crate::record_keys::read_host_record;
 use crate::table_source::KnownHost;
 use crate::table_source::TableSource;
 
@@ -199,13 +200,13 @@
             }
             key => {
                 let host = key.strip_prefix(HOSTS_PREFIX);
-                let address = std::str::from_utf8(&item.value).ok();
-                let address = address.and_then(|address| address.parse().ok());
-                if let Some((host, address)) = host.zip(address) {
-                    let shown_at = self.state.now();
-                    source
-                        .hosts
-                        .insert(host.into(), KnownHost { address, shown_at });
+                if let Some((host, (address, power))) = host.zip(read_host_record(&item.value)) {
+                    let known = KnownHost {
+                        address,
+                        power,
+                        shown_at: self.state.now(),
+                    };
+                    source.hosts.insert(host.into(), known);
                 }
             }
         }
--- a/crates/host/src/table_source.rs
+++ b/crates/host/src/table_source.rs
@@ -9,7 +9,9 @@
 use zinniahinge_serving::BackendRoster;
 use zinniahinge_serving::ChangeLog;
 use zinniahinge_serving::ServingConfig;
+use zinniahinge_serving::duty_order;
 use zinniahinge_types::EngineModels;
+use zinniahinge_types::HostPower;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 use zinniahinge_types::Revision;
@@ -30,6 +32,8 @@
 pub(crate) struct KnownHost {
     /// Where it takes messages.
     pub(crate) address: SocketAddr,
+    /// What it can do for the fleet.
+    pub(crate) power: HostPower,
     /// When this host heard of the record's last write.
     pub(crate) shown_at: MonotonicTime,
 }
@@ -82,6 +86,14 @@
         self.is_listed.then(|| self.log.revision())
     }
 
+    /// Hosts in the order in which they try to get the duty.
+    pub(crate) fn duty_order(&self) -> Vec<Name> {
+        let hosts = self.hosts.iter();
+        let hosts = hosts.map(|(host, known)| (host.clone(), known.power));
+        let last = self.last_term.as_ref().map(|term| &*term.host);
+        duty_order(hosts, last)
+    }
+
     /// Takes a server's entry in. What it holds comes from the entry again if no host coordinates any more.
     pub(crate) fn put_backend(
         &mut self,
--- /dev/null
+++ b/crates/serving/src/account_ledger.rs
@@ -0,0 +1,200 @@
+use std::collections::HashMap;
+use std::time::Duration;
+
+use zinniahinge_types::AccountLevel;
+use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::Name;
+
+use crate::AccountSpec;
+use crate::AccountTable;
+use crate::MeterSettings;
+
+/// Interval over which a jump of an account's usage is seen: the time between two reports of a host in a small fleet.
+const RECENT_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Time for which a new holder takes in what hosts heard from the former one: each reports within it.
+const HEARD_TIME: Duration = Duration::from_secs(3);
+
+/// What client accounts have left over all hosts, and how fast it is used.
+///
+/// Sums are kept up to date with each report, so that neither a report nor its answer looks at other hosts.
+#[derive(Debug)]
+pub(crate) struct AccountLedger {
+    records: HashMap<Name, LedgerRecord>,
+    settings: MeterSettings,
+    starts_full: bool,
+    started_at: MonotonicTime,
+    /// Part of the rates that accounts earn here.
+    free_share: f64,
+}
+
+#[derive(Debug)]
+struct LedgerRecord {
+    units: f64,
+    at: MonotonicTime,
+    /// Sum of the hosts' averages, units a second.
+    rate: f64,
+    recent: RecentUse,
+    /// Lowest level that hosts heard from the former holder.
+    heard: Option<i64>,
+}
+
+/// Units that all hosts used lately. A jump shows here within one interval, before the hosts' averages follow.
+#[derive(Debug, Default)]
+struct RecentUse {
+    started_at: MonotonicTime,
+    units: f64,
+    previous_units: f64,
+}
+
+impl RecentUse {
+    fn add(&mut self, units: f64, now: MonotonicTime) {
+        self.roll(now);
+        self.units += units;
+    }
+
+    /// Units a second over the present interval and the one before.
+    fn rate(&mut self, now: MonotonicTime) -> f64 {
+        self.roll(now);
+        let elapsed = now.since(self.started_at) + RECENT_INTERVAL;
+        (self.units + self.previous_units) / elapsed.as_secs_f64()
+    }
+
+    fn roll(&mut self, now: MonotonicTime) {
+        let elapsed = now.since(self.started_at);
+        if elapsed < RECENT_INTERVAL {
+            return;
+        }
+        let is_next = elapsed < RECENT_INTERVAL * 2;
+        self.previous_units = if is_next { self.units } else { 0.0 };
+        self.units = 0.0;
+        self.started_at = now;
+    }
+}
+
+impl AccountLedger {
+    pub(crate) fn new(settings: MeterSettings, starts_full: bool, now: MonotonicTime) -> Self {
+        Self {
+            records: HashMap::new(),
+            settings,
+            starts_full,
+            started_at: now,
+            free_share: 1.0,
+        }
+    }
+
+    /// Settles all levels up to `now` and earns `free_share` of the rates from then on.
+    pub(crate) fn settle(&mut self, accounts: &AccountTable, free_share: f64, now: MonotonicTime) {
+        for account in accounts.iter() {
+            self.record(account, now);
+        }
+        self.free_share = free_share;
+    }
+
+    /// Takes `share_seconds` of each account's rate away, or gives it back if negative.
+    pub(crate) fn take_shares(
+        &mut self,
+        accounts: &AccountTable,
+        share_seconds: f64,
+        now: MonotonicTime,
+    ) {
+        for account in accounts.iter() {
+            let taken = account.rate_per_s as f64 * share_seconds;
+            let burst = account.burst as f64;
+            let record = self.record(account, now);
+            record.units = (record.units - taken).min(burst);
+        }
+    }
+
+    /// Sets off what this host gave away in place of the former holder.
+    pub(crate) fn note_stood_in(&mut self, account: &AccountSpec, units: f64, now: MonotonicTime) {
+        let burst = account.burst as f64;
+        let record = self.record(account, now);
+        record.units = (record.units + units).min(burst);
+    }
+
+    /// Takes in what a host heard from the former holder. An account goes on from the lowest such level, less what may have
+    /// been used since, instead of from nothing.
+    pub(crate) fn note_heard(&mut self, account: &AccountSpec, heard: i64, now: MonotonicTime) {
+        if self.starts_full || now.since(self.started_at) >= HEARD_TIME {
+            return;
+        }
+        let burst = account.burst as f64;
+        let record = self.record(account, now);
+        // The first one raises the level from that of an account of which nothing is known.
+        let before = record.heard.unwrap_or(0).max(0) as f64;
+        let lowest = record.heard.map_or(heard, |known| known.min(heard));
+        record.heard = Some(lowest);
+        record.units = (record.units + lowest.max(0) as f64 - before).min(burst);
+    }
+
+    /// Takes usage in; negative if charged requests did not run.
+    pub(crate) fn add_use(&mut self, account: &AccountSpec, units: f64, now: MonotonicTime) {
+        let record = self.record(account, now);
+        record.recent.add(units, now);
+        record.units -= units;
+    }
+
+    /// Changes the sum of the hosts' averages.
+    pub(crate) fn change_rate(&mut self, account: &Name, units_per_s: f64) {
+        if let Some(record) = self.records.get_mut(account) {
+            record.rate = (record.rate + units_per_s).max(0.0);
+        }
+    }
+
+    /// Charges a request at once; false if the account has too little left.
+    pub(crate) fn charge(&mut self, account: &AccountSpec, cost: u64, now: MonotonicTime) -> bool {
+        // A request larger than the burst needs a full bucket, or it would never be admitted.
+        let needed = (cost as f64).min(account.burst as f64);
+        let slack = self.settings.level_slack(account);
+        let record = self.record(account, now);
+        if needed > record.units + slack {
+            return false;
+        }
+        record.recent.add(cost as f64, now);
+        record.units -= cost as f64;
+        true
+    }
+
+    /// What the account has left, for a host that itself uses `own_rate` units a second.
+    pub(crate) fn level(
+        &mut self,
+        account: &AccountSpec,
+        own_rate: f64,
+        now: MonotonicTime,
+    ) -> AccountLevel {
+        let record = self.record(account, now);
+        let others = (record.rate - own_rate).max(record.recent.rate(now) - own_rate);
+        AccountLevel {
+            account: account.name.clone(),
+            level: record.units as i64,
+            others_per_s: others.max(0.0) as u64,
+        }
+    }
+
+    /// The account's record, settled up to `now`.
+    fn record(&mut self, account: &AccountSpec, now: MonotonicTime) -> &mut LedgerRecord {
+        let burst = account.burst as f64;
+        let (units, at) = if self.starts_full {
+            (burst, now)
+        } else {
+            (self.settings.unknown_level(account), self.started_at)
+        };
+        let free_share = self.free_share;
+        let record = self
+            .records
+            .entry(account.name.clone())
+            .or_insert_with(|| LedgerRecord {
+                units,
+                at,
+                rate: 0.0,
+                recent: RecentUse::default(),
+                heard: None,
+            });
+        let elapsed = now.since(record.at).as_secs_f64();
+        let earned = account.rate_per_s as f64 * free_share * elapsed;
+        record.units = (record.units + earned).min(burst);
+        record.at = record.at.max(now);
+        record
+    }
+}
--- a/crates/serving/src/account_meter.rs
+++ b/crates/serving/src/account_meter.rs
@@ -3,13 +3,25 @@
 
 use zinniahinge_types::AccountLevel;
 use zinniahinge_types::AccountUse;
+use zinniahinge_types::HeardLevel;
+use zinniahinge_types::HostId;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 
 use crate::AccountSpec;
 
-/// Age up to which the fleet's levels are used. Two reports have failed then.
-pub(crate) const LEVEL_LIMIT: Duration = Duration::from_millis(900);
+/// Age up to which the fleet's levels are used.
+const LEVEL_LIMIT: Duration = Duration::from_millis(900);
+
+/// Age up to which a request is admitted by a level without asking. What all hosts admit within it, while the load of an
+/// account jumps, must stay within the tolerated excess.
+const AMPLE_LIMIT: Duration = Duration::from_millis(600);
+
+/// Part of the burst that must be left for a request to be admitted without asking. Other hosts use the rest meanwhile.
+const NEAR_SHARE: f64 = 0.5;
+
+/// Time for which nobody is asked after a question failed, so that requests don't wait one after the other.
+const ASK_PAUSE: Duration = Duration::from_millis(500);
 
 /// Time between two signs of life in the store of a host that reaches no holder, so that its share of the rates is kept
 /// for it.
@@ -19,8 +31,11 @@
 /// needs the rest.
 const LEVEL_SLACK_SHARE: f64 = 0.1;
 
-/// Part of the tolerated excess that hosts without levels share.
-const BLIND_SLACK_SHARE: f64 = 0.3;
+/// Part of the tolerated excess that hosts share which reach neither the holder nor its stand-in.
+const BLIND_SLACK_SHARE: f64 = 0.2;
+
+/// Part of the tolerated excess that the holder's stand-in may give away.
+const STAND_IN_SLACK_SHARE: f64 = 0.15;
 
 /// Part of the tolerated excess that is taken for used when the holder changes. With what hosts admit meanwhile it stays
 /// under the whole.
@@ -60,6 +75,17 @@
     pub is_blind: bool,
 }
 
+/// What to do with a request of a client account.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ChargeStep {
+    /// It is charged.
+    Admitted,
+    /// The holder must decide.
+    Ask,
+    /// It is not admitted.
+    Refused(ChargeRefusal),
+}
+
 impl MeterSettings {
     /// Units beyond rate and burst that are tolerated in one window.
     fn excess(&self, account: &AccountSpec) -> f64 {
@@ -81,17 +107,24 @@
     fn blind_slack(&self, account: &AccountSpec) -> f64 {
         self.excess(account) * BLIND_SLACK_SHARE
     }
+
+    /// Units that the holder's stand-in may admit beyond what an account earns.
+    pub(crate) fn stand_in_slack(&self, account: &AccountSpec) -> f64 {
+        self.excess(account) * STAND_IN_SLACK_SHARE
+    }
 }
 
 /// Keeps client accounts within their rate over all hosts together.
 ///
-/// With recent levels from the host that adds up the reports, an account may use what the fleet has left. Without, this
-/// host admits from a bucket that earns an equal share of the rate, so that all hosts together stay within it even if each
-/// is alone.
+/// With recent levels from the host that adds up the reports, an account may use what the fleet has left. Without, or
+/// when little is left, that host is asked. If nobody answers, this host admits from a bucket that earns an equal share of
+/// the rate, so that all hosts together stay within it even if each is alone.
 #[derive(Debug)]
 pub struct AccountMeter {
     settings: MeterSettings,
     hosts: u32,
+    /// Nobody is asked until then.
+    asks_from: MonotonicTime,
     /// True if there was no usage before the meter.
     is_first_start: bool,
     records: HashMap<Name, MeterRecord>,
@@ -104,11 +137,15 @@
     share: ShareLevel,
     /// Usage that the fleet doesn't know yet.
     unreported: i64,
+    /// Usage that a stand-in for the holder charged; it knows that itself if it is the next holder.
+    stood_in: Option<(HostId, i64)>,
 }
 
 #[derive(Debug)]
 struct FleetLevel {
     units: f64,
+    /// What the holder said.
+    heard: i64,
     others_per_s: f64,
     at: MonotonicTime,
     heard_at: MonotonicTime,
@@ -127,6 +164,7 @@
         Self {
             settings,
             hosts: 1,
+            asks_from: MonotonicTime::ZERO,
             is_first_start,
             records: HashMap::new(),
         }
@@ -137,7 +175,92 @@
         self.hosts = hosts.max(1);
     }
 
-    /// Charges a request.
+    /// Charges a request, or says who must decide.
+    pub fn begin_charge(
+        &mut self,
+        account: &AccountSpec,
+        cost: u64,
+        now: MonotonicTime,
+    ) -> ChargeStep {
+        let asks = now >= self.asks_from;
+        let record = self.records.get_mut(&account.name);
+        let fleet = record.and_then(|record| record.fleet.as_mut());
+        let fleet = fleet.filter(|fleet| now.since(fleet.heard_at) < AMPLE_LIMIT);
+        let is_ample = fleet.is_some_and(|fleet| {
+            fleet.advance(account, now);
+            fleet.units - cost as f64 >= account.burst as f64 * NEAR_SHARE
+        });
+        if asks && !is_ample && account.rate_per_s > 0 && !self.is_known_empty(account, cost, now) {
+            return ChargeStep::Ask;
+        }
+        match self.charge(account, cost, now) {
+            Ok(()) => ChargeStep::Admitted,
+            Err(refusal) => ChargeStep::Refused(refusal),
+        }
+    }
+
+    /// True if a recent level says that the request can't be admitted yet.
+    fn is_known_empty(&self, account: &AccountSpec, cost: u64, now: MonotonicTime) -> bool {
+        let fleet = self.records.get(&account.name);
+        let fleet = fleet.and_then(|record| record.fleet.as_ref());
+        let fleet = fleet.filter(|fleet| now.since(fleet.heard_at) < LEVEL_LIMIT);
+        let needed = (cost as f64).min(account.burst as f64);
+        let slack = self.settings.level_slack(account);
+        fleet.is_some_and(|fleet| needed > fleet.units + slack)
+    }
+
+    /// Takes in that a request was charged by the holder, or refused, with the level after it.
+    pub fn apply_holder_charge(
+        &mut self,
+        account: &AccountSpec,
+        cost: u64,
+        is_admitted: bool,
+        level: &AccountLevel,
+        now: MonotonicTime,
+    ) -> Result<(), ChargeRefusal> {
+        self.apply_levels(std::slice::from_ref(level), now);
+        if is_admitted {
+            return Ok(());
+        }
+        let needed = (cost as f64).min(account.burst as f64);
+        let missing = needed - level.level as f64 - self.settings.level_slack(account);
+        let rate = account.rate_per_s as f64;
+        let free_rate = (rate - level.others_per_s as f64).max(rate * MIN_FREE_SHARE);
+        Err(ChargeRefusal::new(missing, free_rate, false))
+    }
+
+    /// Takes in that a request was charged by `host`, the holder's stand-in. The next holder learns of it by a report,
+    /// unless it is that host.
+    pub fn apply_stand_in_charge(
+        &mut self,
+        host: &HostId,
+        account: &AccountSpec,
+        cost: u64,
+        now: MonotonicTime,
+    ) {
+        let record = self.record(&account.name, 0.0, now);
+        let before = match record.stood_in.take() {
+            Some((known, units)) if known == *host => units,
+            Some((_, units)) => {
+                record.unreported += units;
+                0
+            }
+            None => 0,
+        };
+        record.stood_in = Some((host.clone(), before + cost as i64));
+    }
+
+    /// Notes that neither the holder nor its stand-in answered.
+    pub fn pause_asks(&mut self, now: MonotonicTime) {
+        self.asks_from = now + ASK_PAUSE;
+    }
+
+    /// Notes that a holder answers.
+    pub fn resume_asks(&mut self) {
+        self.asks_from = MonotonicTime::ZERO;
+    }
+
+    /// Charges a request by what this host knows itself.
     pub fn charge(
         &mut self,
         account: &AccountSpec,
@@ -182,12 +305,7 @@
             }
         };
         if missing > 0.0 {
-            let again_in = Duration::from_secs_f64(missing / free_rate);
-            return Err(ChargeRefusal {
-                again_in: again_in.min(MAX_RETRY_AFTER),
-                missing,
-                is_blind,
-            });
+            return Err(ChargeRefusal::new(missing, free_rate, is_blind));
         }
         record.use_units(cost as i64);
         Ok(())
@@ -200,6 +318,7 @@
                 fleet: None,
                 share: ShareLevel { units, at: now },
                 unreported: 0,
+                stood_in: None,
             })
     }
 
@@ -213,9 +332,16 @@
         }
     }
 
-    /// Usage for the next report. If the report fails, [`Self::return_unreported`] takes it back.
-    pub fn take_unreported(&mut self) -> Vec<AccountUse> {
-        let records = self.records.iter_mut();
+    /// Usage for the next report, to `holder`. If the report fails, [`Self::return_unreported`] takes it back.
+    pub fn take_unreported(&mut self, holder: &str) -> Vec<AccountUse> {
+        let records = self.records.iter_mut().map(|(account, record)| {
+            if let Some((host, units)) = record.stood_in.take()
+                && *host != *holder
+            {
+                record.unreported += units;
+            }
+            (account, record)
+        });
         let used = records.filter(|(_, record)| record.unreported != 0);
         used.map(|(account, record)| AccountUse {
             account: account.clone(),
@@ -233,6 +359,20 @@
         }
     }
 
+    /// Levels that the last holder told within the window over which usage is judged, for its successor.
+    pub fn heard_levels(&self, now: MonotonicTime) -> Vec<HeardLevel> {
+        let records = self.records.iter();
+        let levels = records.filter_map(|(account, record)| {
+            let fleet = record.fleet.as_ref()?;
+            let is_recent = now.since(fleet.heard_at) < self.settings.window;
+            is_recent.then(|| HeardLevel {
+                account: account.clone(),
+                level: fleet.heard,
+            })
+        });
+        levels.collect()
+    }
+
     /// Takes in the fleet's levels as of `asked_at`.
     pub fn apply_levels(&mut self, levels: &[AccountLevel], asked_at: MonotonicTime) {
         for AccountLevel {
@@ -244,6 +384,7 @@
             let record = self.record(account, 0.0, asked_at);
             record.fleet = Some(FleetLevel {
                 units: (level - record.unreported) as f64,
+                heard: *level,
                 others_per_s: *others_per_s as f64,
                 at: asked_at,
                 heard_at: asked_at,
@@ -254,15 +395,35 @@
     }
 }
 
-impl MeterRecord {
+impl ChargeRefusal {
+    fn new(missing: f64, free_rate: f64, is_blind: bool) -> Self {
+        let missing = missing.max(0.0);
+        let again_in = Duration::from_secs_f64(missing / free_rate.max(1.0));
+        Self {
+            again_in: again_in.min(MAX_RETRY_AFTER),
+            missing,
+            is_blind,
+        }
+    }
+}
+
+impl FleetLevel {
     /// Credits the time since the last call, less what the other hosts probably used.
+    fn advance(&mut self, account: &AccountSpec, now: MonotonicTime) {
+        let earned_per_s = account.rate_per_s as f64 - self.others_per_s;
+        let elapsed = now.since(self.at).as_secs_f64();
+        self.units = (self.units + earned_per_s * elapsed).min(account.burst as f64);
+        self.at = now;
+    }
+}
+
+impl MeterRecord {
+    /// Credits the time since the last call.
     fn advance(&mut self, account: &AccountSpec, hosts: f64, now: MonotonicTime) {
         let rate = account.rate_per_s as f64;
         let burst = account.burst as f64;
         if let Some(fleet) = &mut self.fleet {
-            let elapsed = now.since(fleet.at).as_secs_f64();
-            fleet.units = (fleet.units + (rate - fleet.others_per_s) * elapsed).min(burst);
-            fleet.at = now;
+            fleet.advance(account, now);
         }
         let share = &mut self.share;
         let elapsed = now.since(share.at).as_secs_f64();
--- a/crates/serving/src/fleet_ledger.rs
+++ b/crates/serving/src/fleet_ledger.rs
@@ -1,10 +1,12 @@
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use zinniahinge_types::AccountLevel;
 use zinniahinge_types::BackendTotal;
 use zinniahinge_types::BackendUse;
 use zinniahinge_types::FleetReport;
+use zinniahinge_types::HeardLevel;
 use zinniahinge_types::HostId;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
@@ -13,26 +15,19 @@
 use crate::AccountTable;
 use crate::BackendHealth;
 use crate::MeterSettings;
-use crate::account_meter::LEVEL_LIMIT;
+use crate::StandInMeter;
+use crate::account_ledger::AccountLedger;
+use crate::backend_totals::BackendTotals;
+use crate::host_presence::HostPresence;
 
 /// A host that has not reported for this long is not counted any more.
 const HOST_LIMIT: Duration = Duration::from_secs(10);
 
-/// Age up to which a host's requests under way count.
-const LOAD_LIMIT: Duration = Duration::from_millis(1500);
+/// Age up to which a host's requests under way count: two reports of a fleet of 400 hosts.
+const LOAD_LIMIT: Duration = Duration::from_millis(2400);
 
-/// A host that has not reported for this long admits from its own share of the rates by now.
-const SILENT_AFTER: Duration = LEVEL_LIMIT;
-
-/// A host that neither reported nor showed in the store that it lives for this long has ended. Hosts that reach no holder
-/// show it each [`crate::SHOW_INTERVAL`].
-const SHOWN_LIMIT: Duration = Duration::from_secs(8);
-
-/// Levels are settled this often, so that a change in the number of silent hosts counts from when it came.
-const SETTLE_INTERVAL: Duration = Duration::from_millis(300);
-
-/// Interval over which a jump of an account's usage is seen: the time between two reports of a host.
-const RECENT_INTERVAL: Duration = Duration::from_millis(300);
+/// How often what concerns all hosts or all servers is computed. Reports in between use the last result.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Shortest time between two reports that rates are computed over, seconds.
 const MIN_INTERVAL_S: f64 = 0.05;
@@ -40,19 +35,21 @@
 /// Weight of the newest report in a host's rate of use.
 const RATE_WEIGHT: f64 = 0.4;
 
+/// Rate of use below which it counts as none, units a second.
+const MIN_RATE: f64 = 1.0;
+
 /// Adds up what all hosts report: usage of client accounts, load and failures of backend servers.
+///
+/// One report costs what it holds itself, whatever the size of the fleet. What looks at all hosts or servers runs at most
+/// once each 200 ms.
 #[derive(Debug)]
 pub struct FleetLedger {
     hosts: HashMap<HostId, HostRecord>,
-    levels: HashMap<Name, LedgerLevel>,
+    accounts: AccountLedger,
+    presence: HostPresence,
+    totals: BackendTotals,
     health: BackendHealth,
-    settings: MeterSettings,
-    starts_full: bool,
-    started_at: MonotonicTime,
-    /// Hosts of the fleet and when each showed in the store that it lives.
-    shown: HashMap<HostId, MonotonicTime>,
-    settled_at: MonotonicTime,
-    recent: HashMap<Name, RecentUse>,
+    settled_at: Option<MonotonicTime>,
 }
 
 #[derive(Debug, Default)]
@@ -61,45 +58,8 @@
     backends: Vec<BackendUse>,
     /// Units a second by client account.
     rates: HashMap<Name, f64>,
-}
-
-/// Units that all hosts reported lately. A jump shows here within one interval, before the hosts' averages follow.
-#[derive(Debug, Default)]
-struct RecentUse {
-    started_at: MonotonicTime,
-    units: f64,
-    previous_units: f64,
-}
-
-#[derive(Debug)]
-struct LedgerLevel {
-    units: f64,
-    at: MonotonicTime,
-}
-
-impl RecentUse {
-    fn add(&mut self, units: f64, now: MonotonicTime) {
-        self.roll(now);
-        self.units += units;
-    }
-
-    /// Units a second over the present interval and the one before.
-    fn rate(&mut self, now: MonotonicTime) -> f64 {
-        self.roll(now);
-        let elapsed = now.since(self.started_at) + RECENT_INTERVAL;
-        (self.units + self.previous_units) / elapsed.as_secs_f64()
-    }
-
-    fn roll(&mut self, now: MonotonicTime) {
-        let elapsed = now.since(self.started_at);
-        if elapsed < RECENT_INTERVAL {
-            return;
-        }
-        let is_next = elapsed < RECENT_INTERVAL * 2;
-        self.previous_units = if is_next { self.units } else { 0.0 };
-        self.units = 0.0;
-        self.started_at = now;
-    }
+    /// Units that were charged here on the host's request since its last report.
+    asked: HashMap<Name, u64>,
 }
 
 impl FleetLedger {
@@ -108,83 +68,103 @@
     pub fn new(settings: MeterSettings, starts_full: bool, now: MonotonicTime) -> Self {
         Self {
             hosts: HashMap::new(),
-            levels: HashMap::new(),
+            accounts: AccountLedger::new(settings, starts_full, now),
+            presence: HostPresence::new(now),
+            totals: BackendTotals::default(),
             health: BackendHealth::default(),
-            settings,
-            starts_full,
-            started_at: now,
-            shown: HashMap::new(),
-            settled_at: now,
-            recent: HashMap::new(),
+            settled_at: None,
         }
     }
 
-    /// Sets the hosts of the fleet, with when each showed in the store that it lives.
-    pub fn set_hosts(&mut self, shown: HashMap<HostId, MonotonicTime>) {
-        self.shown = shown;
-    }
-
-    /// Part of each account's rate that is left for hosts that report. Those which live but don't report admit their share
-    /// by themselves. Looks at every host, so callers compute it once for all accounts.
-    fn free_share(&self, now: MonotonicTime) -> f64 {
-        let silent = self.shown.keys().filter(|host| {
-            let silent_for = now.since(self.seen_at(host));
-            let is_alive = now.since(self.shown_at(host)) < SHOWN_LIMIT;
-            silent_for >= SILENT_AFTER && is_alive
-        });
-        1.0 - silent.count() as f64 / self.shown.len().max(1) as f64
+    /// Goes on from what this host admitted itself in place of the former holder.
+    pub fn note_stand_in(
+        &mut self,
+        stand_in: &StandInMeter,
+        accounts: &AccountTable,
+        now: MonotonicTime,
+    ) {
+        for (account, units) in stand_in.levels() {
+            if let Some(account) = accounts.get(account) {
+                self.accounts.note_stood_in(account, units, now);
+            }
+        }
     }
 
-    /// When the host last reported, or this holder started.
-    fn seen_at(&self, host: &str) -> MonotonicTime {
-        let seen = self.hosts.get(host).map(|record| record.seen_at);
-        seen.unwrap_or(self.started_at).max(self.started_at)
+    /// Sets the hosts of the fleet, with when each showed in the store that it lives.
+    pub fn set_hosts(&mut self, shown: HashMap<HostId, MonotonicTime>) {
+        self.presence.set_hosts(shown);
     }
 
-    /// When the host last reported or showed in the store that it lives.
-    fn shown_at(&self, host: &str) -> MonotonicTime {
-        let shown = self.shown.get(host).copied();
-        shown.unwrap_or(self.started_at).max(self.seen_at(host))
+    /// Does what looks at all hosts and servers, if it is due. `groups` lists servers that serve the same requests.
+    pub fn settle(
+        &mut self,
+        accounts: &AccountTable,
+        groups: impl FnOnce() -> Vec<Vec<Name>>,
+        now: MonotonicTime,
+    ) {
+        if self
+            .settled_at
+            .is_some_and(|at| now.since(at) < SETTLE_INTERVAL)
+        {
+            return;
+        }
+        self.settled_at = Some(now);
+        self.settle_shares(accounts, now);
+        let health = &mut self.health;
+        let groups = groups();
+        let suspects = groups.iter().flat_map(|group| health.suspects(group, now));
+        let suspects: HashSet<Name> = suspects.collect();
+        self.totals.set_suspects(&suspects);
+        self.forget_silent(now);
     }
 
-    /// Time for which a host that reports again had a part of the rates kept for it.
-    fn kept_time(&self, host: &str, now: MonotonicTime) -> Duration {
-        if !self.shown.contains_key(host) {
-            return Duration::ZERO;
+    /// Counts the hosts that admit from their own shares.
+    fn settle_shares(&mut self, accounts: &AccountTable, now: MonotonicTime) {
+        let newly_silent = self.presence.check(now);
+        let free_share = self.presence.free_share();
+        self.accounts.settle(accounts, free_share, now);
+        if !newly_silent.is_zero() {
+            let share_s = newly_silent.as_secs_f64() / self.presence.host_count() as f64;
+            self.accounts.take_shares(accounts, share_s, now);
         }
-        let silent_from = self.seen_at(host) + SILENT_AFTER;
-        let until = now.min(self.shown_at(host) + SHOWN_LIMIT);
-        until.since(silent_from)
     }
 
-    /// Settles all levels up to `now`, before the number of silent hosts changes.
-    fn settle(&mut self, accounts: &AccountTable, now: MonotonicTime) {
-        let free_share = self.free_share(now);
-        for account in accounts.iter() {
-            let units = self.level(account, free_share, now);
-            let level = LedgerLevel { units, at: now };
-            self.levels.insert(account.name.clone(), level);
+    /// Takes out what hosts that report no more had under way and used.
+    fn forget_silent(&mut self, now: MonotonicTime) {
+        let Self {
+            hosts,
+            totals,
+            accounts,
+            ..
+        } = self;
+        for record in hosts.values_mut() {
+            if now.since(record.seen_at) >= LOAD_LIMIT && !record.backends.is_empty() {
+                totals.replace(&std::mem::take(&mut record.backends), &[]);
+            }
         }
+        hosts.retain(|_, record| {
+            let stays = now.since(record.seen_at) < HOST_LIMIT;
+            if !stays {
+                for (account, rate) in &record.rates {
+                    accounts.change_rate(account, -rate);
+                }
+            }
+            stays
+        });
     }
 
     /// Takes a report in.
     pub fn apply(&mut self, report: &FleetReport, accounts: &AccountTable, now: MonotonicTime) {
-        let kept_s = self.kept_time(&report.host, now).as_secs_f64();
-        if now.since(self.settled_at) >= SETTLE_INTERVAL || kept_s > 0.0 {
-            self.settle(accounts, now);
-            self.settled_at = now;
-        }
-        let hosts = self.shown.len().max(1) as f64;
-        let record = self.hosts.entry(report.host.clone()).or_default();
-        let elapsed = now.since(record.seen_at).as_secs_f64();
-        let elapsed = elapsed.clamp(MIN_INTERVAL_S, HOST_LIMIT.as_secs_f64());
-        record.seen_at = now;
-        for rate in record.rates.values_mut() {
-            *rate *= 1.0 - RATE_WEIGHT;
+        self.note_seen(&report.host, accounts, now);
+        for HeardLevel { account, level } in &report.heard {
+            if let Some(account) = accounts.get(account) {
+                self.accounts.note_heard(account, *level, now);
+            }
         }
         for usage in &report.accounts {
-            let rate = record.rates.entry(usage.account.clone()).or_default();
-            *rate += RATE_WEIGHT * (usage.units.max(0) as f64) / elapsed;
+            if let Some(account) = accounts.get(&usage.account) {
+                self.accounts.add_use(account, usage.units as f64, now);
+            }
         }
         for usage in &report.backends {
             let BackendUse {
@@ -195,48 +175,62 @@
             } = usage;
             self.health.add(backend, *succeeded, *failed, now);
         }
-        record.backends = report.backends.clone();
-        if kept_s > 0.0 {
-            // Its report names what it used meanwhile, so what was kept for it comes back.
-            for account in accounts.iter() {
-                if let Some(level) = self.levels.get_mut(&account.name) {
-                    let kept = account.rate_per_s as f64 / hosts * kept_s;
-                    level.units = (level.units + kept).min(account.burst as f64);
-                }
-            }
-        }
-        let free_share = self.free_share(now);
-        for usage in &report.accounts {
-            let Some(account) = accounts.get(&usage.account) else {
-                continue;
-            };
-            let recent = self.recent.entry(usage.account.clone()).or_default();
-            recent.add(usage.units as f64, now);
-            let units = self.level(account, free_share, now) - usage.units as f64;
-            let level = LedgerLevel { units, at: now };
-            self.levels.insert(usage.account.clone(), level);
+        let record = self.hosts.entry(report.host.clone()).or_default();
+        self.totals.replace(&record.backends, &report.backends);
+        record.backends.clone_from(&report.backends);
+        let elapsed = now.since(record.seen_at).as_secs_f64();
+        record.seen_at = now;
+        record.apply_rates(report, elapsed, &mut self.accounts);
+    }
+
+    fn note_seen(&mut self, host: &str, accounts: &AccountTable, now: MonotonicTime) {
+        let kept = self.presence.note_seen(host, now);
+        if kept.is_zero() {
+            return;
         }
+        self.settle_shares(accounts, now);
+        // Its report names what it used meanwhile, so what was kept for it comes back.
+        let share_s = kept.as_secs_f64() / self.presence.host_count() as f64;
+        self.accounts.take_shares(accounts, -share_s, now);
     }
 
-    /// Units that an account has left at `now`.
-    fn level(&self, account: &AccountSpec, free_share: f64, now: MonotonicTime) -> f64 {
-        let burst = account.burst as f64;
-        let (units, at) = match self.levels.get(&account.name) {
-            Some(level) => (level.units, level.at),
-            None if self.starts_full => return burst,
-            None => (self.settings.unknown_level(account), self.started_at),
-        };
-        let earned = account.rate_per_s as f64 * free_share * now.since(at).as_secs_f64();
-        (units + earned).min(burst)
+    /// Charges a request for a host that has no recent level, or whose account is near its limit. True if it is admitted.
+    pub fn charge(
+        &mut self,
+        host: &HostId,
+        account: &AccountSpec,
+        cost: u64,
+        accounts: &AccountTable,
+        now: MonotonicTime,
+    ) -> bool {
+        self.note_seen(host, accounts, now);
+        let is_admitted = self.accounts.charge(account, cost, now);
+        if is_admitted {
+            let record = self
+                .hosts
+                .entry(host.clone())
+                .or_insert_with(|| HostRecord {
+                    seen_at: now,
+                    ..HostRecord::default()
+                });
+            *record.asked.entry(account.name.clone()).or_default() += cost;
+        }
+        is_admitted
     }
 
     /// Hosts that reported lately.
-    pub fn host_count(&mut self, now: MonotonicTime) -> u32 {
-        self.hosts
-            .retain(|_, record| now.since(record.seen_at) < HOST_LIMIT);
+    pub fn host_count(&self) -> u32 {
         self.hosts.len() as u32
     }
 
+    /// What one client account may still use, for `host`.
+    pub fn level(&mut self, host: &str, account: &AccountSpec, now: MonotonicTime) -> AccountLevel {
+        let record = self.hosts.get(host);
+        let own_rate = record.and_then(|record| record.rates.get(&account.name));
+        let own_rate = own_rate.copied().unwrap_or_default();
+        self.accounts.level(account, own_rate, now)
+    }
+
     /// What client accounts may still use, for `host`.
     pub fn levels(
         &mut self,
@@ -244,70 +238,50 @@
         accounts: &AccountTable,
         now: MonotonicTime,
     ) -> Vec<AccountLevel> {
-        let free_share = self.free_share(now);
         let limited = accounts.iter().filter(|account| account.rate_per_s > 0);
-        let levels = limited.map(|account| {
-            let level = self.level(account, free_share, now);
-            let heard = self.hosts.iter();
-            let heard = heard.filter(|(_, record)| now.since(record.seen_at) < HOST_LIMIT);
-            let (mut own, mut others) = (0.0, 0.0);
-            for (id, record) in heard {
-                let rate = record.rates.get(&account.name).copied().unwrap_or_default();
-                if id.as_ref() == host {
-                    own = rate;
-                } else {
-                    others += rate;
-                }
-            }
-            let recent = self.recent.get_mut(&account.name);
-            let recent = recent.map_or(0.0, |recent| recent.rate(now));
-            AccountLevel {
-                account: account.name.clone(),
-                level: level as i64,
-                others_per_s: others.max(recent - own) as u64,
-            }
-        });
-        levels.collect()
+        limited
+            .map(|account| self.level(host, account, now))
+            .collect()
     }
 
-    /// What the other hosts have on backend servers, for `host`. `groups` lists servers that serve the same requests.
-    pub fn backends(
-        &mut self,
-        host: &str,
-        groups: &[Vec<Name>],
-        now: MonotonicTime,
-    ) -> Vec<BackendTotal> {
-        let mut totals: HashMap<&Name, (u32, u64)> = HashMap::new();
-        let others = self
-            .hosts
-            .iter()
-            .filter(|(id, record)| id.as_ref() != host && now.since(record.seen_at) < LOAD_LIMIT);
-        for usage in others.flat_map(|(_, record)| &record.backends) {
-            let total = totals.entry(&usage.backend).or_default();
-            total.0 += usage.in_flight;
-            total.1 += usage.pending_tokens;
-        }
-        let health = &mut self.health;
-        let suspects: Vec<Name> = groups
-            .iter()
-            .flat_map(|group| health.suspects(group, now))
-            .collect();
-        let listed = groups.iter().flatten().map(|backend| {
-            let (in_flight, pending_tokens) = totals.get(backend).copied().unwrap_or_default();
-            BackendTotal {
-                backend: backend.clone(),
-                in_flight,
-                pending_tokens,
-                is_suspect: suspects.contains(backend),
-            }
-        });
-        listed
-            .filter(|total| total.in_flight > 0 || total.is_suspect)
-            .collect()
+    /// What all hosts have on backend servers, as far as it changed after `version`, and the newest version.
+    pub fn totals_since(&self, version: u64) -> (Vec<BackendTotal>, u64) {
+        self.totals.since(version)
     }
 
     /// Forgets backend servers that are gone.
     pub fn retain_backends(&mut self, keep: impl Fn(&Name) -> bool) {
-        self.health.retain(keep);
+        self.health.retain(&keep);
+        self.totals.retain(&keep);
+    }
+}
+
+impl HostRecord {
+    /// Brings the host's averages up to date, and their sums with them.
+    fn apply_rates(&mut self, report: &FleetReport, elapsed_s: f64, accounts: &mut AccountLedger) {
+        let elapsed_s = elapsed_s.clamp(MIN_INTERVAL_S, HOST_LIMIT.as_secs_f64());
+        let mut used: HashMap<&Name, f64> = HashMap::new();
+        let asked = std::mem::take(&mut self.asked);
+        for (account, units) in &asked {
+            *used.entry(account).or_default() += *units as f64;
+        }
+        for usage in &report.accounts {
+            *used.entry(&usage.account).or_default() += usage.units.max(0) as f64;
+        }
+        for (account, rate) in &mut self.rates {
+            let units = used.remove(account).unwrap_or_default();
+            let newest = *rate * (1.0 - RATE_WEIGHT) + RATE_WEIGHT * units / elapsed_s;
+            let newest = if newest < MIN_RATE { 0.0 } else { newest };
+            accounts.change_rate(account, newest - *rate);
+            *rate = newest;
+        }
+        self.rates.retain(|_, rate| *rate > 0.0);
+        for (account, units) in used {
+            let rate = RATE_WEIGHT * units / elapsed_s;
+            if rate >= MIN_RATE {
+                accounts.change_rate(account, rate);
+                self.rates.insert(account.clone(), rate);
+            }
+        }
     }
 }
--- a/crates/serving/src/residency_background.rs
+++ b/crates/serving/src/residency_background.rs
@@ -1,5 +1,7 @@
 //! What a [`ResidencyPlanner`] does while no request waits, and what it takes for granted when it starts.
 
+use std::collections::HashSet;
+
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 
@@ -7,6 +9,7 @@
 use crate::ResidencyPlanner;
 use crate::residency_demand::CopyLevel;
 use crate::residency_load::LoadLimit;
+use crate::residency_load::PlanFigures;
 use crate::residency_load::RELOAD_S;
 use crate::residency_load::SPREAD_S;
 
@@ -43,16 +46,22 @@
     }
 
     /// Next order towards a further replica of a busy model, the busiest first.
-    pub(crate) fn plan_replica(&mut self, now: MonotonicTime) -> Option<EngineOrder> {
+    pub(crate) fn plan_replica(
+        &mut self,
+        figures: &PlanFigures,
+        now: MonotonicTime,
+    ) -> Option<EngineOrder> {
         let models = self.models_by_rate(now).into_iter();
         let busy: Vec<(f64, Name)> = models
             .filter(|(_, model)| {
-                let replicas = self.replicas(model);
+                let replicas = figures.replicas.get(model).copied().unwrap_or_default();
                 replicas > 0 && replicas < self.target_replicas(model, now)
             })
             .collect();
         busy.into_iter().find_map(|(rate, model)| {
-            let level = self.best_target(&model, LoadLimit::NONE, now)?.level;
+            let level = self
+                .best_target(&model, LoadLimit::NONE, figures, now)?
+                .level;
             let time_s = match level {
                 CopyLevel::Store => REPLICA_LOAD_S,
                 CopyLevel::Memory | CopyLevel::Disk => RELOAD_S,
@@ -62,18 +71,23 @@
                 cost_s: gain_s + time_s,
                 ..LoadLimit::NONE
             };
-            self.plan_model(&model, limit, now)
+            self.plan_model(&model, limit, figures, now)
         })
     }
 
     /// Brings models nearer that no request waits for: first those without any copy, then those that fit into free memory.
-    pub(crate) fn plan_absent(&mut self, now: MonotonicTime) -> Option<EngineOrder> {
+    pub(crate) fn plan_absent(
+        &mut self,
+        figures: &PlanFigures,
+        now: MonotonicTime,
+    ) -> Option<EngineOrder> {
         let models = self.models_by_rate(now).into_iter();
         let absent: Vec<Name> = models
             .map(|(_, model)| model)
-            .filter(|model| !self.is_held(model))
+            .filter(|model| !figures.replicas.contains_key(model))
             .collect();
-        let without_copy = absent.iter().filter(|model| !self.has_copy(model));
+        let copied = self.copied_models();
+        let without_copy = absent.iter().filter(|model| !copied.contains(*model));
         let without_copy = without_copy.map(|model| (model, FIRST_LOAD_LIMIT_S));
         let tries: Vec<(&Name, f64)> = without_copy
             .chain(absent.iter().map(|model| (model, RELOAD_S)))
@@ -83,7 +97,7 @@
                 cost_s,
                 ..LoadLimit::NONE
             };
-            self.plan_model(model, limit, now)
+            self.plan_model(model, limit, figures, now)
         })
     }
 
@@ -97,8 +111,13 @@
         models
     }
 
-    fn has_copy(&self, model: &Name) -> bool {
-        let mut engines = self.engines.values().filter(|record| record.is_accepting);
-        engines.any(|record| record.level(model) != CopyLevel::Store)
+    /// Models of which an engine has a copy.
+    fn copied_models(&self) -> HashSet<Name> {
+        let engines = self.engines.values().filter(|record| record.is_accepting);
+        let copies = engines.flat_map(|record| {
+            let copies = record.memory_copies.iter();
+            copies.chain(&record.disk_copies).cloned()
+        });
+        copies.collect()
     }
 }
--- a/crates/serving/src/residency_load.rs
+++ b/crates/serving/src/residency_load.rs
@@ -1,5 +1,6 @@
 //! Which order a [`ResidencyPlanner`] gives next.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use zinniahinge_types::MonotonicTime;
@@ -16,6 +17,9 @@
 use crate::residency_demand::CopyLevel;
 use crate::residency_demand::WantKey;
 
+/// Time between two looks at what could be loaded while no request waits, after one that found nothing.
+const BACKGROUND_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Time for which memory that is being freed is kept for a model.
 const CLAIM_TIME: Duration = Duration::from_secs(3);
 
@@ -62,6 +66,23 @@
     is_free: bool,
 }
 
+/// What one engine could make room for, whatever the model.
+#[derive(Debug)]
+pub(crate) struct EngineRoom {
+    free_mb: f64,
+    /// Models that could go, the cheapest first: cost in seconds, name, memory in megabytes.
+    victims: Vec<(f64, Name, f64)>,
+}
+
+/// What one plan looks up for each engine and model. Computed once for each change of the engines, so that a plan grows
+/// with the engines and not with engines times models.
+#[derive(Debug)]
+pub(crate) struct PlanFigures {
+    rooms: HashMap<Name, EngineRoom>,
+    /// Replicas by model, if any.
+    pub(crate) replicas: HashMap<Name, usize>,
+}
+
 impl ResidencyPlanner {
     /// Orders to send now, at most one for each engine. The outcome of each goes to [`Self::order_ended`].
     pub fn plan(&mut self, now: MonotonicTime) -> Vec<EngineOrder> {
@@ -73,23 +94,75 @@
             .collect();
         keys.sort();
         let mut orders = Vec::new();
+        let mut figures = None;
         for (_, _, key) in keys {
             let order = match &key.adapter {
                 Some(adapter) if self.is_held(&key.model) => {
                     self.plan_adapter(&key.model, adapter, now)
                 }
-                _ => self.plan_wanted(&key.model, now),
+                _ => {
+                    let figures = figures.get_or_insert_with(|| self.figures(now));
+                    self.plan_wanted(&key.model, figures, now)
+                }
             };
-            orders.extend(order.map(|order| self.sent(order)));
+            if let Some(order) = order {
+                orders.push(self.sent(order));
+                figures = None;
+            }
         }
-        if self.wants.is_empty() {
-            let order = self.plan_replica(now);
-            let order = order.or_else(|| self.plan_absent(now));
+        let is_due = now.since(self.background_at) >= BACKGROUND_INTERVAL;
+        if self.wants.is_empty() && (is_due || self.background_at == MonotonicTime::ZERO) {
+            let figures = figures.unwrap_or_else(|| self.figures(now));
+            let order = self.plan_replica(&figures, now);
+            let order = order.or_else(|| self.plan_absent(&figures, now));
+            if order.is_none() {
+                self.background_at = now;
+            }
             orders.extend(order.map(|order| self.sent(order)));
         }
         orders
     }
 
+    /// Looks at all engines and what they hold.
+    pub(crate) fn figures(&self, now: MonotonicTime) -> PlanFigures {
+        let mut replicas: HashMap<Name, usize> = HashMap::new();
+        for record in self.engines.values().filter(|record| record.is_accepting) {
+            for model in record.held.keys().filter(|model| record.keeps(model)) {
+                *replicas.entry(model.clone()).or_default() += 1;
+            }
+        }
+        let engines = self.engines.values().filter(|record| record.is_accepting);
+        let rooms = engines.map(|record| (record.id.clone(), self.room(record, &replicas, now)));
+        PlanFigures {
+            rooms: rooms.collect(),
+            replicas,
+        }
+    }
+
+    fn room(
+        &self,
+        record: &EngineRecord,
+        replicas: &HashMap<Name, usize>,
+        now: MonotonicTime,
+    ) -> EngineRoom {
+        let held = record.held.iter();
+        let held = held.filter(|(model, held)| !held.is_leaving && !self.is_wanted(model));
+        let mut victims: Vec<(f64, Name, f64)> = held
+            .map(|(model, held)| {
+                let freed = model_mb(&self.spec, model)
+                    + adapter_mb(&self.spec, model) * held.adapters.len() as f64;
+                let replicas = replicas.get(model).copied().unwrap_or_default();
+                let cost = self.eviction_cost(record, model, replicas, now);
+                (cost, model.clone(), freed)
+            })
+            .collect();
+        victims.sort_by(|one, other| one.0.total_cmp(&other.0));
+        EngineRoom {
+            free_mb: self.spec.memory_mb - record.used_mb(&self.spec, now),
+            victims,
+        }
+    }
+
     fn expire(&mut self, now: MonotonicTime) {
         let Self { wants, engines, .. } = self;
         wants.retain(|key, want| {
@@ -138,7 +211,12 @@
     }
 
     /// Next order towards a replica of a model that requests wait for. One that comes slowly is loaded from a copy besides.
-    fn plan_wanted(&mut self, model: &Name, now: MonotonicTime) -> Option<EngineOrder> {
+    fn plan_wanted(
+        &mut self,
+        model: &Name,
+        figures: &PlanFigures,
+        now: MonotonicTime,
+    ) -> Option<EngineOrder> {
         let limit = match self.coming_in(model, now) {
             None => LoadLimit::NONE,
             Some(ready_in) => LoadLimit {
@@ -146,7 +224,7 @@
                 level: CopyLevel::Disk,
             },
         };
-        self.plan_model(model, limit, now)
+        self.plan_model(model, limit, figures, now)
     }
 
     /// Time until a replica is there that is loaded or being loaded; `None` if there is none.
@@ -163,6 +241,7 @@
         &mut self,
         model: &Name,
         limit: LoadLimit,
+        figures: &PlanFigures,
         now: MonotonicTime,
     ) -> Option<EngineOrder> {
         let claimed = self.engines.values().find(|record| {
@@ -170,8 +249,8 @@
             record.is_accepting && claim.is_some_and(|claim| claim.model == *model)
         });
         let target = match claimed {
-            Some(record) => self.target(record, model, now)?,
-            None => self.best_target(model, limit, now)?,
+            Some(record) => self.target(record, model, figures, now)?,
+            None => self.best_target(model, limit, figures, now)?,
         };
         if target.cost_s > limit.cost_s || target.level > limit.level || !target.is_free {
             return None;
@@ -196,11 +275,12 @@
         &self,
         model: &Name,
         limit: LoadLimit,
+        figures: &PlanFigures,
         now: MonotonicTime,
     ) -> Option<LoadTarget> {
         let engines = self.engines.values();
         let engines = engines.filter(|record| record.level(model) <= limit.level);
-        let targets = engines.filter_map(|record| self.target(record, model, now));
+        let targets = engines.filter_map(|record| self.target(record, model, figures, now));
         targets.min_by(|one, other| one.cost_s.total_cmp(&other.cost_s))
     }
 
@@ -209,6 +289,7 @@
         &self,
         record: &EngineRecord,
         model: &Name,
+        figures: &PlanFigures,
         now: MonotonicTime,
     ) -> Option<LoadTarget> {
         let claimed_by_other = record
@@ -226,25 +307,14 @@
             return None;
         }
         let needed = model_mb(&self.spec, model) + ROUNDING_MB;
-        let mut free = self.spec.memory_mb - record.used_mb(&self.spec, now);
-        let mut victims: Vec<(f64, &Name, f64)> = record
-            .held
-            .iter()
-            .filter(|(victim, held)| !held.is_leaving && *victim != model)
-            .filter(|(victim, _)| !self.is_wanted(victim))
-            .map(|(victim, held)| {
-                let freed = model_mb(&self.spec, victim)
-                    + adapter_mb(&self.spec, victim) * held.adapters.len() as f64;
-                (self.eviction_cost(record, victim, now), victim, freed)
-            })
-            .collect();
-        victims.sort_by(|one, other| one.0.total_cmp(&other.0));
+        let room = figures.rooms.get(&record.id)?;
+        let mut free = room.free_mb;
         let mut cost_s = 0.0;
         let mut first = None;
-        let mut victims = victims.into_iter();
+        let mut victims = room.victims.iter();
         while free < needed {
             let (cost, victim, freed) = victims.next()?;
-            first.get_or_insert_with(|| victim.clone());
+            first.get_or_insert(victim);
             cost_s += cost;
             free += freed;
         }
@@ -255,7 +325,7 @@
         cost_s += record.disk_copies.len() as f64 * 0.01;
         Some(LoadTarget {
             backend: record.id.clone(),
-            victim: first,
+            victim: first.cloned(),
             level,
             cost_s,
             is_free: record.is_free(now),
@@ -267,10 +337,15 @@
     }
 
     /// Delay, in seconds over the horizon, that requests will see if the model leaves the engine.
-    fn eviction_cost(&self, record: &EngineRecord, model: &Name, now: MonotonicTime) -> f64 {
+    fn eviction_cost(
+        &self,
+        record: &EngineRecord,
+        model: &Name,
+        replicas: usize,
+        now: MonotonicTime,
+    ) -> f64 {
         let rate = self.rate(model, now);
         let horizon = self.settings.eviction_horizon_s;
-        let replicas = self.replicas(model);
         let delay = if replicas > 1 {
             let target = self.target_replicas(model, now);
             if replicas > target {
--- a/crates/serving/src/residency_observation.rs
+++ b/crates/serving/src/residency_observation.rs
@@ -18,6 +18,9 @@
 /// Pause between two reports of an engine that carries out an unknown order.
 const BUSY_REPORT_PAUSE: Duration = Duration::from_millis(200);
 
+/// The same for each engine: a large fleet is asked for 40 reports a second at most when nothing else asks for one.
+const REPORT_INTERVAL_PER_ENGINE: Duration = Duration::from_millis(25);
+
 impl ResidencyPlanner {
     /// Takes in what the store lists of an engine.
     pub fn observe_entry(&mut self, entry: &BackendEntry, now: MonotonicTime) {
@@ -58,7 +61,9 @@
             ..
         } = self;
         let lag = settings.report_lag;
-        let interval = settings.report_interval;
+        let interval = settings
+            .report_interval
+            .max(REPORT_INTERVAL_PER_ENGINE * engines.len() as u32);
         let Some(record) = engines.get_mut(backend) else {
             return;
         };
--- a/crates/serving/src/residency_planner.rs
+++ b/crates/serving/src/residency_planner.rs
@@ -36,6 +36,9 @@
 /// Time for which an engine that a host could not reach gets no requests, unless it reports.
 const UNREACHED_TIME: Duration = Duration::from_millis(1500);
 
+/// Views are brought up to date this often, whatever the number of hosts that ask for them.
+const VIEW_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Where a request can go, or when.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Placement {
@@ -79,6 +82,10 @@
     pub(crate) store_starts: VecDeque<MonotonicTime>,
     pub(crate) views: BTreeMap<Name, ResidencyView>,
     view_version: u64,
+    /// When the views were last brought up to date.
+    viewed_at: Option<MonotonicTime>,
+    /// When nothing was found to load while no request waits.
+    pub(crate) background_at: MonotonicTime,
     turn: usize,
 }
 
@@ -95,6 +102,8 @@
             store_starts: VecDeque::new(),
             views: BTreeMap::new(),
             view_version: first_version,
+            viewed_at: None,
+            background_at: MonotonicTime::ZERO,
             turn: 0,
         }
     }
@@ -336,6 +345,18 @@
 
     /// Views that changed after `version`, and the newest version.
     pub fn views_since(&mut self, version: u64, now: MonotonicTime) -> (Vec<ResidencyView>, u64) {
+        let is_due = self
+            .viewed_at
+            .is_none_or(|at| now.since(at) >= VIEW_INTERVAL);
+        if is_due {
+            self.viewed_at = Some(now);
+            self.refresh_views(now);
+        }
+        let views = self.views.values().filter(|view| view.version > version);
+        (views.cloned().collect(), self.view_version)
+    }
+
+    fn refresh_views(&mut self, now: MonotonicTime) {
         for record in self.engines.values() {
             let models = viewed_models(record, now);
             let known = self.views.get(&record.id);
@@ -350,8 +371,6 @@
                 self.views.insert(record.id.clone(), view);
             }
         }
-        let views = self.views.values().filter(|view| view.version > version);
-        (views.cloned().collect(), self.view_version)
     }
 }
 
--- /dev/null
+++ b/crates/serving/tests/account_fleet.rs
@@ -0,0 +1,392 @@
+//! Rates of client accounts over fleets of 16 to 400 hosts, with requests of 9,000 tokens: how much of what an account is
+//! owed is refused, and whether it ever gets more than is allowed. Hosts that ask are played beside hosts that go by the
+//! fleet's levels and their own share only.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use zinniahinge_serving::AccountMeter;
+use zinniahinge_serving::AccountSpec;
+use zinniahinge_serving::AccountTable;
+use zinniahinge_serving::ChargeStep;
+use zinniahinge_serving::FleetLedger;
+use zinniahinge_serving::MeterSettings;
+use zinniahinge_serving::QuotaUnit;
+use zinniahinge_serving::StandInMeter;
+use zinniahinge_types::FleetReport;
+use zinniahinge_types::HostId;
+use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::Name;
+
+const COST: u64 = 9_000;
+
+/// Stands in for the first holder, and is the next one.
+const STAND_IN: &str = "stand-in";
+
+const WINDOW_MS: u64 = 8_000;
+const DAY_MS: u64 = 24_000;
+
+const SETTINGS: MeterSettings = MeterSettings {
+    window: Duration::from_secs(8),
+    over_share: 0.1,
+    slack: 110_000.0,
+};
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(20_000 + millis)
+}
+
+/// How hosts decide when they know no level well enough.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Way {
+    /// By the fleet's levels, and without them by their own share.
+    Levels,
+    /// They ask the holder, or its stand-in.
+    Asks,
+}
+
+struct DayCase {
+    name: &'static str,
+    hosts: usize,
+    /// Requests a second of the quiet account, of its rate of 80,000 units a second.
+    quiet_per_s: f64,
+    /// Requests a second of the busy account from the fifth second on.
+    busy_per_s: f64,
+    /// No holder answers from and until then, milliseconds.
+    lost: Option<(u64, u64)>,
+    /// Hosts that reach neither the holder nor its stand-in from and until then: every n-th.
+    cut: Option<(usize, u64, u64)>,
+    /// Largest share of the quiet account's requests that may be refused while the holder answers, and for 3 s without.
+    most_refused: (f64, f64),
+    /// Least share of the busy account's rate that it gets from the fifth second on.
+    least_used: f64,
+}
+
+struct PlayedFleet {
+    accounts: AccountTable,
+    hosts: Vec<HostId>,
+    meters: Vec<AccountMeter>,
+    ledger: FleetLedger,
+    stand_in: StandInMeter,
+    /// Hosts that the present holder has not answered.
+    is_new: Vec<bool>,
+    way: Way,
+}
+
+/// Requests of one account: when, on which host, and whether admitted.
+type Outcomes = Vec<(u64, usize, bool)>;
+
+fn account(name: &str, rate: u64) -> AccountSpec {
+    AccountSpec {
+        name: name.into(),
+        priority: None,
+        unit: QuotaUnit::Tokens { unstated: 200 },
+        rate_per_s: rate,
+        burst: rate,
+    }
+}
+
+impl PlayedFleet {
+    fn new(hosts: usize, way: Way) -> Self {
+        let mut accounts = AccountTable::default();
+        accounts.insert(account("quiet", 80_000), ["quiet-key"]);
+        accounts.insert(account("busy", 80_000), ["busy-key"]);
+        let hosts: Vec<HostId> = (0..hosts).map(|host| format!("h{host}").into()).collect();
+        let meters = hosts.iter().map(|_| {
+            let mut meter = AccountMeter::new(SETTINGS, true);
+            meter.set_hosts(hosts.len() as u32);
+            meter
+        });
+        let mut ledger = FleetLedger::new(SETTINGS, true, at(0));
+        let shown = hosts.iter().map(|host| (host.clone(), at(0)));
+        ledger.set_hosts(shown.collect());
+        Self {
+            meters: meters.collect(),
+            accounts,
+            ledger,
+            stand_in: StandInMeter::new(SETTINGS),
+            is_new: vec![false; hosts.len()],
+            hosts,
+            way,
+        }
+    }
+
+    fn charge(&mut self, name: &str, host: usize, now: u64, holder: bool, stand_in: bool) -> bool {
+        let account = self.accounts.get(name).expect("defined above").clone();
+        let now = at(now);
+        let meter = &mut self.meters[host];
+        if self.way == Way::Levels {
+            return meter.charge(&account, COST, now).is_ok();
+        }
+        match meter.begin_charge(&account, COST, now) {
+            ChargeStep::Admitted => return true,
+            ChargeStep::Refused(_) => return false,
+            ChargeStep::Ask => {}
+        }
+        let id = &self.hosts[host];
+        if holder {
+            let accounts = &self.accounts;
+            self.ledger.settle(accounts, Vec::new, now);
+            let admitted = self.ledger.charge(id, &account, COST, accounts, now);
+            let level = self.ledger.level(id, &account, now);
+            let charged = meter.apply_holder_charge(&account, COST, admitted, &level, now);
+            return charged.is_ok();
+        }
+        if stand_in {
+            let hosts = self.hosts.len() as u32;
+            let charged = self.stand_in.charge(id, hosts, &account, COST, now);
+            if charged.is_ok() {
+                meter.apply_stand_in_charge(&STAND_IN.into(), &account, COST, now);
+            }
+            return charged.is_ok();
+        }
+        meter.pause_asks(now);
+        meter.charge(&account, COST, now).is_ok()
+    }
+
+    fn report(&mut self, host: usize, now: u64) {
+        let meter = &mut self.meters[host];
+        let is_new = std::mem::replace(&mut self.is_new[host], false);
+        let heard = if is_new && self.way == Way::Asks {
+            meter.heard_levels(at(now))
+        } else {
+            Vec::new()
+        };
+        let report = FleetReport {
+            host: self.hosts[host].clone(),
+            accounts: meter.take_unreported(STAND_IN),
+            heard,
+            ..FleetReport::default()
+        };
+        self.ledger.settle(&self.accounts, Vec::new, at(now));
+        self.ledger.apply(&report, &self.accounts, at(now));
+        let levels = self.ledger.levels(&report.host, &self.accounts, at(now));
+        meter.apply_levels(&levels, at(now));
+        meter.resume_asks();
+    }
+}
+
+/// Plays a day; the outcomes of the quiet account and of the busy one.
+fn play(case: &DayCase, way: Way, seed: u64) -> (Outcomes, Outcomes) {
+    let mut fleet = PlayedFleet::new(case.hosts, way);
+    let mut random = StdRng::seed_from_u64(seed);
+    let interval = 300.max(3 * case.hosts as u64).next_multiple_of(10);
+    let (mut quiet, mut busy) = (Vec::new(), Vec::new());
+    for now in (0..DAY_MS).step_by(10) {
+        let holder = case
+            .lost
+            .is_none_or(|(from, until)| !(from..until).contains(&now));
+        if case.lost.is_some_and(|(_, until)| until == now) {
+            // The stand-in has the duty.
+            fleet.is_new.fill(true);
+            fleet.ledger = FleetLedger::new(SETTINGS, false, at(now));
+            let stand_in = std::mem::replace(&mut fleet.stand_in, StandInMeter::new(SETTINGS));
+            let accounts = &fleet.accounts;
+            fleet.ledger.note_stand_in(&stand_in, accounts, at(now));
+            let shown = fleet.hosts.iter().map(|host| (host.clone(), at(now)));
+            fleet.ledger.set_hosts(shown.collect());
+        }
+        let is_cut = |host: usize| {
+            case.cut.is_some_and(|(every, from, until)| {
+                host.is_multiple_of(every) && (from..until).contains(&now)
+            })
+        };
+        let busy_per_s = if now < 5_000 { 4.0 } else { case.busy_per_s };
+        for (name, per_s, outcomes) in [
+            ("quiet", case.quiet_per_s, &mut quiet),
+            ("busy", busy_per_s, &mut busy),
+        ] {
+            let mut due = per_s / 100.0;
+            while due > 0.0 {
+                if random.random_bool(due.min(1.0)) {
+                    let host = random.random_range(0..case.hosts);
+                    let reaches = !is_cut(host);
+                    let admitted = fleet.charge(name, host, now, holder && reaches, reaches);
+                    outcomes.push((now, host, admitted));
+                }
+                due -= 1.0;
+            }
+        }
+        for host in 0..case.hosts {
+            let is_due = (now + host as u64 * 10).is_multiple_of(interval);
+            if is_due && !is_cut(host) {
+                if holder {
+                    fleet.report(host, now);
+                } else {
+                    let id = &fleet.hosts[host];
+                    fleet.stand_in.note_host(id, case.hosts as u32, at(now));
+                }
+            }
+        }
+    }
+    (quiet, busy)
+}
+
+/// Most units that any window holds.
+fn worst_window(outcomes: &Outcomes) -> u64 {
+    let admitted: Vec<u64> = outcomes
+        .iter()
+        .filter(|(.., admitted)| *admitted)
+        .map(|(at, ..)| *at)
+        .collect();
+    let windows = admitted.iter().enumerate().map(|(index, start)| {
+        let window = admitted[index..].iter();
+        window.take_while(|at| **at < start + WINDOW_MS).count() as u64
+    });
+    windows.max().unwrap_or(0) * COST
+}
+
+fn refused_share(outcomes: &Outcomes, counts: impl Fn(u64, usize) -> bool) -> f64 {
+    let counted = outcomes.iter().filter(|(at, host, _)| counts(*at, *host));
+    let (mut all, mut refused) = (0.0, 0.0);
+    for (.., admitted) in counted {
+        all += 1.0;
+        refused += f64::from(u8::from(!admitted));
+    }
+    refused / f64::max(all, 1.0)
+}
+
+const CALM: DayCase = DayCase {
+    name: "calm",
+    hosts: 16,
+    quiet_per_s: 4.5,
+    busy_per_s: 4.5,
+    lost: None,
+    cut: None,
+    most_refused: (0.005, 1.0),
+    least_used: 0.0,
+};
+
+/// The four sizes with one kind of day.
+fn sizes(day: impl Fn(usize) -> DayCase) -> Vec<DayCase> {
+    [16, 126, 295, 400].map(day).into()
+}
+
+fn check(cases: &[DayCase]) {
+    let allowed = (80_000 * WINDOW_MS / 1000 + 80_000) as f64 * 1.1 + 110_000.0;
+    for case in cases {
+        let (mut quiet_all, mut busy_all) = (Vec::new(), Vec::new());
+        for seed in 0..8 {
+            let (quiet, busy) = play(case, Way::Asks, seed);
+            for (name, outcomes) in [("quiet", &quiet), ("busy", &busy)] {
+                let worst = worst_window(outcomes) as f64;
+                let bound = format!(
+                    "{} with {} hosts, {name}: {worst} of {allowed}",
+                    case.name, case.hosts
+                );
+                assert_that!(worst <= allowed, eq(true), "{bound}, seed {seed}");
+            }
+            quiet_all.extend(quiet);
+            busy_all.extend(busy);
+        }
+        let is_lost = |at: u64| {
+            let lost = case.lost;
+            lost.is_some_and(|(from, _)| (from..from + 3_000).contains(&at))
+        };
+        let is_reached = |host: usize| {
+            case.cut
+                .is_none_or(|(every, ..)| !host.is_multiple_of(every))
+        };
+        let answered = refused_share(&quiet_all, |at, host| !is_lost(at) && is_reached(host));
+        let lost = refused_share(&quiet_all, |at, _| is_lost(at));
+        let used = busy_all.iter().filter(|(at, _, ok)| *at >= 5_000 && *ok);
+        let used = used.count() as f64 * COST as f64 / (8.0 * 19.0 * 80_000.0);
+        let found = format!(
+            "{} with {} hosts: {answered:.4} refused while the holder answers, {lost:.4} without, {used:.3} used",
+            case.name, case.hosts
+        );
+        let (most_answered, most_lost) = case.most_refused;
+        assert_that!(answered <= most_answered, eq(true), "{found}");
+        assert_that!(lost <= most_lost, eq(true), "{found}");
+        assert_that!(used >= case.least_used, eq(true), "{found}");
+    }
+}
+
+/// Guards against accounts within their rate that are refused because no host can say what they have left.
+#[test]
+fn an_account_within_its_rate_is_hardly_ever_refused() {
+    check(&sizes(|hosts| DayCase { hosts, ..CALM }));
+}
+
+/// Guards against one account at seven times its rate that takes from others, gets too much or far too little.
+#[test]
+fn an_account_far_beyond_its_rate_gets_its_rate_and_takes_nothing_from_others() {
+    check(&sizes(|hosts| DayCase {
+        name: "one at seven times its rate",
+        hosts,
+        busy_per_s: 62.0,
+        least_used: 0.95,
+        ..CALM
+    }));
+}
+
+/// Guards against a fleet that refuses large requests, or admits too many, while no host holds the duty.
+#[test]
+fn the_seconds_after_a_holder_is_lost_cost_little() {
+    check(&sizes(|hosts| DayCase {
+        name: "holder lost as one account jumps",
+        hosts,
+        busy_per_s: 62.0,
+        lost: Some((7_000, 10_500)),
+        most_refused: (0.02, 0.05),
+        least_used: 0.85,
+        ..CALM
+    }));
+}
+
+/// Guards against hosts that are cut off and admit beside what the others may use.
+#[test]
+fn hosts_cut_off_stay_within_their_shares() {
+    check(&sizes(|hosts| DayCase {
+        name: "a third cut off as one account jumps",
+        hosts,
+        busy_per_s: 62.0,
+        cut: Some((3, 4_900, 14_000)),
+        most_refused: (0.05, 1.0),
+        ..CALM
+    }));
+}
+
+/// The baseline: what hosts refuse that only go by levels and their own share.
+#[test]
+fn hosts_that_ask_refuse_less_than_hosts_that_do_not() {
+    let case = DayCase {
+        name: "holder lost",
+        hosts: 295,
+        lost: Some((7_000, 10_500)),
+        ..CALM
+    };
+    let is_lost = |at: u64, _: usize| (7_000..10_000).contains(&at);
+    let refused = [Way::Levels, Way::Asks].map(|way| {
+        let mut all = Vec::new();
+        for seed in 0..8 {
+            all.extend(play(&case, way, seed).0);
+        }
+        refused_share(&all, is_lost)
+    });
+    let [levels, asks] = refused;
+    assert_that!(
+        levels > 5.0 * asks,
+        eq(true),
+        "{levels} by levels, {asks} by asking"
+    );
+}
+
+/// Guards against a stand-in that gives a whole rate to a few hosts.
+#[test]
+fn a_stand_in_gives_hosts_their_share_of_the_rate() {
+    let spec = account("quiet", 80_000);
+    let mut stand_in = StandInMeter::new(SETTINGS);
+    let host: Name = "h1".into();
+    let mut admitted = 0;
+    for now in (0..10_000).step_by(50) {
+        let charged = stand_in.charge(&host, 100, &spec, COST, at(now));
+        admitted += u64::from(charged.is_ok()) * COST;
+    }
+    // A hundredth of the rate for 10 s, and the part of the tolerated excess that a stand-in has.
+    let most = 80_000.0 / 100.0 * 10.0 + 0.15 * (0.1 * 9.0 * 80_000.0 + 110_000.0);
+    assert_that!(admitted as f64 <= most, eq(true), "{admitted} of {most}");
+}
--- a/crates/serving/tests/account_usage.rs
+++ b/crates/serving/tests/account_usage.rs
@@ -283,9 +283,10 @@
             ledger.set_hosts(hosts.collect());
             let report = FleetReport {
                 host: format!("h{index}").into(),
-                accounts: meter.take_unreported(),
+                accounts: meter.take_unreported("h0"),
                 ..FleetReport::default()
             };
+            ledger.settle(&accounts, Vec::new, at(now));
             ledger.apply(&report, &accounts, at(now));
             let levels = ledger.levels(&report.host, &accounts, at(now));
             meter.apply_levels(&levels, at(now));
@@ -300,10 +301,10 @@
     let account = account();
     let mut meter = AccountMeter::new(SETTINGS, true);
     assert_that!(meter.charge(&account, 500, at(0)).is_ok(), eq(true));
-    let usage = meter.take_unreported();
+    let usage = meter.take_unreported("h0");
     assert_that!(usage[0].units, eq(500));
     meter.return_unreported(usage);
     meter.refund(&account, 200);
-    assert_that!(meter.take_unreported()[0].units, eq(300));
-    assert_that!(meter.take_unreported().len(), eq(0));
+    assert_that!(meter.take_unreported("h0")[0].units, eq(300));
+    assert_that!(meter.take_unreported("h0").len(), eq(0));
 }
--- a/crates/types/src/fleet_message.rs
+++ b/crates/types/src/fleet_message.rs
@@ -8,6 +8,9 @@
 use crate::Revision;
 use crate::StoreReading;
 
+/// What a host can do for the fleet beside its own requests, in thousandths of a core.
+pub type HostPower = u32;
+
 /// What a host has done since its last report, and has under way.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct FleetReport {
@@ -17,16 +20,30 @@
     pub fence: u64,
     /// Version of the newest view that the sender has.
     pub view_version: u64,
+    /// Version of the newest totals of backend servers that the sender has.
+    pub totals_version: u64,
     /// Revision of the store up to which the sender knows every change; `None` before it has read the store.
     pub store_revision: Option<Revision>,
     /// Units that client accounts used since the last acknowledged report.
     pub accounts: Vec<AccountUse>,
+    /// Levels that a former holder told the sender lately; only for a holder that has not answered it yet.
+    #[serde(default)]
+    pub heard: Vec<HeardLevel>,
     /// Requests by backend server.
     pub backends: Vec<BackendUse>,
     /// Requests by model since the last acknowledged report.
     pub models: Vec<ModelUse>,
 }
 
+/// Level of a client account as a former holder told it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HeardLevel {
+    /// Client account.
+    pub account: Name,
+    /// Units that were left then.
+    pub level: i64,
+}
+
 /// Units that a client account used.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AccountUse {
@@ -86,8 +103,11 @@
     pub hosts: u32,
     /// Client accounts with a limit.
     pub accounts: Vec<AccountLevel>,
-    /// Backend servers that other hosts use or that fail.
+    /// Backend servers whose totals changed since the version of the report; all that are in use if the report names
+    /// another fencing number.
     pub backends: Vec<BackendTotal>,
+    /// Newest version of the totals.
+    pub totals_version: u64,
     /// Newest version of the models on engines.
     pub view_version: u64,
     /// Engines whose models changed since the version of the report.
@@ -107,7 +127,7 @@
     pub others_per_s: u64,
 }
 
-/// What other hosts have on a backend server.
+/// What all hosts together have on a backend server.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct BackendTotal {
     /// Backend server.
@@ -120,6 +140,38 @@
     pub is_suspect: bool,
 }
 
+/// Asks to charge a request of a client account whose level the sender doesn't know well enough.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FleetCharge {
+    /// Sender.
+    pub host: HostId,
+    /// Client account.
+    pub account: Name,
+    /// Units; 0 only says that the sender reaches no holder.
+    pub units: u64,
+}
+
+/// Answer to a [`FleetCharge`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum FleetChargeReply {
+    /// The receiver neither holds the duty nor stands in for the holder, or doesn't know the account.
+    Unknown,
+    /// Decided by the holder.
+    Holder {
+        /// True if the request is charged.
+        is_admitted: bool,
+        /// What is left after it.
+        level: AccountLevel,
+    },
+    /// Decided by a host that stands in for a holder which doesn't answer.
+    StandIn {
+        /// True if the request is charged; the sender reports it to the next holder.
+        is_admitted: bool,
+        /// When it could be, milliseconds, if it is not.
+        again_in_ms: u64,
+    },
+}
+
 /// Models that requests can use on an engine.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EngineModels {
