Give models far beyond their replicas further ones while requests wait, and use the weight store's measured speed

Replicas were ordered only while no request waited for another model, and four loads at a time whatever the weight store carries (six here).

--- a/crates/serving/src/engine_record.rs
+++ b/crates/serving/src/engine_record.rs
@@ -97,6 +97,9 @@
 /// A load that took at most this many times as long as one alone was not slowed down by others. Reports lag a little.
 const UNSLOWED: f64 = 1.15;
 
+/// Most loads at once that are tried.
+const MAX_FULL_SPEED: f64 = 16.0;
+
 impl StoreLoadSample {
     /// Loads that run at full speed at once, given what was `known` and how long one load alone takes.
     pub(crate) fn full_speed_loads(self, known: f64, alone: Duration) -> f64 {
@@ -104,8 +107,11 @@
         let slowness = time.as_secs_f64() / alone.as_secs_f64().max(0.001);
         if slowness > UNSLOWED {
             (at_once as f64 / slowness).max(1.0)
+        } else if at_once >= known as usize {
+            // One more is tried next time.
+            (at_once as f64 + 1.0).min(MAX_FULL_SPEED)
         } else {
-            known.max(at_once as f64)
+            known
         }
     }
 }
--- a/crates/serving/src/residency_background.rs
+++ b/crates/serving/src/residency_background.rs
@@ -45,20 +45,29 @@
         }
     }
 
-    /// Next order towards a further replica of a busy model, the busiest first.
+    /// Next order towards a further replica of a busy model whose replicas carry `shortage` times what they should, the
+    /// shortest of replicas first.
     pub(crate) fn plan_replica(
         &mut self,
         figures: &PlanFigures,
+        shortage: f64,
         now: MonotonicTime,
     ) -> Option<EngineOrder> {
-        let models = self.models_by_rate(now).into_iter();
-        let busy: Vec<(f64, Name)> = models
-            .filter(|(_, model)| {
-                let replicas = figures.replicas.get(model).copied().unwrap_or_default();
-                replicas > 0 && replicas < self.target_replicas(model, now)
+        let mut busy: Vec<(f64, f64, Name)> = figures
+            .replicas
+            .iter()
+            .filter_map(|(model, replicas)| {
+                let target = self.target_replicas(model, now);
+                let short = target as f64 / *replicas as f64;
+                let is_short = target > *replicas && short >= shortage;
+                is_short.then(|| (short, self.rate(model, now), model.clone()))
             })
             .collect();
-        busy.into_iter().find_map(|(rate, model)| {
+        busy.sort_by(|one, other| {
+            let by_shortage = other.0.total_cmp(&one.0);
+            by_shortage.then_with(|| one.2.cmp(&other.2))
+        });
+        busy.into_iter().find_map(|(_, rate, model)| {
             let level = self
                 .best_target(&model, LoadLimit::NONE, figures, now)?
                 .level;
--- a/crates/serving/src/residency_load.rs
+++ b/crates/serving/src/residency_load.rs
@@ -20,6 +20,12 @@
 /// Time between two looks at what could be loaded while no request waits, after one that found nothing.
 const BACKGROUND_INTERVAL: Duration = Duration::from_millis(250);
 
+/// A model gets a further replica from this many times what its replicas carry on, while no request waits.
+const REPLICA_SHORTAGE: f64 = 1.0;
+
+/// The same while requests wait for other models: its engines read prompts without a pause then, and every answer is late.
+const URGENT_SHORTAGE: f64 = 2.0;
+
 /// Time for which memory that is being freed is kept for a model.
 const CLAIM_TIME: Duration = Duration::from_secs(3);
 
@@ -111,10 +117,14 @@
             }
         }
         let is_due = now.since(self.background_at) >= BACKGROUND_INTERVAL;
-        if self.wants.is_empty() && (is_due || self.background_at == MonotonicTime::ZERO) {
+        if is_due || self.background_at == MonotonicTime::ZERO {
             let figures = figures.unwrap_or_else(|| self.figures(now));
-            let order = self.plan_replica(&figures, now);
-            let order = order.or_else(|| self.plan_absent(&figures, now));
+            let order = if self.wants.is_empty() {
+                let order = self.plan_replica(&figures, REPLICA_SHORTAGE, now);
+                order.or_else(|| self.plan_absent(&figures, now))
+            } else {
+                self.plan_replica(&figures, URGENT_SHORTAGE, now)
+            };
             if order.is_none() {
                 self.background_at = now;
             }
@@ -425,7 +435,7 @@
             .filter(|record| record.in_call)
             .count();
         let allowed = (self.spec.store_loads_per_s * window).floor().max(1.0) as usize;
-        self.open_store_loads(now) + in_call < self.settings.store_loads_at_once
+        self.open_store_loads(now) + in_call < self.full_speed_loads.max(1.0) as usize
             && self.store_starts.len() + in_call < allowed
     }
 
--- a/crates/serving/src/residency_outcome.rs
+++ b/crates/serving/src/residency_outcome.rs
@@ -56,6 +56,7 @@
             0
         };
         let late_until = now + self.settings.late_order_time;
+        self.viewed_at = None;
         let Some(record) = self.engines.get_mut(&order.backend) else {
             return;
         };
--- a/crates/serving/src/residency_planner.rs
+++ b/crates/serving/src/residency_planner.rs
@@ -82,8 +82,8 @@
     pub(crate) store_starts: VecDeque<MonotonicTime>,
     pub(crate) views: BTreeMap<Name, ResidencyView>,
     view_version: u64,
-    /// When the views were last brought up to date.
-    viewed_at: Option<MonotonicTime>,
+    /// When the views were last brought up to date; `None` if that is due at once.
+    pub(crate) viewed_at: Option<MonotonicTime>,
     /// When nothing was found to load while no request waits.
     pub(crate) background_at: MonotonicTime,
     turn: usize,
@@ -278,6 +278,7 @@
 
     /// A host could not connect to the engine.
     pub fn note_unreached(&mut self, backend: &Name, now: MonotonicTime) {
+        self.viewed_at = None;
         if let Some(record) = self.engines.get_mut(backend) {
             record.unreached_until = now + UNREACHED_TIME;
             record.report_due = record.report_due.min(now);
@@ -292,6 +293,7 @@
         adapter: Option<&Name>,
         now: MonotonicTime,
     ) {
+        self.viewed_at = None;
         let Some(record) = self.engines.get_mut(backend) else {
             return;
         };
