Keep shared prompt parts on two replicas while engines are busy

Cause: on busy engines the difference in load outweighed a shared part that would be read again, so parts were read on every replica, which kept them busy; hosts with knowledge 0.9 s old all chose the same server.

--- a/crates/host/src/target_choice.rs
+++ b/crates/host/src/target_choice.rs
@@ -110,6 +110,7 @@
     mut candidates: Vec<ChosenBackend>,
 ) -> Option<ChosenBackend> {
     let chooser = BackendChooser {
+        host: state.boot.host.clone(),
         place: state.boot.place.clone(),
         weights,
     };
--- a/crates/serving/src/backend_chooser.rs
+++ b/crates/serving/src/backend_chooser.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use zinniahinge_types::HostId;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 
@@ -31,8 +32,30 @@
     pub doubtful: f64,
     /// A server that may be gone.
     pub unlisted: f64,
+    /// How much more the reading of a prompt costs for each millisecond that every server has to read before it: when all
+    /// are busy, a part that is read once more delays everybody.
+    pub congestion: f64,
+    /// Servers that a shared part or a host prefers among many, so that hosts with old knowledge don't all choose the same
+    /// one.
+    pub preferred: usize,
+    /// A server that is not among those that the host prefers.
+    pub not_preferred: f64,
+    /// A server that is not among those that the shared part prefers, for each millisecond of reading the part: it is read
+    /// there, takes the place of another part, and the next request may come to a third one.
+    pub scattered: f64,
 }
 
+/// Most by which congestion multiplies the cost of reading a prompt.
+const MAX_CONGESTION: f64 = 4.0;
+
+/// Shared tokens from which requests of all hosts prefer the same servers. With fewer, each host prefers its own, to which
+/// it keeps connections.
+const MIN_SHARED_TOKENS: f64 = 1_000.0;
+
+/// Part of the shared tokens that a server probably keeps: the one that this host sent the same part to, and the first and
+/// the second in the order that all hosts agree on.
+const KEPT_SHARES: [f64; 3] = [0.9, 0.75, 0.4];
+
 impl ChooserWeights {
     /// For model engines: about 38 prompt tokens a millisecond, and steps of 5.5 ms shared by all that run.
     pub const MODELS: Self = Self {
@@ -43,6 +66,10 @@
         new_connection: 15.0,
         doubtful: 5_000.0,
         unlisted: 60_000.0,
+        congestion: 0.007,
+        preferred: 2,
+        not_preferred: 20.0,
+        scattered: 3.0,
     };
 
     /// For plain services.
@@ -54,6 +81,10 @@
         new_connection: 8.0,
         doubtful: 2_000.0,
         unlisted: 60_000.0,
+        congestion: 0.0,
+        preferred: usize::MAX,
+        not_preferred: 0.0,
+        scattered: 0.0,
     };
 }
 
@@ -73,6 +104,8 @@
 /// Chooses the backend server with the shortest expected wait.
 #[derive(Clone, Debug)]
 pub struct BackendChooser {
+    /// This host.
+    pub host: HostId,
     /// Data centre of this host.
     pub place: Name,
     /// Costs.
@@ -83,47 +116,60 @@
     /// Index of the best of `candidates`.
     ///
     /// Shared parts of prompts draw a request to a server that has read them. Where this host doesn't know one, a hash of
-    /// the part ranks the servers, so that all hosts prefer the same one without a message.
+    /// the part ranks the servers, so that all hosts prefer the same ones without a message.
     pub fn choose(
         &self,
         candidates: &[ChosenBackend],
         facts: &RequestFacts,
         now: MonotonicTime,
     ) -> Option<usize> {
+        let weights = &self.weights;
+        let shared = shared_tokens(facts);
         let part = shared_part_key(facts);
-        let favourite = part.and_then(|part| {
-            let ranks = candidates
-                .iter()
-                .map(|candidate| rank(part, &candidate.entry.id));
-            ranks
-                .enumerate()
-                .max_by_key(|(_, rank)| *rank)
-                .map(|(index, _)| index)
-        });
+        let is_shared = shared >= MIN_SHARED_TOKENS;
+        let places = match part {
+            Some(part) if is_shared => places(part, candidates),
+            _ => places(self.host_key(facts), candidates),
+        };
+        let waits = candidates.iter().map(|candidate| self.wait(candidate, now));
+        let waits: Vec<f64> = waits.collect();
+        let shortest = waits.iter().copied().fold(f64::INFINITY, f64::min);
+        let congestion = (1.0 + shortest * weights.congestion).min(MAX_CONGESTION);
         let costs = candidates.iter().enumerate().map(|(index, candidate)| {
-            let saved = part.map_or(0.0, |part| {
-                let has_read = candidate.load.with_parts(|parts| parts.contains(part));
-                let share = match (has_read, favourite == Some(index)) {
-                    (true, _) => 0.9,
-                    (false, true) => 0.6,
-                    (false, false) => 0.0,
-                };
-                share * shared_tokens(facts)
+            let has_read = part.is_some_and(|part| {
+                let load = &candidate.load;
+                load.with_parts(|parts| parts.contains(part))
             });
-            (index, self.cost(candidate, facts, saved, now))
+            let kept = match (has_read, places[index]) {
+                (true, _) => KEPT_SHARES[0],
+                (false, place @ 0..=1) if is_shared => KEPT_SHARES[place + 1],
+                _ => 0.0,
+            };
+            let own_tokens = (facts.prompt_tokens as f64 - kept * shared).max(0.0);
+            let mut cost = waits[index] + own_tokens * weights.prompt_token * congestion;
+            if places[index] >= weights.preferred {
+                cost += if is_shared {
+                    weights.scattered * shared * weights.prompt_token
+                } else {
+                    weights.not_preferred
+                };
+            }
+            (index, cost)
         });
         costs
             .min_by(|one, other| one.1.total_cmp(&other.1))
             .map(|(index, _)| index)
     }
 
-    fn cost(
-        &self,
-        candidate: &ChosenBackend,
-        facts: &RequestFacts,
-        saved_tokens: f64,
-        now: MonotonicTime,
-    ) -> f64 {
+    /// Ranks servers for requests of this host for one model.
+    fn host_key(&self, facts: &RequestFacts) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        (&self.host, &facts.model, &facts.adapter).hash(&mut hasher);
+        hasher.finish()
+    }
+
+    /// Expected wait at a server, and what else speaks against it, milliseconds.
+    fn wait(&self, candidate: &ChosenBackend, now: MonotonicTime) -> f64 {
         let ChosenBackend {
             entry,
             load,
@@ -137,9 +183,7 @@
         let running = running.max(load.all_in_flight());
         let over_slots = running.saturating_sub(entry.slots.max(1) - 1);
         let waiting = waiting.max(over_slots);
-        let own_tokens = (facts.prompt_tokens as f64 - saved_tokens).max(0.0);
-        let tokens = load.all_pending_tokens() as f64 + own_tokens;
-        let mut cost = tokens * weights.prompt_token
+        let mut cost = load.all_pending_tokens() as f64 * weights.prompt_token
             + f64::from(running) * weights.running
             + f64::from(waiting) * weights.waiting;
         if entry.place != self.place {
@@ -158,6 +202,19 @@
     }
 }
 
+/// Place of each server in the order that a hash of `key` gives, 0 for the first.
+fn places(key: u64, candidates: &[ChosenBackend]) -> Vec<usize> {
+    let ranks = candidates
+        .iter()
+        .map(|candidate| rank(key, &candidate.entry.id));
+    let ranks: Vec<u64> = ranks.collect();
+    let places = ranks.iter().map(|own| {
+        let before = ranks.iter().filter(|other| *other > own);
+        before.count()
+    });
+    places.collect()
+}
+
 /// Key of the request's shared part for its model and adapter: engines keep parts per weights.
 pub(crate) fn shared_part_key(facts: &RequestFacts) -> Option<u64> {
     let part = facts.shared_part()?;
--- a/crates/serving/tests/backend_choice.rs
+++ b/crates/serving/tests/backend_choice.rs
@@ -54,6 +54,7 @@
 
 fn chooser() -> BackendChooser {
     BackendChooser {
+        host: name("h1"),
         place: name("a"),
         weights: ChooserWeights::MODELS,
     }
--- /dev/null
+++ b/crates/serving/tests/backend_choice_fleet.rs
@@ -0,0 +1,158 @@
+//! A busy model on six engines, asked for over 295 hosts that know the others' requests as of up to 0.9 s ago.
+
+mod common;
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use googletest::prelude::*;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use zinniahinge_serving::BackendChooser;
+use zinniahinge_serving::BackendEntry;
+use zinniahinge_serving::BackendLoad;
+use zinniahinge_serving::ChooserWeights;
+use zinniahinge_serving::ChosenBackend;
+use zinniahinge_serving::PromptPart;
+use zinniahinge_serving::RequestFacts;
+
+use crate::common::at;
+use crate::common::entry;
+use crate::common::name;
+
+const HOSTS: usize = 295;
+const REPORT_MS: u64 = 900;
+const ENGINES: usize = 6;
+
+/// Prompt tokens that an engine reads in a millisecond.
+const TOKENS_PER_MS: f64 = 38.7;
+
+/// Shared parts that an engine keeps beside what runs.
+const KEPT_PARTS: usize = 25;
+
+const SHARED_TOKENS: u32 = 6_300;
+const OWN_TOKENS: u32 = 2_890;
+
+/// Reads prompts in the order in which they come.
+#[derive(Default)]
+struct PlayedEngine {
+    free_at_ms: f64,
+    /// Shared parts, the longest unused first.
+    parts: VecDeque<u64>,
+    /// Pending tokens at the end of each step of 10 ms.
+    pending: Vec<u64>,
+}
+
+impl PlayedEngine {
+    /// Takes a request; the time until its first event.
+    fn take(&mut self, part: u64, now_ms: f64) -> f64 {
+        let known = self.parts.iter().position(|kept| *kept == part);
+        let tokens = match known {
+            Some(index) => {
+                self.parts.remove(index);
+                OWN_TOKENS
+            }
+            None => OWN_TOKENS + SHARED_TOKENS,
+        };
+        self.parts.push_back(part);
+        if self.parts.len() > KEPT_PARTS {
+            self.parts.pop_front();
+        }
+        self.free_at_ms = self.free_at_ms.max(now_ms) + f64::from(tokens) / TOKENS_PER_MS;
+        self.free_at_ms - now_ms
+    }
+}
+
+fn facts(part: u64) -> RequestFacts {
+    let parts = [(part, SHARED_TOKENS), (part + 1_000_000, OWN_TOKENS)];
+    let parts = parts.map(|(id, tokens)| PromptPart { id, tokens });
+    RequestFacts {
+        attempt_id: name("r"),
+        patience: None,
+        model: Some(name("m")),
+        adapter: None,
+        prompt_tokens: u64::from(SHARED_TOKENS + OWN_TOKENS),
+        output_tokens: 50,
+        states_tokens: true,
+        parts: parts.into_iter().collect(),
+    }
+}
+
+/// Share of `per_s` requests a second, over 20 s, whose first event comes within a second.
+fn share_in_time(weights: ChooserWeights, per_s: f64, seed: u64) -> f64 {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut engines: Vec<PlayedEngine> = (0..ENGINES).map(|_| PlayedEngine::default()).collect();
+    let loads: Vec<Vec<Arc<BackendLoad>>> = (0..HOSTS)
+        .map(|_| (0..ENGINES).map(|_| Arc::default()).collect())
+        .collect();
+    let (mut all, mut in_time) = (0.0, 0.0);
+    for step in 0..2_000_u64 {
+        let now_ms = step * 10;
+        for engine in &mut engines {
+            let left_ms = (engine.free_at_ms - now_ms as f64).max(0.0);
+            engine.pending.push((left_ms * TOKENS_PER_MS) as u64);
+        }
+        if !random.random_bool(per_s / 100.0) {
+            continue;
+        }
+        let host = random.random_range(0..HOSTS);
+        // What the host heard with the answer to its last report.
+        let age_ms = (now_ms + host as u64 * 3) % REPORT_MS;
+        let heard = step.saturating_sub(age_ms / 10) as usize;
+        let candidates = (0..ENGINES).map(|index| {
+            let load = loads[host][index].clone();
+            let pending = engines[index].pending[heard];
+            load.set_others((pending / 6_000) as u32, pending, false);
+            ChosenBackend {
+                entry: Arc::new(BackendEntry {
+                    slots: 64,
+                    ..entry(&format!("e{index}"), 1, &["m"])
+                }),
+                load,
+                is_listed: true,
+                is_connected: true,
+            }
+        });
+        let candidates: Vec<ChosenBackend> = candidates.collect();
+        // Half of the requests share one of 94 parts, as sheets and checklists are shared.
+        let facts = facts(random.random_range(0..94));
+        let chooser = BackendChooser {
+            host: format!("h{host}").into(),
+            place: name("a"),
+            weights,
+        };
+        let chosen = chooser
+            .choose(&candidates, &facts, at(now_ms))
+            .expect("six candidates");
+        candidates[chosen].note_parts(&facts);
+        let first_ms = engines[chosen].take(facts.parts[0].id, now_ms as f64);
+        all += 1.0;
+        in_time += f64::from(u8::from(first_ms <= 1_000.0));
+    }
+    in_time / all
+}
+
+fn mean_share(weights: ChooserWeights, per_s: f64) -> f64 {
+    let shares = (0..6).map(|seed| share_in_time(weights, per_s, seed));
+    shares.sum::<f64>() / 6.0
+}
+
+/// Guards against shared parts that are read again and again on all replicas once they are busy, which keeps them busy.
+/// The baseline weighs a part that is read again as if only its own request waited for it, over all replicas alike.
+#[test]
+fn shared_parts_stay_together_when_replicas_are_busy() {
+    let baseline = ChooserWeights {
+        congestion: 0.0,
+        preferred: usize::MAX,
+        ..ChooserWeights::MODELS
+    };
+    // Six engines that keep all parts could read 80 requests a second, and 25 that keep none.
+    for (per_s, least) in [(30.0, 0.9), (40.0, 0.5)] {
+        let before = mean_share(baseline, per_s);
+        let after = mean_share(ChooserWeights::MODELS, per_s);
+        let found = format!("{per_s} a second: {before:.3} in time before, {after:.3} after");
+        assert_that!(after > before + 0.1, eq(true), "{found}");
+        assert_that!(after >= least, eq(true), "{found}");
+    }
+}
