Give the duty up for a much stronger host that reports

The first host to start coordinated, mostly one with an eighth of a core; the order by strength only holds once hosts know each other. A holder now resigns once for a host 1.5 times as strong that reported within 1.5 s, with the pause that keeps two holders' orders apart.

--- a/crates/host/src/duty_keeper.rs
+++ b/crates/host/src/duty_keeper.rs
@@ -1,3 +1,4 @@
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use zinniahinge_platform::TransactOutcome;
 use zinniahinge_platform::Write;
 use zinniahinge_serving::DutyTimes;
+use zinniahinge_types::HostId;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 use zinniahinge_types::Revision;
@@ -45,8 +47,11 @@
 /// The first host in the order of names tries to get the duty at once; the others give it this time to be seen.
 const CANDIDATE_DELAY: Duration = Duration::from_millis(450);
 
-/// Time for all hosts to be seen before the first holder is chosen: they start together, and read changes each 0.9 s.
-const FIRST_WAIT: Duration = Duration::from_millis(1500);
+/// A holder gives the duty up for a host that is this many times as strong. Less is not worth the pause in orders.
+const MUCH_STRONGER: f64 = 1.5;
+
+/// Age of such a host's last report, at most.
+const STRONGER_HEARD: Duration = Duration::from_millis(1500);
 
 /// Time between the tries of two hosts.
 const RANK_DELAY: Duration = Duration::from_millis(40);
@@ -75,26 +80,56 @@
     /// Runs until `token` is cancelled, then gives the duty up.
     pub(crate) async fn run(self, token: CancellationToken) {
         let mut lease = None;
+        // Hosts that this one has made room for. One that didn't take the duty doesn't live any more.
+        let mut yielded = HashSet::new();
         token
             .run_until_cancelled(async {
                 loop {
                     lease = self.wait_for_duty().await;
                     if let Some(held) = lease {
-                        self.hold(held).await;
+                        self.hold(held, &mut yielded).await;
                         lease = None;
                     }
                 }
             })
             .await;
-        self.cell.end_term();
-        if let Some(held) = lease {
-            // A successor counts on the time that a lease takes to lapse.
-            tokio::time::sleep(duty_times(&self.state.boot).resign_pause()).await;
-            let ended = self.store.end_lease(held).await;
-            info!(self.state.logger, "duty given up"; "answered" => ended.is_ok());
+        match lease {
+            Some(held) => self.resign(held).await,
+            None => self.cell.end_term(),
         }
     }
 
+    async fn resign(&self, lease: u64) {
+        self.cell.end_term();
+        // A successor counts on the time that a lease takes to lapse.
+        tokio::time::sleep(duty_times(&self.state.boot).resign_pause()).await;
+        let ended = self.store.end_lease(lease).await;
+        info!(self.state.logger, "duty given up"; "answered" => ended.is_ok());
+    }
+
+    /// A host that should coordinate instead of this one: it reports to this one, so it lives and is reached.
+    fn much_stronger(&self, yielded: &HashSet<HostId>) -> Option<HostId> {
+        let now = self.state.now();
+        let least = f64::from(self.state.boot.power) * MUCH_STRONGER;
+        let order = self.state.with_source(|source| {
+            let order = source.duty_order().into_iter();
+            let stronger = order.filter(|host| {
+                let known = source.hosts.get(host);
+                known.is_some_and(|known| f64::from(known.power) >= least)
+            });
+            stronger.collect::<Vec<_>>()
+        });
+        let reports = |host: &HostId| {
+            let reports = self.cell.with(|coordinator| {
+                let heard = coordinator.ledger.heard_from(host);
+                heard.is_some_and(|at| now.since(at) < STRONGER_HEARD)
+            });
+            reports.unwrap_or(false)
+        };
+        let mut order = order.into_iter();
+        order.find(|host| !yielded.contains(host) && reports(host))
+    }
+
     /// Waits until nobody has the duty and tries to get it; the lease if that succeeded.
     async fn wait_for_duty(&self) -> Option<u64> {
         let mut tables = self.state.table_version.subscribe();
@@ -104,9 +139,6 @@
         }
         let is_own = self.state.table.load().holder.is_some();
         if !is_own {
-            if self.state.with_source(|source| source.last_term.is_none()) {
-                let _ = tokio::time::timeout(FIRST_WAIT, self.until_taken()).await;
-            }
             let _ = tokio::time::timeout(self.delay(), self.until_taken()).await;
         }
         let revision = self.vacancy()?;
@@ -257,7 +289,7 @@
     }
 
     /// Renews until the lease has ended.
-    async fn hold(&self, lease: u64) {
+    async fn hold(&self, lease: u64, yielded: &mut HashSet<HostId>) {
         let mut pause = RENEW_INTERVAL;
         let mut is_lapsed = false;
         let mut is_settled = self.is_settled();
@@ -266,6 +298,13 @@
             if !is_settled {
                 is_settled = self.settle_term().await;
             }
+            if let Some(stronger) = self.much_stronger(yielded) {
+                info!(self.state.logger, "duty given up for a stronger host"; "to" => &*stronger,
+                    "lease" => lease);
+                yielded.insert(stronger);
+                self.resign(lease).await;
+                return;
+            }
             let sent = self.state.now();
             match self.store.keep_lease(lease).await {
                 Ok(true) => {
--- a/crates/host/tests/duty.rs
+++ b/crates/host/tests/duty.rs
@@ -242,3 +242,40 @@
     assert_that!(code, some(eq(0)));
     Ok(())
 }
+
+/// Guards against a fleet that is coordinated by a weak host because it was the first to start, and against orders of both
+/// around the hand-over.
+#[tokio::test]
+async fn a_weak_holder_makes_room_for_a_much_stronger_host() -> Outcome {
+    let mut bed = TestBed::start().await?;
+    let acquired = wait_until(Duration::from_secs(10), || {
+        !bed.host.log_lines(&["duty acquired"]).is_empty()
+    });
+    assert_that!(acquired.await, eq(true));
+    let first = bed
+        .ask(&model_request("first", "/llm/stream/x", "m3"))
+        .await?;
+    assert_that!(first.status, some(eq(200)));
+    bed.fleet.set_processor_share("h2", 8.0);
+    let second = bed.fleet.start("h2").await?;
+    let handed_over = wait_until(Duration::from_secs(10), || {
+        !second.log_lines(&["duty acquired"]).is_empty()
+    });
+    assert_that!(handed_over.await, eq(true));
+    let given_up = bed.host.log_lines(&["duty given up for a stronger host"]);
+    assert_that!(given_up.len(), eq(1));
+    let mut served = false;
+    let started = Instant::now();
+    while !served && started.elapsed() < Duration::from_secs(20) {
+        let request = model_request("second", "/llm/stream/x", "m2/a3");
+        served = Caller::once(second.callers, &request).await?.status == Some(200);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_that!(served, eq(true));
+    let gap = turn_gap(&bed.engines)?;
+    assert_that!(gap >= LEASE_TIME, eq(true), "{gap:?}");
+    // It stays there: the weaker host does not take the duty back, nor the stronger one give it up.
+    assert_that!(bed.host.log_lines(&["duty acquired"]).len(), eq(1));
+    assert_that!(second.log_lines(&["duty given up"]).len(), eq(0));
+    Ok(())
+}
--- a/crates/serving/src/fleet_ledger.rs
+++ b/crates/serving/src/fleet_ledger.rs
@@ -218,6 +218,11 @@
         is_admitted
     }
 
+    /// When a host last reported.
+    pub fn heard_from(&self, host: &str) -> Option<MonotonicTime> {
+        self.hosts.get(host).map(|record| record.seen_at)
+    }
+
     /// Hosts that reported lately.
     pub fn host_count(&self) -> u32 {
         self.hosts.len() as u32
