End answers without end in time and in flat memory

Now a connection delivers 256 kB at most before the head of an answer is whole and yields after 64 kB; bodies are read into one buffer of 4 MB at most, answers that nobody needs 64 kB; streams end at the request's deadline.

--- a/crates/host/src/backend_answer.rs
+++ b/crates/host/src/backend_answer.rs
@@ -13,8 +13,11 @@
 
 use crate::answer::AnswerBody;
 
-/// Largest answer that is not a stream.
-const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// Largest answer that is not a stream. Services answer with some kilobytes; requests may have 4 MB.
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// Bytes of an answer that nobody needs which are read so that its connection can be used again.
+const MAX_DISCARD_BYTES: usize = 64 * 1024;
 
 /// Time to read an answer that nobody needs.
 const DISCARD_TIME: Duration = Duration::from_millis(500);
@@ -38,11 +41,20 @@
 impl BackendAnswer {
     /// Reads the body in the background and drops it, so that the connection can be used again.
     pub(crate) fn discard(self) {
-        tokio::spawn(self.read_whole(Instant::now() + DISCARD_TIME));
+        let until = Instant::now() + DISCARD_TIME;
+        tokio::spawn(self.read_at_most(MAX_DISCARD_BYTES, until));
     }
 
     /// Reads the body to its end; an error says why it is not whole.
     pub(crate) async fn read_whole(self, deadline: Instant) -> Result<WholeAnswer, SendFailure> {
+        self.read_at_most(MAX_ANSWER_BYTES, deadline).await
+    }
+
+    async fn read_at_most(
+        self,
+        limit: usize,
+        deadline: Instant,
+    ) -> Result<WholeAnswer, SendFailure> {
         let Self {
             facts,
             headers,
@@ -50,7 +62,7 @@
             lease,
             guard: _guard,
         } = self;
-        let body = lease.read_body(body, MAX_ANSWER_BYTES, deadline).await?;
+        let body = lease.read_body(body, limit, deadline).await?;
         Ok(WholeAnswer {
             status: facts.status,
             headers: AnswerFacts::caller_headers(&headers),
--- a/crates/host/src/body_reader.rs
+++ b/crates/host/src/body_reader.rs
@@ -4,11 +4,10 @@
 
 use bytes::Bytes;
 use http_body::Body;
-use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use zinniahinge_serving::CallerLimits;
+use zinniahinge_transport::collect_body;
 
 use crate::answer::Refusal;
 use crate::answer::RefusalKind;
@@ -52,9 +51,9 @@
             None => limits.body_bytes,
         };
         let mut guard = self.hold(expected)?;
-        let collect = Limited::new(body, limits.body_bytes).collect();
+        let collect = collect_body(body, limits.body_bytes);
         let bytes = match tokio::time::timeout(limits.read_timeout, collect).await {
-            Ok(Ok(collected)) => collected.to_bytes(),
+            Ok(Ok(collected)) => collected,
             Ok(Err(error)) if error.is::<LengthLimitError>() => {
                 return Err(Refusal::not_run(RefusalKind::BodyTooLarge));
             }
--- a/crates/host/src/event_relay.rs
+++ b/crates/host/src/event_relay.rs
@@ -179,6 +179,10 @@
     }
 
     async fn step(&self, stream: &mut OpenStream) -> StreamStep {
+        // A stream that always has another event never lets a time-out come up.
+        if Instant::now() >= self.context.deadline {
+            return StreamStep::Broken("the request's time is over".to_owned());
+        }
         let silence = if self.context.rule.kind.is_repeatable() {
             self.context.deadline.min(Instant::now() + RESUME_SILENCE)
         } else {
--- a/crates/transport/src/http_pool.rs
+++ b/crates/transport/src/http_pool.rs
@@ -28,10 +28,15 @@
 use crate::PooledExchange;
 use crate::Result;
 use crate::SendFailure;
+use crate::metered_stream::HeadBudget;
+use crate::metered_stream::MeteredStream;
 
 /// Header in which the other side states how long it keeps an idle connection.
 const KEEP_ALIVE: &str = "keep-alive";
 
+/// Bytes that are read ahead on a connection; one line of a head must fit.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Probes that may be lost before the kernel ends a silent connection.
 const LOST_PROBES: u32 = 2;
 
@@ -56,11 +61,17 @@
 }
 
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
+    line: PooledLine,
     since: Instant,
     until: Instant,
 }
 
+/// A connection that requests can be sent on.
+pub(crate) struct PooledLine {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    budget: HeadBudget,
+}
+
 /// Idle connections by address.
 pub(crate) struct IdleTable {
     connections: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
@@ -74,19 +85,14 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(crate) fn put(
-        &self,
-        address: SocketAddr,
-        sender: SendRequest<Full<Bytes>>,
-        idle_time: Duration,
-    ) {
+    pub(crate) fn put(&self, address: SocketAddr, line: PooledLine, idle_time: Duration) {
         let now = Instant::now();
         let mut connections = self.lock();
         let list = connections.entry(address).or_default();
-        list.retain(|idle| idle.until > now && !idle.sender.is_closed());
+        list.retain(|idle| idle.until > now && !idle.line.sender.is_closed());
         if list.len() < self.max_idle {
             list.push(IdleConnection {
-                sender,
+                line,
                 since: now,
                 until: now + idle_time,
             });
@@ -94,7 +100,7 @@
     }
 
     /// The connection that was used last: the others run into their idle time, so that few are kept.
-    fn take(&self, address: SocketAddr, rule: ReuseRule) -> Option<SendRequest<Full<Bytes>>> {
+    fn take(&self, address: SocketAddr, rule: ReuseRule) -> Option<PooledLine> {
         let now = Instant::now();
         let mut connections = self.lock();
         let list = connections.get_mut(&address)?;
@@ -104,14 +110,15 @@
                 ReuseRule::IdleLessThan(limit) => now.duration_since(idle.since) < limit,
                 ReuseRule::Never => false,
             };
-            if idle.until <= now || idle.sender.is_closed() || !idle.sender.is_ready() {
+            let sender = &idle.line.sender;
+            if idle.until <= now || sender.is_closed() || !sender.is_ready() {
                 continue;
             }
             if !young {
                 list.push(idle);
                 return None;
             }
-            return Some(idle.sender);
+            return Some(idle.line);
         }
         connections.remove(&address);
         None
@@ -150,7 +157,7 @@
         let list = connections.get(&address);
         list.is_some_and(|list| {
             let mut idle = list.iter();
-            idle.any(|idle| idle.until > now && !idle.sender.is_closed())
+            idle.any(|idle| idle.until > now && !idle.line.sender.is_closed())
         })
     }
 
@@ -165,26 +172,28 @@
         deadline: Instant,
     ) -> Result<PooledExchange> {
         let mut request = request;
-        while let Some(sender) = self.idle.take(address, rule) {
-            match self.exchange(sender, address, request, deadline).await {
+        while let Some(line) = self.idle.take(address, rule) {
+            match self.exchange(line, address, request, deadline).await {
                 Ok(exchange) => return Ok(exchange),
                 Err((_, Some(unsent))) => request = unsent,
                 Err((failure, None)) => return Err(failure),
             }
         }
-        let sender = self.connect(address, deadline).await?;
-        let sent = self.exchange(sender, address, request, deadline).await;
+        let line = self.connect(address, deadline).await?;
+        let sent = self.exchange(line, address, request, deadline).await;
         sent.map_err(|(failure, _)| failure)
     }
 
     async fn exchange(
         &self,
-        mut sender: SendRequest<Full<Bytes>>,
+        mut line: PooledLine,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<PooledExchange, (SendFailure, Option<Request<Full<Bytes>>>)> {
-        let answer = tokio::time::timeout_at(deadline, sender.try_send_request(request)).await;
+        line.budget.await_head();
+        let answer = line.sender.try_send_request(request);
+        let answer = tokio::time::timeout_at(deadline, answer).await;
         let response = match answer {
             Err(_) => return Err((SendFailure::TimedOut, None)),
             Ok(Err(mut error)) => {
@@ -197,8 +206,9 @@
             }
             Ok(Ok(response)) => response,
         };
+        line.budget.head_is_whole();
         let lease = ConnectionLease {
-            sender,
+            line,
             address,
             idle_time: self.idle_time(response.headers()),
             idle: self.idle.clone(),
@@ -206,11 +216,7 @@
         Ok(PooledExchange { response, lease })
     }
 
-    async fn connect(
-        &self,
-        address: SocketAddr,
-        deadline: Instant,
-    ) -> Result<SendRequest<Full<Bytes>>> {
+    async fn connect(&self, address: SocketAddr, deadline: Instant) -> Result<PooledLine> {
         let limit = Instant::now() + self.settings.connect_timeout;
         let connect = TcpStream::connect(address);
         let stream = match tokio::time::timeout_at(limit.min(deadline), connect).await {
@@ -219,12 +225,17 @@
             Err(_) => return Err(SendFailure::not_sent("connecting took too long")),
         };
         self.watch_silence(&stream).map_err(SendFailure::not_sent)?;
-        let shaken = http1::handshake(TokioIo::new(stream)).await;
+        let budget = HeadBudget::new();
+        let stream = MeteredStream::new(stream, budget.clone());
+        let shaken = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream));
+        let shaken = shaken.await;
         let (sender, connection) = shaken.map_err(SendFailure::not_sent)?;
         self.opened.fetch_add(1, Ordering::Relaxed);
         // Ends with the last sender; errors reach the request that is on the connection.
         tokio::spawn(connection);
-        Ok(sender)
+        Ok(PooledLine { sender, budget })
     }
 
     /// A host without power, or behind a partition, sends nothing at all; the kernel then has to end the connection.
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod connection_server;
 mod http_pool;
+mod metered_stream;
 mod pool_settings;
 mod pooled_exchange;
 mod send_failure;
@@ -12,8 +13,10 @@
 pub use http_pool::HttpPool;
 pub use http_pool::ReuseRule;
 pub use pool_settings::PoolSettings;
+pub use pooled_exchange::BodyError;
 pub use pooled_exchange::ConnectionLease;
 pub use pooled_exchange::PooledExchange;
+pub use pooled_exchange::collect_body;
 pub use send_failure::Result;
 pub use send_failure::SendFailure;
 pub use server_limits::ServerLimits;
