--- a/crates/host/src/attempt.rs
+++ b/crates/host/src/attempt.rs
@@ -18,6 +18,7 @@
 use crate::backend_answer::BackendAnswer;
 use crate::host_state::HostState;
 use crate::request_context::RequestContext;
+use crate::try_log::TryLog;
 
 /// Idle time up to which a kept connection serves a request that must not be repeated. Backend servers keep idle
 /// connections for several seconds.
@@ -53,16 +54,22 @@
 }
 
 /// Sends a request to a backend server and reads the head of its answer until `deadline`.
+///
+/// A request that goes to the same server again takes a new connection: the answer to its first send may come twice, and
+/// the second copy, which bears the same id, would be taken for the answer to this one.
 pub(crate) async fn send(
     state: &HostState,
     context: &RequestContext,
+    tries: &mut TryLog,
     target: &ChosenBackend,
     resume_after: Option<&str>,
     deadline: Instant,
 ) -> Result<BackendAnswer, SendEnd> {
     let guard = LoadGuard::new(target.load.clone(), context.facts.prompt_tokens);
     let request = build(context, target, resume_after).map_err(SendEnd::NotSent)?;
-    let rule = if context.rule.kind.is_repeatable() {
+    let rule = if tries.note_sent(&target.entry.id) {
+        ReuseRule::Never
+    } else if context.rule.kind.is_repeatable() {
         ReuseRule::Any
     } else {
         ReuseRule::IdleLessThan(FRESH_IDLE)
--- a/crates/host/src/event_relay.rs
+++ b/crates/host/src/event_relay.rs
@@ -210,7 +210,8 @@
             let backend = target.entry.id.clone();
             self.log.arrivals += 1;
             self.log.backend = Some(backend.clone());
-            let sent = send(state, context, &target, Some(last_event), context.deadline).await;
+            let (tries, deadline) = (&mut self.tries, context.deadline);
+            let sent = send(state, context, tries, &target, Some(last_event), deadline).await;
             let opened = match sent {
                 Ok(answer) if answer.facts.status.is_success() && answer.facts.is_genuine() => {
                     OpenStream::start(answer, backend.clone(), context.deadline).await
--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -145,7 +145,7 @@
         has_retry = false;
         let backend = target.entry.id.clone();
         log.note_send(&backend);
-        let sent = attempt(state, context, &target).await;
+        let sent = attempt(state, context, tries, &target).await;
         let is_arrived = !matches!(&sent, Err(failed) if failed.is_unsent());
         tries.arrivals += u32::from(is_arrived);
         log.arrivals = tries.arrivals;
@@ -260,6 +260,7 @@
 async fn attempt(
     state: &Arc<HostState>,
     context: &RequestContext,
+    tries: &mut TryLog,
     target: &ChosenBackend,
 ) -> Result<Delivery, FailedSend> {
     let patience = (context.rule.goal * PATIENCE_GOALS).max(MIN_PATIENCE);
@@ -268,7 +269,7 @@
     } else {
         context.deadline
     };
-    let answer = send(state, context, target, None, deadline).await?;
+    let answer = send(state, context, tries, target, None, deadline).await?;
     let delivered = match context.rule.kind {
         RouteKind::Streaming { .. } if answer.facts.status.is_success() => {
             open_stream(answer, target, deadline).await
--- a/crates/host/src/try_log.rs
+++ b/crates/host/src/try_log.rs
@@ -6,6 +6,8 @@
 pub(crate) struct TryLog {
     /// Backend servers that may have run it.
     may_have_run: SmallVec<[Name; 2]>,
+    /// Backend servers that it was sent to.
+    sent_to: SmallVec<[Name; 2]>,
     /// Backend servers that can't take it now.
     avoided: SmallVec<[Name; 2]>,
     last_unreached: Option<Name>,
@@ -18,6 +20,15 @@
 }
 
 impl TryLog {
+    /// Notes a send; true if the request was sent to the same server before.
+    pub(crate) fn note_sent(&mut self, backend: &Name) -> bool {
+        if self.sent_to.contains(backend) {
+            return true;
+        }
+        self.sent_to.push(backend.clone());
+        false
+    }
+
     pub(crate) fn note_ran(&mut self, backend: &Name) {
         if !self.may_have_run.contains(backend) {
             self.may_have_run.push(backend.clone());
