Say a second ahead in a planned stop that connections end

Cause, shown by a_planned_stop_under_load_cuts_nobody_off (fails without the change): when a stopping host closed its kept connections, requests of busy callers were on their way on them and got no answer. From a second before, answers now bear 'Connection: close', so that a busy connection ends between two requests.

--- a/crates/host/src/caller_lifecycle.rs
+++ b/crates/host/src/caller_lifecycle.rs
@@ -12,6 +12,10 @@
 /// taken later than three seconds after the signal must be answered before the process ends, however long it runs.
 const CLOSE_AFTER: Duration = Duration::from_millis(2800);
 
+/// Before connections are closed, answers say for this long that theirs ends. A busy connection then ends between two
+/// requests, instead of with one on the way.
+const ANNOUNCE_TIME: Duration = Duration::from_millis(1000);
+
 /// Left of the grace period when the process ends although requests are still under way.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
@@ -30,7 +34,10 @@
     info!(state.logger, "stopping"; "connections" => open.load(Ordering::Acquire),
         "requests" => state.counters.active.get());
     let grace = state.boot.bounds.grace;
-    tokio::time::sleep(CLOSE_AFTER.min(grace / 2)).await;
+    let close_after = CLOSE_AFTER.min(grace / 2);
+    tokio::time::sleep(close_after.saturating_sub(ANNOUNCE_TIME)).await;
+    state.closing.cancel();
+    tokio::time::sleep(ANNOUNCE_TIME.min(close_after)).await;
     stop_accepting.cancel();
     close_gracefully.cancel();
     let idle = async {
@@ -38,7 +45,7 @@
             tokio::time::sleep(DRAIN_POLL).await;
         }
     };
-    let rest = grace.saturating_sub(CLOSE_AFTER.min(grace / 2) + EXIT_MARGIN);
+    let rest = grace.saturating_sub(close_after + EXIT_MARGIN);
     let is_complete = tokio::time::timeout(rest, idle).await.is_ok();
     info!(state.logger, "stopped"; "complete" => is_complete,
         "requests" => state.counters.active.get());
--- a/crates/host/src/host_process.rs
+++ b/crates/host/src/host_process.rs
@@ -198,6 +198,7 @@
         uses: Mutex::new(ModelUses::default()),
         link,
         stopping: CancellationToken::new(),
+        closing: CancellationToken::new(),
         boot,
         logger,
     });
--- a/crates/host/src/host_state.rs
+++ b/crates/host/src/host_state.rs
@@ -54,6 +54,8 @@
     pub(crate) link: PeerLink,
     /// Cancelled by the signal of a planned stop.
     pub(crate) stopping: CancellationToken,
+    /// Cancelled when answers end their connections, some time after that signal.
+    pub(crate) closing: CancellationToken,
 }
 
 impl HostState {
--- a/crates/host/src/request_handler.rs
+++ b/crates/host/src/request_handler.rs
@@ -3,6 +3,8 @@
 
 use http::Request;
 use http::Response;
+use http::header::CONNECTION;
+use http::header::HeaderValue;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 use zinniahinge_platform::read_facts;
@@ -15,25 +17,39 @@
 use crate::host_state::HostState;
 use crate::request_log::RequestLog;
 
-/// Answers one request of a caller. Dropped when the caller leaves, which ends its run at the backend server.
+/// Answers one request of a caller, and ends its connection if the host is about to close it.
 pub(crate) async fn handle(
     state: Arc<HostState>,
     bodies: BodyReader,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
+    let mut response = answer(&state, bodies, request).await;
+    if state.closing.is_cancelled() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    Ok(response)
+}
+
+/// Answers one request of a caller. Dropped when the caller leaves, which ends its run at the backend server.
+async fn answer(
+    state: &Arc<HostState>,
+    bodies: BodyReader,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
     let arrived = Instant::now();
     let facts = read_facts(request.headers());
     let id = facts.as_ref().map(|facts| facts.attempt_id.clone());
     let id = id.unwrap_or_else(|_| Name::from("unknown"));
     let mut log = RequestLog::new(state.clone(), id, arrived);
-    let context = match admit(&state, &bodies, request, facts, arrived).await {
+    let context = match admit(state, &bodies, request, facts, arrived).await {
         Ok(admitted) => admitted,
         Err(refusal) => {
             let response = refusal.to_response();
             log.finish(refusal.kind.name(), response.status().as_u16());
-            return Ok(response);
+            return response;
         }
     };
     log.describe(&context);
-    Ok(forward(&state, context, log).await)
+    forward(state, context, log).await
 }
--- a/crates/host/tests/duty.rs
+++ b/crates/host/tests/duty.rs
@@ -243,6 +243,55 @@
     Ok(())
 }
 
+/// Guards against requests that were just accepted and are cut off without an answer in a planned stop under load, on kept
+/// and on new connections.
+#[tokio::test]
+async fn a_planned_stop_under_load_cuts_nobody_off() -> Outcome {
+    let mut bed = TestBed::start().await?;
+    let callers = bed.host.callers;
+    let (balancer, out_of_turn) = tokio::sync::watch::channel(false);
+    let clients = (0..12).map(|client: u64| {
+        let out_of_turn = out_of_turn.clone();
+        tokio::spawn(async move {
+            let mut connection = Caller::connect(callers).await.ok()?;
+            for number in 0..2_000 {
+                let id = format!("load-{client}-{number}");
+                let answer = connection.ask(&CallerRequest::new(&id, "/app/x")).await;
+                let answer = answer.ok().filter(|answer| answer.status.is_some());
+                let Some(answer) = answer else {
+                    return Some(id);
+                };
+                if answer.closes || client.is_multiple_of(3) {
+                    if *out_of_turn.borrow() {
+                        return None;
+                    }
+                    connection = Caller::connect(callers).await.ok()?;
+                }
+                tokio::time::sleep(Duration::from_millis(client % 5)).await;
+            }
+            None
+        })
+    });
+    let clients: Vec<_> = clients.collect();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    // A second signal and changed settings come between.
+    for signal in [Signal::SIGTERM, Signal::SIGHUP, Signal::SIGTERM] {
+        bed.host.signal(signal)?;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    // The balancer asks once a second and takes the host out after two misses.
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    balancer.send(true)?;
+    let mut cut = Vec::new();
+    for client in clients {
+        cut.extend(client.await?);
+    }
+    assert_that!(cut, eq(&Vec::<String>::new()));
+    let code = bed.host.wait_end(Duration::from_secs(9)).await?;
+    assert_that!(code, some(eq(0)));
+    Ok(())
+}
+
 /// Guards against a fleet that is coordinated by a weak host because it was the first to start, and against orders of both
 /// around the hand-over.
 #[tokio::test]
