Read new configurations from an old copy of the store, and watch less often where the deadlines allow

The pause is now 45% of the shorter deadline (0.9 s at 2 s, 1.8 s at 4 s), and the configuration is read from a copy that may be old, at a tenth of the price; if the copy is older than the change that was passed on, it is read again.

--- a/crates/host/src/store_follower.rs
+++ b/crates/host/src/store_follower.rs
@@ -25,9 +25,9 @@
 /// answer confirms all three.
 const WATCHED_PREFIX: &str = "";
 
-/// Pause after an answer with changes, so that changes that come together cost one call. Half of the time in which a
-/// leaving backend server must get no more requests, and a configuration must be in force.
-const BATCH_PAUSE: Duration = Duration::from_millis(900);
+/// Pause after an answer with changes, so that changes that come together cost one call: part, in percent, of the time in
+/// which a leaving backend server must get no more requests, and a configuration must be in force.
+const BATCH_PERCENT: u32 = 45;
 
 /// The same for the coordinating host, which passes the changes on.
 const HOLDER_PAUSE: Duration = Duration::from_millis(150);
@@ -117,7 +117,7 @@
                         let pause = if self.is_holder() {
                             HOLDER_PAUSE
                         } else {
-                            BATCH_PAUSE
+                            self.batch_pause()
                         };
                         tokio::time::sleep(pause).await;
                     }
@@ -137,6 +137,11 @@
         }
     }
 
+    fn batch_pause(&self) -> Duration {
+        let bounds = &self.state.boot.bounds;
+        bounds.config_deadline.min(bounds.drain_deadline) * BATCH_PERCENT / 100
+    }
+
     fn is_holder(&self) -> bool {
         let table = self.state.table.load();
         let holder = table.holder.as_ref();
--- a/crates/host/src/store_relay.rs
+++ b/crates/host/src/store_relay.rs
@@ -62,7 +62,8 @@
             if change.value != RelayedValue::Omitted {
                 reading.changes.push(change.clone());
             } else if !later.any(|other| other.key == change.key) {
-                let item = match self.store.get(&change.key).await {
+                let read = self.store.get_since(&change.key, change.revision);
+                let item = match read.await {
                     Ok(item) => item,
                     Err(error) => {
                         warn!(self.changes.state.logger, "relayed reading not used";
