Let hosts that the store turns away read the configuration from the holder, and pause longer between failing calls

Cause: a host that could not read a new configuration took no relayed change in at all, watched the store itself, and called it each 0.2 s; refused calls are priced. Test: a_host_turned_away_by_the_store_gets_the_configuration_from_the_holder.

--- a/crates/host/src/host_process.rs
+++ b/crates/host/src/host_process.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
@@ -239,6 +240,7 @@
         changes: changes.clone(),
         store: store.clone(),
         watch_wait: settings.watch_wait,
+        failures: AtomicU32::new(0),
     };
     tokio::spawn(follower.run(token.clone()));
     let reporter = FleetReporter {
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -5,6 +5,8 @@
 use zinniahinge_peer::PeerClient;
 use zinniahinge_peer::PeerError;
 use zinniahinge_peer::PeerTarget;
+use zinniahinge_types::ConfigReply;
+use zinniahinge_types::ConfigRequest;
 use zinniahinge_types::FleetCharge;
 use zinniahinge_types::FleetChargeReply;
 use zinniahinge_types::FleetReply;
@@ -16,6 +18,12 @@
 use crate::fleet_table::DutyHolder;
 use crate::host_state::HostState;
 
+/// Path of questions for the configuration.
+pub(crate) const CONFIG_PATH: &str = "/peer/config";
+
+/// Time for the answer to such a question: a megabyte over a link of 20 Mbit/s takes 0.4 s.
+const CONFIG_TIMEOUT: Duration = Duration::from_millis(1200);
+
 /// Path of reports.
 pub(crate) const REPORT_PATH: &str = "/peer/report";
 
@@ -60,6 +68,21 @@
         self.client.call(target, report).await
     }
 
+    /// Asks the holder for the configuration.
+    pub(crate) async fn config(
+        &self,
+        holder: &DutyHolder,
+        request: &ConfigRequest,
+    ) -> Result<ConfigReply, PeerError> {
+        let address = holder.address.to_string();
+        let target = PeerTarget {
+            address: &address,
+            path: CONFIG_PATH,
+            timeout: CONFIG_TIMEOUT,
+        };
+        self.client.call(target, request).await
+    }
+
     /// Asks the host at `address` to charge a request.
     pub(crate) async fn charge(
         &self,
--- a/crates/host/src/peer_routes.rs
+++ b/crates/host/src/peer_routes.rs
@@ -6,6 +6,7 @@
 use volo_http::request::Request;
 use volo_http::response::Response;
 use zinniahinge_peer::PeerGate;
+use zinniahinge_types::ConfigRequest;
 use zinniahinge_types::FleetCharge;
 use zinniahinge_types::FleetReport;
 use zinniahinge_types::PlaceRequest;
@@ -13,8 +14,10 @@
 use crate::coordinator::CoordinatorCell;
 use crate::host_state::HostState;
 use crate::peer_link::CHARGE_PATH;
+use crate::peer_link::CONFIG_PATH;
 use crate::peer_link::PLACE_PATH;
 use crate::peer_link::REPORT_PATH;
+use crate::store_relay::config_since;
 
 /// Serves messages of other hosts.
 #[derive(Clone)]
@@ -39,6 +42,12 @@
                 })
                 .await
             }
+            CONFIG_PATH => {
+                gate.serve(request, async |question: ConfigRequest| {
+                    config_since(&state, &question)
+                })
+                .await
+            }
             CHARGE_PATH => {
                 gate.serve(request, async |question: FleetCharge| {
                     cell.charge(&question, &state)
--- a/crates/host/src/store_changes.rs
+++ b/crates/host/src/store_changes.rs
@@ -174,7 +174,10 @@
     fn apply_item(&self, source: &mut TableSource, item: &StoreItem) {
         let logger = &self.state.logger;
         match &*item.key {
-            CONFIG_KEY => self.apply_config(source, &item.value),
+            CONFIG_KEY => {
+                self.apply_config(source, &item.value);
+                source.config_item = Some((item.revision, item.value.clone()));
+            }
             DUTY_KEY => match serde_json::from_slice::<DutyRecord>(&item.value) {
                 Ok(record) => {
                     let holder = DutyHolder {
--- a/crates/host/src/store_follower.rs
+++ b/crates/host/src/store_follower.rs
@@ -1,4 +1,6 @@
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use rand::Rng;
@@ -39,12 +41,20 @@
 /// Pauses after a failed call, drawn between these so that hosts don't call all at once.
 const RETRY_PAUSE_MS: std::ops::Range<u64> = 120..320;
 
+/// Most doublings of the pause; it stays under [`StoreFollower::batch_pause`], too.
+const MAX_DOUBLINGS: u32 = 4;
+
+/// Failed calls in a row after which the pause doubles, and doubles again.
+const RETRY_STEP: u32 = 2;
+
 /// Follows the store and keeps the host's table up to date.
 pub(crate) struct StoreFollower {
     pub(crate) state: Arc<HostState>,
     pub(crate) changes: StoreChanges,
     pub(crate) store: StoreClient,
     pub(crate) watch_wait: Duration,
+    /// Calls that failed in a row.
+    pub(crate) failures: AtomicU32,
 }
 
 impl StoreFollower {
@@ -99,6 +109,7 @@
             };
             match self.store.watch(WATCHED_PREFIX, revision, wait).await {
                 Ok(answer) => {
+                    self.failures.store(0, Ordering::Relaxed);
                     if is_down {
                         info!(self.state.logger, "store regained"; "revision" => answer.revision);
                         is_down = false;
@@ -190,8 +201,10 @@
             false
         });
         slog::debug!(state.logger, "store call failed"; "error" => %error);
-        let pause = rand::rng().random_range(RETRY_PAUSE_MS);
-        tokio::time::sleep(Duration::from_millis(pause)).await;
+        let failed = self.failures.fetch_add(1, Ordering::Relaxed);
+        let pause = Duration::from_millis(rand::rng().random_range(RETRY_PAUSE_MS));
+        let pause = pause * 2_u32.pow((failed / RETRY_STEP).min(MAX_DOUBLINGS));
+        tokio::time::sleep(pause.min(self.batch_pause())).await;
     }
 
     fn log_belief(&self, message: &str, revision: Revision) {
--- a/crates/host/src/store_relay.rs
+++ b/crates/host/src/store_relay.rs
@@ -8,8 +8,11 @@
 
 use slog::info;
 use slog::warn;
+use zinniahinge_platform::CONFIG_KEY;
 use zinniahinge_platform::StoreChange;
 use zinniahinge_platform::StoreClient;
+use zinniahinge_types::ConfigReply;
+use zinniahinge_types::ConfigRequest;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::RecordBytes;
 use zinniahinge_types::RelayedChange;
@@ -62,18 +65,7 @@
             if change.value != RelayedValue::Omitted {
                 reading.changes.push(change.clone());
             } else if !later.any(|other| other.key == change.key) {
-                let read = self.store.get_since(&change.key, change.revision);
-                let item = match read.await {
-                    Ok(item) => item,
-                    Err(error) => {
-                        warn!(self.changes.state.logger, "relayed reading not used";
-                            "key" => &*change.key, "revision" => change.revision, "error" => %error);
-                        return None;
-                    }
-                };
-                let value = item.map_or(RelayedValue::Removed, |item| {
-                    RelayedValue::Written(RecordBytes(item.value.to_vec()))
-                });
+                let value = self.read_value(change).await?;
                 reading.changes.push(RelayedChange {
                     value,
                     ..change.clone()
@@ -83,6 +75,36 @@
         Some(reading)
     }
 
+    /// Reads a value that was not passed on: from the store, or from the holder if the store fails this host.
+    async fn read_value(&self, change: &RelayedChange) -> Option<RelayedValue> {
+        let state = &self.changes.state;
+        let read = self.store.get_since(&change.key, change.revision);
+        let error = match read.await {
+            Ok(Some(item)) => {
+                return Some(RelayedValue::Written(RecordBytes(item.value.to_vec())));
+            }
+            Ok(None) => return Some(RelayedValue::Removed),
+            Err(error) => error,
+        };
+        let holder = state.table.load().holder.clone();
+        if &*change.key == CONFIG_KEY
+            && let Some(holder) = holder
+        {
+            let request = ConfigRequest {
+                revision: change.revision,
+            };
+            let reply = state.link.config(&holder, &request).await;
+            info!(state.logger, "configuration read from the coordinating host";
+                "revision" => change.revision, "answered" => reply.is_ok(), "store_error" => %error);
+            if let Ok(ConfigReply::Written(value)) = reply {
+                return Some(RelayedValue::Written(value));
+            }
+        }
+        warn!(state.logger, "relayed reading not used"; "key" => &*change.key,
+            "revision" => change.revision, "error" => %error);
+        None
+    }
+
     fn finish(&self, reading: StoreReading, asked_at: MonotonicTime) {
         let StoreReading {
             after,
@@ -108,6 +130,16 @@
     }
 }
 
+/// The configuration that this host has read, for one that can't.
+pub(crate) fn config_since(state: &HostState, request: &ConfigRequest) -> ConfigReply {
+    state.with_source(|source| match &source.config_item {
+        Some((revision, value)) if *revision >= request.revision => {
+            ConfigReply::Written(RecordBytes(value.to_vec()))
+        }
+        _ => ConfigReply::Unknown,
+    })
+}
+
 /// What this host, which coordinates, has read since `after`; `None` if it can't tell.
 pub(crate) fn reading_since(state: &HostState, after: Revision) -> Option<StoreReading> {
     let now = state.now();
--- a/crates/host/src/table_source.rs
+++ b/crates/host/src/table_source.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use zinniahinge_serving::BackendEntry;
 use zinniahinge_serving::BackendLoad;
 use zinniahinge_serving::BackendRoster;
@@ -42,6 +43,8 @@
 #[derive(Debug)]
 pub(crate) struct TableSource {
     pub(crate) config: Option<Arc<ServingConfig>>,
+    /// The configuration as it was read, with its revision, for hosts that can't read it.
+    pub(crate) config_item: Option<(Revision, Bytes)>,
     pub(crate) roster: BackendRoster,
     pub(crate) holder: Option<DutyHolder>,
     /// The last term.
@@ -66,6 +69,7 @@
     pub(crate) fn new() -> Self {
         Self {
             config: None,
+            config_item: None,
             roster: BackendRoster::new(RETURN_TIME),
             holder: None,
             last_term: None,
--- a/crates/host/tests/relay.rs
+++ b/crates/host/tests/relay.rs
@@ -2,10 +2,16 @@
 
 mod common;
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use googletest::prelude::*;
 use nix::sys::signal::Signal;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use zinniahinge_platform_standins::Caller;
 use zinniahinge_platform_standins::CallerRequest;
 use zinniahinge_platform_standins::ConfigText;
@@ -94,3 +100,51 @@
     bed.host.signal(Signal::SIGCONT)?;
     Ok(())
 }
+
+/// Passes connections on to the store while `is_open`; then it closes them.
+async fn start_gate(store: SocketAddr, is_open: Arc<AtomicBool>) -> Outcome<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    tokio::spawn(async move {
+        while let Ok((mut near, _)) = listener.accept().await {
+            let is_open = is_open.clone();
+            tokio::spawn(async move {
+                let is_closed = async {
+                    while is_open.load(Ordering::Relaxed) {
+                        tokio::time::sleep(Duration::from_millis(10)).await;
+                    }
+                };
+                let pass = async {
+                    let mut far = TcpStream::connect(store).await?;
+                    tokio::io::copy_bidirectional(&mut near, &mut far).await
+                };
+                tokio::select! {
+                    () = is_closed => {}
+                    // The end of either side ends both.
+                    _ = pass => {}
+                }
+            });
+        }
+    });
+    Ok(address)
+}
+
+/// Guards against a host that the store turns away, and that misses a new configuration and the servers that leave after it.
+#[tokio::test]
+async fn a_host_turned_away_by_the_store_gets_the_configuration_from_the_holder() -> Outcome {
+    let mut bed = TestBed::start().await?;
+    let holds = wait_until(Duration::from_secs(5), || {
+        !bed.host.log_lines(&["duty acquired"]).is_empty()
+    });
+    assert_that!(holds.await, eq(true));
+    let is_open = Arc::new(AtomicBool::new(true));
+    let gate = start_gate(bed.store.address(), is_open.clone()).await?;
+    bed.fleet.route_store("h2", gate);
+    let other = bed.fleet.start("h2").await?;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    is_open.store(false, Ordering::Relaxed);
+    check_changes_arrive(&bed, std::slice::from_ref(&other)).await?;
+    let read = other.log_lines(&["configuration read from the coordinating host"]);
+    assert_that!(read.is_empty(), eq(false));
+    Ok(())
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -80,6 +80,8 @@
 pub use resource_key::ResourceKey;
 pub use resource_key::SHARD_COUNT;
 pub use resource_key::ShardId;
+pub use store_message::ConfigReply;
+pub use store_message::ConfigRequest;
 pub use store_message::RelayedChange;
 pub use store_message::RelayedValue;
 pub use store_message::StoreReading;
--- a/crates/types/src/store_message.rs
+++ b/crates/types/src/store_message.rs
@@ -33,6 +33,22 @@
     pub value: RelayedValue,
 }
 
+/// Asks for the configuration, by a host whose own reading of the store fails.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ConfigRequest {
+    /// Revision of the change that it was told of.
+    pub revision: Revision,
+}
+
+/// Answer to a [`ConfigRequest`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ConfigReply {
+    /// The receiver has none as new as that.
+    Unknown,
+    /// As the operators wrote it.
+    Written(RecordBytes),
+}
+
 /// New value of a key.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum RelayedValue {
