--- a/crates/host/src/target_choice.rs
+++ b/crates/host/src/target_choice.rs
@@ -20,6 +20,10 @@
 /// Pause before the coordinating host is asked again, or a new one looked for.
 const ASK_PAUSE: Duration = Duration::from_millis(120);
 
+/// Time for which a request waits while nobody answers where it can go: a change of the coordinating host takes about as
+/// long. After that its caller is better off elsewhere or later.
+const UNANSWERED_LIMIT: Duration = Duration::from_millis(3000);
+
 /// Part of a request's time, in percent, for which it may wait for a model to be placed.
 const HOLD_PERCENT: u32 = 50;
 
@@ -131,6 +135,7 @@
     let answer_by = context.first_answer_by();
     let hold_until = context.arrived + context.whole_time() * HOLD_PERCENT / 100;
     let hold_until = hold_until.min(answer_by - ANSWER_MARGIN);
+    let mut answered_at = Instant::now();
     loop {
         let now = Instant::now();
         if now >= hold_until {
@@ -139,7 +144,13 @@
         if state.stopping.is_cancelled() && now >= context.arrived + STOPPING_WAIT {
             return Err(unplaced.retry_after(STOPPING_RETRY));
         }
-        let pause = match ask(state, context, model, tries).await {
+        let reply = ask(state, context, model, tries).await;
+        if !matches!(reply, None | Some(PlaceReply::NotHolder)) {
+            answered_at = Instant::now();
+        } else if answered_at.elapsed() >= UNANSWERED_LIMIT {
+            return Err(unplaced);
+        }
+        let pause = match reply {
             Some(PlaceReply::At {
                 backend,
                 ready_in_ms,
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -58,6 +58,15 @@
             resume: true,
             ..base
         },
+        RouteText {
+            prefix: "/patient/",
+            kind: "streaming",
+            service: "llm",
+            attempts: 1,
+            timeout_ms: 17_000,
+            goal_ms: 3000,
+            ..base
+        },
         RouteText {
             prefix: "/quick/",
             timeout_ms: 600,
--- a/crates/host/tests/duty.rs
+++ b/crates/host/tests/duty.rs
@@ -328,3 +328,28 @@
     assert_that!(second.log_lines(&["duty given up"]).len(), eq(0));
     Ok(())
 }
+
+/// Guards against requests that are held for most of their time although nobody can say where they could go.
+#[tokio::test]
+async fn a_request_that_no_holder_places_is_refused_in_seconds() -> Outcome {
+    let mut bed = TestBed::start().await?;
+    let acquired = wait_until(Duration::from_secs(10), || {
+        !bed.host.log_lines(&["duty acquired"]).is_empty()
+    });
+    assert_that!(acquired.await, eq(true));
+    let second = bed.fleet.start("h2").await?;
+    bed.host.signal(Signal::SIGSTOP)?;
+    bed.store.set_fault(StoreFault::Silent);
+    let started = Instant::now();
+    let request = CallerRequest {
+        deadline_ms: 17_000,
+        ..model_request("unplaced", "/patient/stream/x", "m3")
+    };
+    let answer = Caller::once(second.callers, &request).await?;
+    let elapsed = started.elapsed();
+    bed.host.signal(Signal::SIGCONT)?;
+    assert_that!(answer.status, some(eq(503)));
+    assert_that!(answer.retry_after.is_some(), eq(true));
+    assert_that!(elapsed < Duration::from_secs(5), eq(true), "{elapsed:?}");
+    Ok(())
+}
