--- a/crates/soak/tests/promise_check.rs
+++ b/crates/soak/tests/promise_check.rs
@@ -33,6 +33,7 @@
         signature: signature.map(str::to_owned),
         id: Some(ID.to_owned()),
         retry_after: None,
+        closes: false,
     }
 }
 
