--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -2,6 +2,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use zinniahinge_peer::PeerClient;
 use zinniahinge_peer::PeerError;
 use zinniahinge_peer::PeerTarget;
@@ -49,6 +51,21 @@
 }
 
 impl PeerLink {
+    async fn call<Req: Serialize, Rep: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        (path, timeout): (&'static str, Duration),
+        message: &Req,
+    ) -> Result<Rep, PeerError> {
+        let address = address.to_string();
+        let target = PeerTarget {
+            address: &address,
+            path,
+            timeout,
+        };
+        self.client.call(target, message).await
+    }
+
     /// Sends a report.
     pub(crate) async fn report(
         &self,
@@ -59,13 +76,8 @@
         if holder.host == state.boot.host {
             return Ok(self.cell.report(report, state.now()));
         }
-        let address = holder.address.to_string();
-        let target = PeerTarget {
-            address: &address,
-            path: REPORT_PATH,
-            timeout: REPORT_TIMEOUT,
-        };
-        self.client.call(target, report).await
+        self.call(holder.address, (REPORT_PATH, REPORT_TIMEOUT), report)
+            .await
     }
 
     /// Asks the holder for the configuration.
@@ -74,13 +86,8 @@
         holder: &DutyHolder,
         request: &ConfigRequest,
     ) -> Result<ConfigReply, PeerError> {
-        let address = holder.address.to_string();
-        let target = PeerTarget {
-            address: &address,
-            path: CONFIG_PATH,
-            timeout: CONFIG_TIMEOUT,
-        };
-        self.client.call(target, request).await
+        self.call(holder.address, (CONFIG_PATH, CONFIG_TIMEOUT), request)
+            .await
     }
 
     /// Asks the host at `address` to charge a request.
@@ -89,13 +96,8 @@
         address: SocketAddr,
         request: &FleetCharge,
     ) -> Result<FleetChargeReply, PeerError> {
-        let address = address.to_string();
-        let target = PeerTarget {
-            address: &address,
-            path: CHARGE_PATH,
-            timeout: CHARGE_TIMEOUT,
-        };
-        self.client.call(target, request).await
+        self.call(address, (CHARGE_PATH, CHARGE_TIMEOUT), request)
+            .await
     }
 
     /// Asks where a request can go.
@@ -108,12 +110,7 @@
         if holder.host == state.boot.host {
             return Ok(self.cell.place(request, state).await);
         }
-        let address = holder.address.to_string();
-        let target = PeerTarget {
-            address: &address,
-            path: PLACE_PATH,
-            timeout: PLACE_TIMEOUT,
-        };
-        self.client.call(target, request).await
+        self.call(holder.address, (PLACE_PATH, PLACE_TIMEOUT), request)
+            .await
     }
 }
--- a/crates/host/tests/duty.rs
+++ b/crates/host/tests/duty.rs
@@ -11,6 +11,7 @@
 use zinniahinge_platform_standins::Caller;
 use zinniahinge_platform_standins::CallerRequest;
 use zinniahinge_platform_standins::ConfigText;
+use zinniahinge_platform_standins::HostProcess;
 use zinniahinge_platform_standins::SeenOrder;
 use zinniahinge_platform_standins::StoreFault;
 
@@ -41,6 +42,18 @@
     Ok(next.at.duration_since(last.at))
 }
 
+/// Asks the host for a model that has to be loaded until it serves it, for 20 s at most.
+async fn serves_absent_model(host: &HostProcess) -> Outcome<bool> {
+    let mut served = false;
+    let started = Instant::now();
+    while !served && started.elapsed() < Duration::from_secs(20) {
+        let request = model_request("second", "/llm/stream/x", "m2/a3");
+        served = Caller::once(host.callers, &request).await?.status == Some(200);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    Ok(served)
+}
+
 /// Guards against a rare model that nobody loads, and against memory that is given out twice.
 #[tokio::test]
 async fn absent_models_and_adapters_are_loaded_on_demand() -> Outcome {
@@ -77,13 +90,7 @@
     let before = all_orders(&bed.engines);
     assert_that!(before.is_empty(), eq(false));
     bed.host.signal(Signal::SIGKILL)?;
-    let mut served = false;
-    let started = Instant::now();
-    while !served && started.elapsed() < Duration::from_secs(20) {
-        let request = model_request("second", "/llm/stream/x", "m2/a3");
-        served = Caller::once(second.callers, &request).await?.status == Some(200);
-        tokio::time::sleep(Duration::from_millis(100)).await;
-    }
+    let served = serves_absent_model(&second).await?;
     assert_that!(served, eq(true));
     let gap = turn_gap(&bed.engines)?;
     assert_that!(gap >= LEASE_TIME, eq(true), "{gap:?}");
@@ -106,13 +113,7 @@
     assert_that!(acquired.await, eq(true));
     second.signal(Signal::SIGKILL)?;
     second = bed.fleet.restart("h2").await?;
-    let mut served = false;
-    let started = Instant::now();
-    while !served && started.elapsed() < Duration::from_secs(20) {
-        let request = model_request("second", "/llm/stream/x", "m2/a3");
-        served = Caller::once(second.callers, &request).await?.status == Some(200);
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
+    let served = serves_absent_model(&second).await?;
     assert_that!(served, eq(true));
     let gap = turn_gap(&bed.engines)?;
     assert_that!(gap >= LEASE_TIME, eq(true), "{gap:?}");
@@ -313,13 +314,7 @@
     assert_that!(handed_over.await, eq(true));
     let given_up = bed.host.log_lines(&["duty given up for a stronger host"]);
     assert_that!(given_up.len(), eq(1));
-    let mut served = false;
-    let started = Instant::now();
-    while !served && started.elapsed() < Duration::from_secs(20) {
-        let request = model_request("second", "/llm/stream/x", "m2/a3");
-        served = Caller::once(second.callers, &request).await?.status == Some(200);
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
+    let served = serves_absent_model(&second).await?;
     assert_that!(served, eq(true));
     let gap = turn_gap(&bed.engines)?;
     assert_that!(gap >= LEASE_TIME, eq(true), "{gap:?}");
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -22,6 +22,7 @@
 mod host_presence;
 mod order_outcome;
 mod part_memory;
+mod plan_figures;
 mod request_facts;
 mod residency_background;
 mod residency_demand;
--- /dev/null
+++ b/crates/serving/src/plan_figures.rs
@@ -0,0 +1,68 @@
+use std::collections::HashMap;
+
+use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::Name;
+
+use crate::ResidencyPlanner;
+use crate::engine_record::EngineRecord;
+use crate::engine_record::adapter_mb;
+use crate::engine_record::model_mb;
+
+/// What one engine could make room for, whatever the model.
+#[derive(Debug)]
+pub(crate) struct EngineRoom {
+    pub(crate) free_mb: f64,
+    /// Models that could go, the cheapest first: cost in seconds, name, memory in megabytes.
+    pub(crate) victims: Vec<(f64, Name, f64)>,
+}
+
+/// What one plan looks up for each engine and model. Computed once for each change of the engines, so that a plan grows
+/// with the engines and not with engines times models.
+#[derive(Debug)]
+pub(crate) struct PlanFigures {
+    pub(crate) rooms: HashMap<Name, EngineRoom>,
+    /// Replicas by model, if any.
+    pub(crate) replicas: HashMap<Name, usize>,
+}
+
+impl ResidencyPlanner {
+    /// Looks at all engines and what they hold.
+    pub(crate) fn figures(&self, now: MonotonicTime) -> PlanFigures {
+        let mut replicas: HashMap<Name, usize> = HashMap::new();
+        for record in self.engines.values().filter(|record| record.is_accepting) {
+            for model in record.held.keys().filter(|model| record.keeps(model)) {
+                *replicas.entry(model.clone()).or_default() += 1;
+            }
+        }
+        let engines = self.engines.values().filter(|record| record.is_accepting);
+        let rooms = engines.map(|record| (record.id.clone(), self.room(record, &replicas, now)));
+        PlanFigures {
+            rooms: rooms.collect(),
+            replicas,
+        }
+    }
+
+    fn room(
+        &self,
+        record: &EngineRecord,
+        replicas: &HashMap<Name, usize>,
+        now: MonotonicTime,
+    ) -> EngineRoom {
+        let held = record.held.iter();
+        let held = held.filter(|(model, held)| !held.is_leaving && !self.is_wanted(model));
+        let mut victims: Vec<(f64, Name, f64)> = held
+            .map(|(model, held)| {
+                let freed = model_mb(&self.spec, model)
+                    + adapter_mb(&self.spec, model) * held.adapters.len() as f64;
+                let replicas = replicas.get(model).copied().unwrap_or_default();
+                let cost = self.eviction_cost(record, model, replicas, now);
+                (cost, model.clone(), freed)
+            })
+            .collect();
+        victims.sort_by(|one, other| one.0.total_cmp(&other.0));
+        EngineRoom {
+            free_mb: self.spec.memory_mb - record.used_mb(&self.spec, now),
+            victims,
+        }
+    }
+}
--- a/crates/serving/src/residency_background.rs
+++ b/crates/serving/src/residency_background.rs
@@ -7,9 +7,9 @@
 
 use crate::EngineOrder;
 use crate::ResidencyPlanner;
+use crate::plan_figures::PlanFigures;
 use crate::residency_demand::CopyLevel;
 use crate::residency_load::LoadLimit;
-use crate::residency_load::PlanFigures;
 use crate::residency_load::RELOAD_S;
 use crate::residency_load::SPREAD_S;
 
--- a/crates/serving/src/residency_load.rs
+++ b/crates/serving/src/residency_load.rs
@@ -1,6 +1,5 @@
 //! Which order a [`ResidencyPlanner`] gives next.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use zinniahinge_types::MonotonicTime;
@@ -14,6 +13,7 @@
 use crate::engine_record::RoomClaim;
 use crate::engine_record::adapter_mb;
 use crate::engine_record::model_mb;
+use crate::plan_figures::PlanFigures;
 use crate::residency_demand::CopyLevel;
 use crate::residency_demand::WantKey;
 
@@ -72,23 +72,6 @@
     is_free: bool,
 }
 
-/// What one engine could make room for, whatever the model.
-#[derive(Debug)]
-pub(crate) struct EngineRoom {
-    free_mb: f64,
-    /// Models that could go, the cheapest first: cost in seconds, name, memory in megabytes.
-    victims: Vec<(f64, Name, f64)>,
-}
-
-/// What one plan looks up for each engine and model. Computed once for each change of the engines, so that a plan grows
-/// with the engines and not with engines times models.
-#[derive(Debug)]
-pub(crate) struct PlanFigures {
-    rooms: HashMap<Name, EngineRoom>,
-    /// Replicas by model, if any.
-    pub(crate) replicas: HashMap<Name, usize>,
-}
-
 impl ResidencyPlanner {
     /// Orders to send now, at most one for each engine. The outcome of each goes to [`Self::order_ended`].
     pub fn plan(&mut self, now: MonotonicTime) -> Vec<EngineOrder> {
@@ -133,46 +116,6 @@
         orders
     }
 
-    /// Looks at all engines and what they hold.
-    pub(crate) fn figures(&self, now: MonotonicTime) -> PlanFigures {
-        let mut replicas: HashMap<Name, usize> = HashMap::new();
-        for record in self.engines.values().filter(|record| record.is_accepting) {
-            for model in record.held.keys().filter(|model| record.keeps(model)) {
-                *replicas.entry(model.clone()).or_default() += 1;
-            }
-        }
-        let engines = self.engines.values().filter(|record| record.is_accepting);
-        let rooms = engines.map(|record| (record.id.clone(), self.room(record, &replicas, now)));
-        PlanFigures {
-            rooms: rooms.collect(),
-            replicas,
-        }
-    }
-
-    fn room(
-        &self,
-        record: &EngineRecord,
-        replicas: &HashMap<Name, usize>,
-        now: MonotonicTime,
-    ) -> EngineRoom {
-        let held = record.held.iter();
-        let held = held.filter(|(model, held)| !held.is_leaving && !self.is_wanted(model));
-        let mut victims: Vec<(f64, Name, f64)> = held
-            .map(|(model, held)| {
-                let freed = model_mb(&self.spec, model)
-                    + adapter_mb(&self.spec, model) * held.adapters.len() as f64;
-                let replicas = replicas.get(model).copied().unwrap_or_default();
-                let cost = self.eviction_cost(record, model, replicas, now);
-                (cost, model.clone(), freed)
-            })
-            .collect();
-        victims.sort_by(|one, other| one.0.total_cmp(&other.0));
-        EngineRoom {
-            free_mb: self.spec.memory_mb - record.used_mb(&self.spec, now),
-            victims,
-        }
-    }
-
     fn expire(&mut self, now: MonotonicTime) {
         let Self { wants, engines, .. } = self;
         wants.retain(|key, want| {
@@ -342,12 +285,12 @@
         })
     }
 
-    fn is_wanted(&self, model: &Name) -> bool {
+    pub(crate) fn is_wanted(&self, model: &Name) -> bool {
         self.wants.keys().any(|key| key.model == *model)
     }
 
     /// Delay, in seconds over the horizon, that requests will see if the model leaves the engine.
-    fn eviction_cost(
+    pub(crate) fn eviction_cost(
         &self,
         record: &EngineRecord,
         model: &Name,
