--- a/crates/serving/src/fleet_ledger.rs
+++ b/crates/serving/src/fleet_ledger.rs
@@ -213,7 +213,8 @@
                     seen_at: now,
                     ..HostRecord::default()
                 });
-            *record.asked.entry(account.name.clone()).or_default() += cost;
+            let asked = record.asked.entry(account.name.clone()).or_default();
+            *asked = asked.saturating_add(cost);
         }
         is_admitted
     }
