Load replicas beside waiting requests only in place of hardly used models; two loads at once at least

What is displaced may now cost half a second at most. Also by reading: one slow load alone made all others follow each other; the weight store takes two at once at least, and a load that was alone says nothing of sharing.

--- a/crates/serving/src/engine_record.rs
+++ b/crates/serving/src/engine_record.rs
@@ -105,7 +105,10 @@
     pub(crate) fn full_speed_loads(self, known: f64, alone: Duration) -> f64 {
         let Self { time, at_once } = self;
         let slowness = time.as_secs_f64() / alone.as_secs_f64().max(0.001);
-        if slowness > UNSLOWED {
+        if slowness > UNSLOWED && at_once <= 1 {
+            // Nothing shared the store with it.
+            known
+        } else if slowness > UNSLOWED {
             (at_once as f64 / slowness).max(1.0)
         } else if at_once >= known as usize {
             // One more is tried next time.
--- a/crates/serving/src/residency_background.rs
+++ b/crates/serving/src/residency_background.rs
@@ -26,6 +26,30 @@
 /// The same for a model with one replica.
 const ASSUMED_SINGLE_RATE: f64 = 0.2;
 
+/// Which busy models get a further replica.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReplicaRule {
+    /// How many times what its replicas carry well a model must need.
+    shortage: f64,
+    /// Most that the displaced models may cost, seconds.
+    displaced_s: f64,
+}
+
+impl ReplicaRule {
+    /// While no request waits for a model.
+    pub(crate) const IDLE: Self = Self {
+        shortage: 1.0,
+        displaced_s: f64::INFINITY,
+    };
+
+    /// While requests wait for other models. Engines of a model that is twice as busy read prompts without a pause, and
+    /// every answer is late; but what it displaces must be hardly used, or requests wait for that next.
+    pub(crate) const WAITING: Self = Self {
+        shortage: 2.0,
+        displaced_s: 0.5,
+    };
+}
+
 impl ResidencyPlanner {
     /// Assumes that what the engines hold is wanted as much as its number of replicas says. A new holder knows no demand, and
     /// would take the replicas of busy models for useless. The assumption fades as fast as measured demand.
@@ -45,12 +69,11 @@
         }
     }
 
-    /// Next order towards a further replica of a busy model whose replicas carry `shortage` times what they should, the
-    /// shortest of replicas first.
+    /// Next order towards a further replica of a busy model, the shortest of replicas first.
     pub(crate) fn plan_replica(
         &mut self,
         figures: &PlanFigures,
-        shortage: f64,
+        rule: &ReplicaRule,
         now: MonotonicTime,
     ) -> Option<EngineOrder> {
         let mut busy: Vec<(f64, f64, Name)> = figures
@@ -59,7 +82,7 @@
             .filter_map(|(model, replicas)| {
                 let target = self.target_replicas(model, now);
                 let short = target as f64 / *replicas as f64;
-                let is_short = target > *replicas && short >= shortage;
+                let is_short = target > *replicas && short >= rule.shortage;
                 is_short.then(|| (short, self.rate(model, now), model.clone()))
             })
             .collect();
@@ -76,6 +99,7 @@
                 CopyLevel::Memory | CopyLevel::Disk => RELOAD_S,
             };
             let gain_s = rate * SPREAD_S * self.settings.eviction_horizon_s;
+            let gain_s = gain_s.min(rule.displaced_s);
             let limit = LoadLimit {
                 cost_s: gain_s + time_s,
                 ..LoadLimit::NONE
--- a/crates/serving/src/residency_load.rs
+++ b/crates/serving/src/residency_load.rs
@@ -14,17 +14,16 @@
 use crate::engine_record::adapter_mb;
 use crate::engine_record::model_mb;
 use crate::plan_figures::PlanFigures;
+use crate::residency_background::ReplicaRule;
 use crate::residency_demand::CopyLevel;
 use crate::residency_demand::WantKey;
 
 /// Time between two looks at what could be loaded while no request waits, after one that found nothing.
 const BACKGROUND_INTERVAL: Duration = Duration::from_millis(250);
 
-/// A model gets a further replica from this many times what its replicas carry on, while no request waits.
-const REPLICA_SHORTAGE: f64 = 1.0;
-
-/// The same while requests wait for other models: its engines read prompts without a pause then, and every answer is late.
-const URGENT_SHORTAGE: f64 = 2.0;
+/// Loads from the weight store that are under way at once, however slow they are: one that is slow for another reason must
+/// not hold up all others.
+const MIN_LOADS_AT_ONCE: f64 = 2.0;
 
 /// Time for which memory that is being freed is kept for a model.
 const CLAIM_TIME: Duration = Duration::from_secs(3);
@@ -103,10 +102,10 @@
         if is_due || self.background_at == MonotonicTime::ZERO {
             let figures = figures.unwrap_or_else(|| self.figures(now));
             let order = if self.wants.is_empty() {
-                let order = self.plan_replica(&figures, REPLICA_SHORTAGE, now);
+                let order = self.plan_replica(&figures, &ReplicaRule::IDLE, now);
                 order.or_else(|| self.plan_absent(&figures, now))
             } else {
-                self.plan_replica(&figures, URGENT_SHORTAGE, now)
+                self.plan_replica(&figures, &ReplicaRule::WAITING, now)
             };
             if order.is_none() {
                 self.background_at = now;
@@ -378,7 +377,7 @@
             .filter(|record| record.in_call)
             .count();
         let allowed = (self.spec.store_loads_per_s * window).floor().max(1.0) as usize;
-        self.open_store_loads(now) + in_call < self.full_speed_loads.max(1.0) as usize
+        self.open_store_loads(now) + in_call < self.full_speed_loads.max(MIN_LOADS_AT_ONCE) as usize
             && self.store_starts.len() + in_call < allowed
     }
 
