Let one engine in twenty at most load a replica while requests wait

With 18 engines each one that loads a replica for six seconds takes no order that requests wait for; with 240 that does not matter. The test plays 24 engines, and 8 that get none.

--- a/crates/serving/src/residency_load.rs
+++ b/crates/serving/src/residency_load.rs
@@ -21,6 +21,10 @@
 /// Time between two looks at what could be loaded while no request waits, after one that found nothing.
 const BACKGROUND_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Engines of which one may load a replica while requests wait for other models. An engine takes no other order for the
+/// seconds of a load from the weight store.
+const ENGINES_PER_REPLICA: usize = 20;
+
 /// Loads from the weight store that are under way at once, however slow they are: one that is slow for another reason must
 /// not hold up all others.
 const MIN_LOADS_AT_ONCE: f64 = 2.0;
@@ -104,8 +108,10 @@
             let order = if self.wants.is_empty() {
                 let order = self.plan_replica(&figures, &ReplicaRule::IDLE, now);
                 order.or_else(|| self.plan_absent(&figures, now))
-            } else {
+            } else if self.open_store_loads(now) < self.engines.len() / ENGINES_PER_REPLICA {
                 self.plan_replica(&figures, &ReplicaRule::WAITING, now)
+            } else {
+                None
             };
             if order.is_none() {
                 self.background_at = now;
--- a/crates/serving/tests/residency_replicas.rs
+++ b/crates/serving/tests/residency_replicas.rs
@@ -176,39 +176,73 @@
     assert_that!(planner.plan(at(12_000)).len(), eq(3));
 }
 
+struct WaitingCase {
+    name: &'static str,
+    engines: usize,
+    /// Requests a second for the busy model, of 224 ms each. One engine carries one and a half well.
+    per_s: u32,
+    /// What each engine but the first holds; the first holds the busy model.
+    held: &'static [&'static str],
+    gets_replica: bool,
+}
+
 /// Guards against a busy model that waits for replicas as long as any request waits for another model: its engines read
-/// prompts without a pause then, and every answer is late.
+/// prompts without a pause then, and every answer is late. And against replicas that take what requests wait for.
 #[test]
 fn a_model_far_beyond_its_replicas_gets_one_while_others_wait() {
-    let engines: Vec<HeldCase> = vec![
-        ("e1", &["busy"], &[]),
-        ("e2", &["r0"], &[]),
-        ("e3", &["r1"], &[]),
-        ("e4", &["r2"], &[]),
-    ];
-    // Requests a second of 224 ms each: as many as two engines carry well, and as many as one does. The engines have room
-    // for one model more, or hold two that are in use.
-    let full: Vec<HeldCase> = vec![
-        ("e1", &["busy", "r3"], &[]),
-        ("e2", &["r0", "r4"], &[]),
-        ("e3", &["r1", "r5"], &[]),
-        ("e4", &["r2", "r6"], &[]),
+    let case = WaitingCase {
+        name: "twice what its engine carries, room elsewhere",
+        engines: 24,
+        per_s: 4,
+        held: &["r0"],
+        gets_replica: true,
+    };
+    let cases = [
+        WaitingCase {
+            name: "what its engine carries",
+            per_s: 1,
+            gets_replica: false,
+            ..case
+        },
+        WaitingCase {
+            name: "the others hold two models in use",
+            held: &["r0", "r1"],
+            gets_replica: false,
+            ..case
+        },
+        WaitingCase {
+            name: "few engines, each needed for what requests wait for",
+            engines: 8,
+            gets_replica: false,
+            ..case
+        },
+        case,
     ];
-    for (engines, per_s, is_loaded) in
-        [(&engines, 4, true), (&engines, 1, false), (&full, 4, false)]
-    {
-        let mut planner = planner(engines);
+    for case in cases {
+        let settings = ResidencySettings::default();
+        let mut planner = ResidencyPlanner::new(engine_spec(&MODELS), settings, 0);
+        let held = |index: usize| if index == 0 { &["busy"] } else { case.held };
+        for index in 0..case.engines {
+            planner.observe_entry(&entry(&format!("e{index}"), 1, held(index)), at(0));
+        }
+        planner.due_reports(at(0));
+        for index in 0..case.engines {
+            let report = report(5, held(index), &[]);
+            planner.observe_report(&format!("e{index}"), Some(&report), at(0), at(0));
+        }
         for second in 0..10 {
-            let tokens = (9_000 * u64::from(per_s), 50 * u64::from(per_s));
-            planner.note_use(&name("busy"), None, per_s, tokens, at(second * 1_000));
-            for other in ["r0", "r1", "r2", "r3", "r4", "r5", "r6"] {
-                planner.note_use(&name(other), None, 1, (9_000, 50), at(second * 1_000));
+            let tokens = (9_000 * u64::from(case.per_s), 50 * u64::from(case.per_s));
+            planner.note_use(&name("busy"), None, case.per_s, tokens, at(second * 1_000));
+            // Enough that an engine with one of them is no cheap place.
+            for other in ["r0", "r1"] {
+                planner.note_use(&name(other), None, 40, (9_000, 50), at(second * 1_000));
             }
         }
         // Its load waits for the weight store.
         want(&mut planner, "r7", at(9_500));
         let orders = planner.plan(at(9_500));
         let replicas = orders.iter().filter(|order| &*order.model == "busy");
-        assert_that!(replicas.count() > 0, eq(is_loaded), "{per_s}: {orders:?}");
+        let found = format!("{}: {orders:?}", case.name);
+        assert_that!(replicas.count() > 0, eq(case.gets_replica), "{found}");
     }
 }
