Compute what is missing, replicas and store reads in one place each; no change of behaviour

Found on reading the whole change once more: - what an account lacks for a request stood four times (ledger, meter three times) and the rate that a refusal's pause goes by twice: MeterSettings::missing, free_rate.

Left: rows of tables of cases and routes in tests that look alike but state different cases; a host that stands in and has just got the duty decides its own charges as stand-in until its table shows it, other hosts' as holder (a change of behaviour).

--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -142,6 +142,11 @@
     false
 }
 
+/// True if the host gets the duty within `limit`.
+pub async fn acquires_duty(host: &HostProcess, limit: Duration) -> bool {
+    wait_until(limit, || !host.log_lines(&["duty acquired"]).is_empty()).await
+}
+
 /// A request for a model.
 pub fn model_request(id: &str, path: &str, model: &'static str) -> CallerRequest {
     CallerRequest {
--- a/crates/host/tests/duty.rs
+++ b/crates/host/tests/duty.rs
@@ -17,6 +17,7 @@
 
 use crate::common::Outcome;
 use crate::common::TestBed;
+use crate::common::acquires_duty;
 use crate::common::all_config;
 use crate::common::model_request;
 use crate::common::wait_until;
@@ -107,10 +108,8 @@
         .await?;
     assert_that!(first.status, some(eq(200)));
     bed.host.signal(Signal::SIGKILL)?;
-    let acquired = wait_until(Duration::from_secs(10), || {
-        !second.log_lines(&["duty acquired"]).is_empty()
-    });
-    assert_that!(acquired.await, eq(true));
+    let acquired = acquires_duty(&second, Duration::from_secs(10)).await;
+    assert_that!(acquired, eq(true));
     second.signal(Signal::SIGKILL)?;
     second = bed.fleet.restart("h2").await?;
     let served = serves_absent_model(&second).await?;
@@ -124,10 +123,8 @@
 #[tokio::test]
 async fn a_holder_without_the_store_stops_giving_orders() -> Outcome {
     let bed = TestBed::start().await?;
-    let holds = wait_until(Duration::from_secs(5), || {
-        !bed.host.log_lines(&["duty acquired"]).is_empty()
-    });
-    assert_that!(holds.await, eq(true));
+    let holds = acquires_duty(&bed.host, Duration::from_secs(5)).await;
+    assert_that!(holds, eq(true));
     bed.store.set_fault(StoreFault::Silent);
     tokio::time::sleep(LEASE_TIME).await;
     let before = all_orders(&bed.engines).len();
@@ -298,20 +295,16 @@
 #[tokio::test]
 async fn a_weak_holder_makes_room_for_a_much_stronger_host() -> Outcome {
     let mut bed = TestBed::start().await?;
-    let acquired = wait_until(Duration::from_secs(10), || {
-        !bed.host.log_lines(&["duty acquired"]).is_empty()
-    });
-    assert_that!(acquired.await, eq(true));
+    let acquired = acquires_duty(&bed.host, Duration::from_secs(10)).await;
+    assert_that!(acquired, eq(true));
     let first = bed
         .ask(&model_request("first", "/llm/stream/x", "m3"))
         .await?;
     assert_that!(first.status, some(eq(200)));
     bed.fleet.set_processor_share("h2", 8.0);
     let second = bed.fleet.start("h2").await?;
-    let handed_over = wait_until(Duration::from_secs(10), || {
-        !second.log_lines(&["duty acquired"]).is_empty()
-    });
-    assert_that!(handed_over.await, eq(true));
+    let handed_over = acquires_duty(&second, Duration::from_secs(10)).await;
+    assert_that!(handed_over, eq(true));
     let given_up = bed.host.log_lines(&["duty given up for a stronger host"]);
     assert_that!(given_up.len(), eq(1));
     let served = serves_absent_model(&second).await?;
@@ -328,10 +321,8 @@
 #[tokio::test]
 async fn a_request_that_no_holder_places_is_refused_in_seconds() -> Outcome {
     let mut bed = TestBed::start().await?;
-    let acquired = wait_until(Duration::from_secs(10), || {
-        !bed.host.log_lines(&["duty acquired"]).is_empty()
-    });
-    assert_that!(acquired.await, eq(true));
+    let acquired = acquires_duty(&bed.host, Duration::from_secs(10)).await;
+    assert_that!(acquired, eq(true));
     let second = bed.fleet.start("h2").await?;
     bed.host.signal(Signal::SIGSTOP)?;
     bed.store.set_fault(StoreFault::Silent);
--- a/crates/host/tests/relay.rs
+++ b/crates/host/tests/relay.rs
@@ -20,8 +20,8 @@
 
 use crate::common::Outcome;
 use crate::common::TestBed;
+use crate::common::acquires_duty;
 use crate::common::all_config;
-use crate::common::wait_until;
 
 /// Time within which a configuration is in force and a leaving server gets no more requests, from the platform's settings.
 const CHANGE_DEADLINE: Duration = Duration::from_secs(2);
@@ -30,10 +30,8 @@
 const OTHERS: [&str; 8] = ["h2", "h3", "h4", "h5", "h6", "h7", "h8", "h9"];
 
 async fn start_others(bed: &mut TestBed) -> Outcome<Vec<HostProcess>> {
-    let holds = wait_until(Duration::from_secs(5), || {
-        !bed.host.log_lines(&["duty acquired"]).is_empty()
-    });
-    assert_that!(holds.await, eq(true));
+    let holds = acquires_duty(&bed.host, Duration::from_secs(5)).await;
+    assert_that!(holds, eq(true));
     let mut others = Vec::new();
     for name in OTHERS {
         others.push(bed.fleet.start(name).await?);
@@ -133,10 +131,8 @@
 #[tokio::test]
 async fn a_host_turned_away_by_the_store_gets_the_configuration_from_the_holder() -> Outcome {
     let mut bed = TestBed::start().await?;
-    let holds = wait_until(Duration::from_secs(5), || {
-        !bed.host.log_lines(&["duty acquired"]).is_empty()
-    });
-    assert_that!(holds.await, eq(true));
+    let holds = acquires_duty(&bed.host, Duration::from_secs(5)).await;
+    assert_that!(holds, eq(true));
     let is_open = Arc::new(AtomicBool::new(true));
     let gate = start_gate(bed.store.address(), is_open.clone()).await?;
     bed.fleet.route_store("h2", gate);
--- a/crates/serving/src/account_ledger.rs
+++ b/crates/serving/src/account_ledger.rs
@@ -47,6 +47,13 @@
     previous_units: f64,
 }
 
+impl LedgerRecord {
+    /// Adds units, up to the account's burst.
+    fn credit(&mut self, account: &AccountSpec, units: f64) {
+        self.units = (self.units + units).min(account.burst as f64);
+    }
+}
+
 impl RecentUse {
     fn add(&mut self, units: f64, now: MonotonicTime) {
         self.roll(now);
@@ -100,17 +107,13 @@
     ) {
         for account in accounts.iter() {
             let taken = account.rate_per_s as f64 * share_seconds;
-            let burst = account.burst as f64;
-            let record = self.record(account, now);
-            record.units = (record.units - taken).min(burst);
+            self.record(account, now).credit(account, -taken);
         }
     }
 
     /// Sets off what this host gave away in place of the former holder.
     pub(crate) fn note_stood_in(&mut self, account: &AccountSpec, units: f64, now: MonotonicTime) {
-        let burst = account.burst as f64;
-        let record = self.record(account, now);
-        record.units = (record.units + units).min(burst);
+        self.record(account, now).credit(account, units);
     }
 
     /// Takes in what a host heard from the former holder. An account goes on from the lowest such level, less what may have
@@ -119,13 +122,12 @@
         if self.starts_full || now.since(self.started_at) >= HEARD_TIME {
             return;
         }
-        let burst = account.burst as f64;
         let record = self.record(account, now);
         // The first one raises the level from that of an account of which nothing is known.
         let before = record.heard.unwrap_or(0).max(0) as f64;
         let lowest = record.heard.map_or(heard, |known| known.min(heard));
         record.heard = Some(lowest);
-        record.units = (record.units + lowest.max(0) as f64 - before).min(burst);
+        record.credit(account, lowest.max(0) as f64 - before);
     }
 
     /// Takes usage in; negative if charged requests did not run.
@@ -144,11 +146,9 @@
 
     /// Charges a request at once; false if the account has too little left.
     pub(crate) fn charge(&mut self, account: &AccountSpec, cost: u64, now: MonotonicTime) -> bool {
-        // A request larger than the burst needs a full bucket, or it would never be admitted.
-        let needed = (cost as f64).min(account.burst as f64);
-        let slack = self.settings.level_slack(account);
+        let settings = self.settings;
         let record = self.record(account, now);
-        if needed > record.units + slack {
+        if settings.missing(account, cost, record.units) > 0.0 {
             return false;
         }
         record.recent.add(cost as f64, now);
@@ -164,7 +164,7 @@
         now: MonotonicTime,
     ) -> AccountLevel {
         let record = self.record(account, now);
-        let others = (record.rate - own_rate).max(record.recent.rate(now) - own_rate);
+        let others = record.rate.max(record.recent.rate(now)) - own_rate;
         AccountLevel {
             account: account.name.clone(),
             level: record.units as i64,
@@ -174,9 +174,8 @@
 
     /// The account's record, settled up to `now`.
     fn record(&mut self, account: &AccountSpec, now: MonotonicTime) -> &mut LedgerRecord {
-        let burst = account.burst as f64;
         let (units, at) = if self.starts_full {
-            (burst, now)
+            (account.burst as f64, now)
         } else {
             (self.settings.unknown_level(account), self.started_at)
         };
@@ -193,7 +192,7 @@
             });
         let elapsed = now.since(record.at).as_secs_f64();
         let earned = account.rate_per_s as f64 * free_share * elapsed;
-        record.units = (record.units + earned).min(burst);
+        record.credit(account, earned);
         record.at = record.at.max(now);
         record
     }
--- a/crates/serving/src/account_meter.rs
+++ b/crates/serving/src/account_meter.rs
@@ -98,6 +98,13 @@
         self.excess(account) * LEVEL_SLACK_SHARE
     }
 
+    /// Units that an account with `level` units left over the fleet lacks for a request; at most 0 if it has enough.
+    pub(crate) fn missing(&self, account: &AccountSpec, cost: u64, level: f64) -> f64 {
+        // A request larger than the burst needs a full bucket, or it would never be admitted.
+        let needed = (cost as f64).min(account.burst as f64);
+        needed - level - self.level_slack(account)
+    }
+
     /// Level at which a new holder starts an account, of whose usage it knows nothing: the former holder may have let it go
     /// below zero, and mostly has not.
     pub fn unknown_level(&self, account: &AccountSpec) -> f64 {
@@ -204,9 +211,7 @@
         let fleet = self.records.get(&account.name);
         let fleet = fleet.and_then(|record| record.fleet.as_ref());
         let fleet = fleet.filter(|fleet| now.since(fleet.heard_at) < LEVEL_LIMIT);
-        let needed = (cost as f64).min(account.burst as f64);
-        let slack = self.settings.level_slack(account);
-        fleet.is_some_and(|fleet| needed > fleet.units + slack)
+        fleet.is_some_and(|fleet| self.settings.missing(account, cost, fleet.units) > 0.0)
     }
 
     /// Takes in that a request was charged by the holder, or refused, with the level after it.
@@ -222,10 +227,8 @@
         if is_admitted {
             return Ok(());
         }
-        let needed = (cost as f64).min(account.burst as f64);
-        let missing = needed - level.level as f64 - self.settings.level_slack(account);
-        let rate = account.rate_per_s as f64;
-        let free_rate = (rate - level.others_per_s as f64).max(rate * MIN_FREE_SHARE);
+        let missing = self.settings.missing(account, cost, level.level as f64);
+        let free_rate = free_rate(account, level.others_per_s as f64);
         Err(ChargeRefusal::new(missing, free_rate, false))
     }
 
@@ -284,11 +287,8 @@
         let fleet = fleet.filter(|fleet| now.since(fleet.heard_at) < LEVEL_LIMIT);
         let (missing, free_rate, is_blind) = match fleet {
             Some(fleet) => {
-                // A request larger than the burst needs a full bucket, or it would never be admitted.
-                let needed = (cost as f64).min(account.burst as f64);
-                let missing = needed - fleet.units - settings.level_slack(account);
-                let free_rate = (rate - fleet.others_per_s).max(rate * MIN_FREE_SHARE);
-                (missing, free_rate, false)
+                let missing = settings.missing(account, cost, fleet.units);
+                (missing, free_rate(account, fleet.others_per_s), false)
             }
             None => {
                 let slack = settings.blind_slack(account) / hosts;
@@ -395,6 +395,12 @@
     }
 }
 
+/// Units a second that an account is taken to earn while other hosts use `others_per_s`, when a refusal names a pause.
+fn free_rate(account: &AccountSpec, others_per_s: f64) -> f64 {
+    let rate = account.rate_per_s as f64;
+    (rate - others_per_s).max(rate * MIN_FREE_SHARE)
+}
+
 impl ChargeRefusal {
     fn new(missing: f64, free_rate: f64, is_blind: bool) -> Self {
         let missing = missing.max(0.0);
--- a/crates/serving/src/engine_record.rs
+++ b/crates/serving/src/engine_record.rs
@@ -78,14 +78,19 @@
     pub(crate) model: Name,
     /// Estimate.
     pub(crate) done_at: MonotonicTime,
-    pub(crate) from_store: bool,
     pub(crate) started_at: MonotonicTime,
-    /// Loads from the weight store under way when it started, with it.
+    /// Loads from the weight store under way when it started, with it; 0 if it is none.
     pub(crate) store_loads: usize,
     /// A report shows that it has ended.
     pub(crate) is_confirmed: bool,
 }
 
+impl OpenOrder {
+    pub(crate) fn is_from_store(&self) -> bool {
+        self.store_loads > 0
+    }
+}
+
 /// How long a load from the weight store took.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct StoreLoadSample {
@@ -300,7 +305,7 @@
         if open.action != ResidencyAction::Load || !is_listed {
             return None;
         }
-        let sample = (open.from_store && !open.is_confirmed).then(|| {
+        let sample = (open.is_from_store() && !open.is_confirmed).then(|| {
             let sample = StoreLoadSample {
                 time: now.since(open.started_at),
                 at_once: open.store_loads,
--- a/crates/serving/src/plan_figures.rs
+++ b/crates/serving/src/plan_figures.rs
@@ -26,14 +26,20 @@
 }
 
 impl ResidencyPlanner {
-    /// Looks at all engines and what they hold.
-    pub(crate) fn figures(&self, now: MonotonicTime) -> PlanFigures {
+    /// Replicas by model, of models that have any.
+    pub(crate) fn replicas(&self) -> HashMap<Name, usize> {
         let mut replicas: HashMap<Name, usize> = HashMap::new();
         for record in self.engines.values().filter(|record| record.is_accepting) {
             for model in record.held.keys().filter(|model| record.keeps(model)) {
                 *replicas.entry(model.clone()).or_default() += 1;
             }
         }
+        replicas
+    }
+
+    /// Looks at all engines and what they hold.
+    pub(crate) fn figures(&self, now: MonotonicTime) -> PlanFigures {
+        let replicas = self.replicas();
         let engines = self.engines.values().filter(|record| record.is_accepting);
         let rooms = engines.map(|record| (record.id.clone(), self.room(record, &replicas, now)));
         PlanFigures {
--- a/crates/serving/src/residency_background.rs
+++ b/crates/serving/src/residency_background.rs
@@ -1,4 +1,4 @@
-//! What a [`ResidencyPlanner`] does while no request waits, and what it takes for granted when it starts.
+//! What a [`ResidencyPlanner`] does that no request waits for, and what it takes for granted when it starts.
 
 use std::collections::HashSet;
 
@@ -26,9 +26,13 @@
 /// The same for a model with one replica.
 const ASSUMED_SINGLE_RATE: f64 = 0.2;
 
+/// Engines of which one may load a replica while requests wait for other models. An engine takes no other order for the
+/// seconds of a load from the weight store.
+const ENGINES_PER_REPLICA: usize = 20;
+
 /// Which busy models get a further replica.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct ReplicaRule {
+struct ReplicaRule {
     /// How many times what its replicas carry well a model must need.
     shortage: f64,
     /// Most that the displaced models may cost, seconds.
@@ -37,14 +41,14 @@
 
 impl ReplicaRule {
     /// While no request waits for a model.
-    pub(crate) const IDLE: Self = Self {
+    const IDLE: Self = Self {
         shortage: 1.0,
         displaced_s: f64::INFINITY,
     };
 
     /// While requests wait for other models. Engines of a model that is twice as busy read prompts without a pause, and
     /// every answer is late; but what it displaces must be hardly used, or requests wait for that next.
-    pub(crate) const WAITING: Self = Self {
+    const WAITING: Self = Self {
         shortage: 2.0,
         displaced_s: 0.5,
     };
@@ -54,23 +58,41 @@
     /// Assumes that what the engines hold is wanted as much as its number of replicas says. A new holder knows no demand, and
     /// would take the replicas of busy models for useless. The assumption fades as fast as measured demand.
     pub fn assume_demand(&mut self, now: MonotonicTime) {
-        let models: Vec<Name> = self.spec.models.keys().cloned().collect();
+        let mut counts = self.replicas();
+        counts.retain(|model, _| self.spec.models.contains_key(model));
         let half_life = self.settings.demand_half_life;
-        for model in models {
-            let replicas = self.replicas(&model) as f64;
+        for (model, replicas) in counts {
             let rate = match replicas {
-                0.0 => continue,
-                1.0 => ASSUMED_SINGLE_RATE,
-                _ => ASSUMED_RATE * replicas,
+                1 => ASSUMED_SINGLE_RATE,
+                _ => ASSUMED_RATE * replicas as f64,
             };
+            let replicas = replicas as f64;
             let work = self.settings.replica_load * (replicas - 0.5);
             let demand = self.demand.entry(model).or_default();
             demand.assume(rate, work, half_life, now);
         }
     }
 
+    /// Next order that no request waits for. `figures` are the present ones if they are known.
+    pub(crate) fn plan_background(
+        &mut self,
+        figures: Option<PlanFigures>,
+        now: MonotonicTime,
+    ) -> Option<EngineOrder> {
+        let is_waiting = !self.wants.is_empty();
+        if is_waiting && self.open_store_loads(now) >= self.engines.len() / ENGINES_PER_REPLICA {
+            return None;
+        }
+        let figures = figures.unwrap_or_else(|| self.figures(now));
+        if is_waiting {
+            return self.plan_replica(&figures, &ReplicaRule::WAITING, now);
+        }
+        let order = self.plan_replica(&figures, &ReplicaRule::IDLE, now);
+        order.or_else(|| self.plan_absent(&figures, now))
+    }
+
     /// Next order towards a further replica of a busy model, the shortest of replicas first.
-    pub(crate) fn plan_replica(
+    fn plan_replica(
         &mut self,
         figures: &PlanFigures,
         rule: &ReplicaRule,
@@ -109,11 +131,7 @@
     }
 
     /// Brings models nearer that no request waits for: first those without any copy, then those that fit into free memory.
-    pub(crate) fn plan_absent(
-        &mut self,
-        figures: &PlanFigures,
-        now: MonotonicTime,
-    ) -> Option<EngineOrder> {
+    fn plan_absent(&mut self, figures: &PlanFigures, now: MonotonicTime) -> Option<EngineOrder> {
         let models = self.models_by_rate(now).into_iter();
         let absent: Vec<Name> = models
             .map(|(_, model)| model)
--- a/crates/serving/src/residency_load.rs
+++ b/crates/serving/src/residency_load.rs
@@ -14,17 +14,12 @@
 use crate::engine_record::adapter_mb;
 use crate::engine_record::model_mb;
 use crate::plan_figures::PlanFigures;
-use crate::residency_background::ReplicaRule;
 use crate::residency_demand::CopyLevel;
 use crate::residency_demand::WantKey;
 
 /// Time between two looks at what could be loaded while no request waits, after one that found nothing.
 const BACKGROUND_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Engines of which one may load a replica while requests wait for other models. An engine takes no other order for the
-/// seconds of a load from the weight store.
-const ENGINES_PER_REPLICA: usize = 20;
-
 /// Loads from the weight store that are under way at once, however slow they are: one that is slow for another reason must
 /// not hold up all others.
 const MIN_LOADS_AT_ONCE: f64 = 2.0;
@@ -102,19 +97,13 @@
                 figures = None;
             }
         }
-        let is_due = now.since(self.background_at) >= BACKGROUND_INTERVAL;
-        if is_due || self.background_at == MonotonicTime::ZERO {
-            let figures = figures.unwrap_or_else(|| self.figures(now));
-            let order = if self.wants.is_empty() {
-                let order = self.plan_replica(&figures, &ReplicaRule::IDLE, now);
-                order.or_else(|| self.plan_absent(&figures, now))
-            } else if self.open_store_loads(now) < self.engines.len() / ENGINES_PER_REPLICA {
-                self.plan_replica(&figures, &ReplicaRule::WAITING, now)
-            } else {
-                None
-            };
+        let is_due = self
+            .background_at
+            .is_none_or(|at| now.since(at) >= BACKGROUND_INTERVAL);
+        if is_due {
+            let order = self.plan_background(figures, now);
             if order.is_none() {
-                self.background_at = now;
+                self.background_at = Some(now);
             }
             orders.extend(order.map(|order| self.sent(order)));
         }
@@ -324,11 +313,6 @@
         rate * delay * horizon + in_use + 0.02 / (1.0 + idle.as_secs_f64())
     }
 
-    pub(crate) fn replicas(&self, model: &Name) -> usize {
-        let engines = self.engines.values().filter(|record| record.is_accepting);
-        engines.filter(|record| record.keeps(model)).count()
-    }
-
     pub(crate) fn rate(&self, model: &Name, now: MonotonicTime) -> f64 {
         let half_life = self.settings.demand_half_life;
         let demand = self.demand.get(model);
@@ -371,7 +355,7 @@
             .values()
             .filter_map(|record| record.open.as_ref());
         opens
-            .filter(|open| open.from_store && now < open.done_at)
+            .filter(|open| open.is_from_store() && now < open.done_at)
             .count()
     }
 
--- a/crates/serving/src/residency_planner.rs
+++ b/crates/serving/src/residency_planner.rs
@@ -84,8 +84,8 @@
     view_version: u64,
     /// When the views were last brought up to date; `None` if that is due at once.
     pub(crate) viewed_at: Option<MonotonicTime>,
-    /// When nothing was found to load while no request waits.
-    pub(crate) background_at: MonotonicTime,
+    /// When nothing was found to load that no request waits for.
+    pub(crate) background_at: Option<MonotonicTime>,
     turn: usize,
 }
 
@@ -103,7 +103,7 @@
             views: BTreeMap::new(),
             view_version: first_version,
             viewed_at: None,
-            background_at: MonotonicTime::ZERO,
+            background_at: None,
             turn: 0,
         }
     }
--- a/crates/serving/tests/account_fleet.rs
+++ b/crates/serving/tests/account_fleet.rs
@@ -2,7 +2,7 @@
 //! owed is refused, and whether it ever gets more than is allowed. Hosts that ask are played beside hosts that go by the
 //! fleet's levels and their own share only.
 
-use std::time::Duration;
+mod common;
 
 use googletest::prelude::*;
 use rand::Rng;
@@ -13,7 +13,6 @@
 use zinniahinge_serving::AccountTable;
 use zinniahinge_serving::ChargeStep;
 use zinniahinge_serving::FleetLedger;
-use zinniahinge_serving::MeterSettings;
 use zinniahinge_serving::QuotaUnit;
 use zinniahinge_serving::StandInMeter;
 use zinniahinge_types::FleetReport;
@@ -21,6 +20,8 @@
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 
+use crate::common::METER_SETTINGS;
+
 const COST: u64 = 9_000;
 
 /// Stands in for the first holder, and is the next one.
@@ -29,12 +30,6 @@
 const WINDOW_MS: u64 = 8_000;
 const DAY_MS: u64 = 24_000;
 
-const SETTINGS: MeterSettings = MeterSettings {
-    window: Duration::from_secs(8),
-    over_share: 0.1,
-    slack: 110_000.0,
-};
-
 fn at(millis: u64) -> MonotonicTime {
     MonotonicTime::from_millis(20_000 + millis)
 }
@@ -96,18 +91,18 @@
         accounts.insert(account("busy", 80_000), ["busy-key"]);
         let hosts: Vec<HostId> = (0..hosts).map(|host| format!("h{host}").into()).collect();
         let meters = hosts.iter().map(|_| {
-            let mut meter = AccountMeter::new(SETTINGS, true);
+            let mut meter = AccountMeter::new(METER_SETTINGS, true);
             meter.set_hosts(hosts.len() as u32);
             meter
         });
-        let mut ledger = FleetLedger::new(SETTINGS, true, at(0));
+        let mut ledger = FleetLedger::new(METER_SETTINGS, true, at(0));
         let shown = hosts.iter().map(|host| (host.clone(), at(0)));
         ledger.set_hosts(shown.collect());
         Self {
             meters: meters.collect(),
             accounts,
             ledger,
-            stand_in: StandInMeter::new(SETTINGS),
+            stand_in: StandInMeter::new(METER_SETTINGS),
             is_new: vec![false; hosts.len()],
             hosts,
             way,
@@ -182,8 +177,9 @@
         if case.lost.is_some_and(|(_, until)| until == now) {
             // The stand-in has the duty.
             fleet.is_new.fill(true);
-            fleet.ledger = FleetLedger::new(SETTINGS, false, at(now));
-            let stand_in = std::mem::replace(&mut fleet.stand_in, StandInMeter::new(SETTINGS));
+            fleet.ledger = FleetLedger::new(METER_SETTINGS, false, at(now));
+            let stand_in =
+                std::mem::replace(&mut fleet.stand_in, StandInMeter::new(METER_SETTINGS));
             let accounts = &fleet.accounts;
             fleet.ledger.note_stand_in(&stand_in, accounts, at(now));
             let shown = fleet.hosts.iter().map(|host| (host.clone(), at(now)));
@@ -379,7 +375,7 @@
 #[test]
 fn a_stand_in_gives_hosts_their_share_of_the_rate() {
     let spec = account("quiet", 80_000);
-    let mut stand_in = StandInMeter::new(SETTINGS);
+    let mut stand_in = StandInMeter::new(METER_SETTINGS);
     let host: Name = "h1".into();
     let mut admitted = 0;
     for now in (0..10_000).step_by(50) {
--- a/crates/serving/tests/account_usage.rs
+++ b/crates/serving/tests/account_usage.rs
@@ -1,29 +1,24 @@
 //! Rates of client accounts over several hosts, with and without a holder that adds them up.
 
-use std::time::Duration;
+mod common;
 
 use googletest::prelude::*;
 use zinniahinge_serving::AccountMeter;
 use zinniahinge_serving::AccountSpec;
 use zinniahinge_serving::AccountTable;
 use zinniahinge_serving::FleetLedger;
-use zinniahinge_serving::MeterSettings;
 use zinniahinge_serving::QuotaUnit;
 use zinniahinge_types::FleetReport;
 use zinniahinge_types::MonotonicTime;
 
+use crate::common::METER_SETTINGS;
+
 const RATE: u64 = 60_000;
 const BURST: u64 = 70_000;
 const COST: u64 = 9_000;
 const HOSTS: usize = 19;
 const WINDOW_MS: u64 = 8_000;
 
-const SETTINGS: MeterSettings = MeterSettings {
-    window: Duration::from_secs(8),
-    over_share: 0.1,
-    slack: 110_000.0,
-};
-
 fn account() -> AccountSpec {
     AccountSpec {
         name: "acme".into(),
@@ -235,12 +230,12 @@
     let mut accounts = AccountTable::default();
     accounts.insert(account.clone(), ["key"]);
     let meter = |is_first| {
-        let mut meter = AccountMeter::new(SETTINGS, is_first);
+        let mut meter = AccountMeter::new(METER_SETTINGS, is_first);
         meter.set_hosts(case.hosts as u32);
         meter
     };
     let mut meters: Vec<AccountMeter> = (0..case.hosts).map(|_| meter(true)).collect();
-    let mut ledger = FleetLedger::new(SETTINGS, true, at(0));
+    let mut ledger = FleetLedger::new(METER_SETTINGS, true, at(0));
     let mut shown = vec![at(0); case.hosts];
     let mut admitted = Vec::new();
     let mut number = 0;
@@ -248,7 +243,7 @@
     for now in (0..30_000).step_by(10) {
         if case.killed_at == Some(now) {
             meters = (0..case.hosts).map(|_| meter(false)).collect();
-            ledger = FleetLedger::new(SETTINGS, false, at(now));
+            ledger = FleetLedger::new(METER_SETTINGS, false, at(now));
         }
         due += if now < 4_000 {
             case.usual_per_s
@@ -299,7 +294,7 @@
 #[test]
 fn usage_is_reported_once_and_refunds_come_back() {
     let account = account();
-    let mut meter = AccountMeter::new(SETTINGS, true);
+    let mut meter = AccountMeter::new(METER_SETTINGS, true);
     assert_that!(meter.charge(&account, 500, at(0)).is_ok(), eq(true));
     let usage = meter.take_unreported("h0");
     assert_that!(usage[0].units, eq(500));
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -11,6 +11,7 @@
 use zinniahinge_serving::EngineReport;
 use zinniahinge_serving::EngineSpec;
 use zinniahinge_serving::HeldModel;
+use zinniahinge_serving::MeterSettings;
 use zinniahinge_serving::ModelSpec;
 use zinniahinge_serving::OrderOutcome;
 use zinniahinge_serving::Placement;
@@ -19,6 +20,13 @@
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 
+/// What is tolerated beyond accounts' rates, from the users' bounds.
+pub const METER_SETTINGS: MeterSettings = MeterSettings {
+    window: Duration::from_secs(8),
+    over_share: 0.1,
+    slack: 110_000.0,
+};
+
 /// Megabytes of one model in these tests.
 pub const MODEL_MB: f64 = 60.0;
 
