Assume demand for the models that an engine holds when it is first seen

Cause: the first coordinator has no measured demand and assumed none, so that it evicted the replicas of busy models in the seconds before traffic to preload models that nobody asked for. A later coordinator assumed demand only if its first synchronisation already listed the engines. Ruled out: the order of hosts' reports; the unloads come before any request.

--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -45,8 +45,6 @@
     pub(crate) fence: u64,
     pub(crate) planners: HashMap<Name, ResidencyPlanner>,
     pub(crate) ledger: FleetLedger,
-    /// True if no host coordinated before, so that no earlier demand has to be assumed.
-    is_first: bool,
 }
 
 /// The term and the coordinator's state; both are empty while another host coordinates.
@@ -72,7 +70,6 @@
             fence,
             planners: HashMap::new(),
             ledger,
-            is_first,
         }
     }
 
@@ -91,7 +88,6 @@
         let first_version = self.fence << VERSION_BITS_PER_FENCE;
         let load_window = self.state.startup.bounds.load_window;
         for (service, spec) in engines {
-            let is_new = !self.planners.contains_key(&service);
             let planner = self.planners.entry(service.clone()).or_insert_with(|| {
                 let settings = ResidencySettings {
                     store_loads_at_once: store_loads,
@@ -107,9 +103,6 @@
             }
             let listed: HashSet<&Name> = backends.iter().map(|slot| &slot.entry.id).collect();
             planner.retain_engines(|id| listed.contains(id));
-            if is_new && !self.is_first {
-                planner.assume_demand(now);
-            }
         }
         let last_seen = self.state.with_source(|source| {
             let hosts = source.hosts.iter();
--- a/crates/serving/src/residency_background.rs
+++ b/crates/serving/src/residency_background.rs
@@ -6,7 +6,9 @@
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 
+use crate::BackendEntry;
 use crate::EngineOrder;
+use crate::HeldModel;
 use crate::ResidencyPlanner;
 use crate::plan_snapshot::PlanSnapshot;
 use crate::residency_demand::WeightSource;
@@ -57,21 +59,28 @@
 }
 
 impl ResidencyPlanner {
-    /// Assumes a demand for each held model that matches its number of replicas. A new coordinator has measured no
-    /// demand yet and would evict replicas of busy models. The assumption decays as fast as measured demand.
-    pub fn assume_demand(&mut self, now: MonotonicTime) {
-        let mut counts = self.replicas();
-        counts.retain(|model, _| self.spec.models.contains_key(model));
+    /// Assumes a demand that matches the number of replicas for each model that an engine held when it was first seen,
+    /// unless requests for the model were counted already.
+    ///
+    /// Neither a new coordinator nor the first one has measured any demand yet: without the assumption it would evict the
+    /// replicas of busy models for models that nobody asks for. The assumption decays as fast as measured demand.
+    pub(crate) fn assume_demand(&mut self, entry: &BackendEntry, now: MonotonicTime) {
         let half_life = self.settings.demand_half_life;
-        for (model, replicas) in counts {
+        for HeldModel { model, .. } in &entry.held {
+            if !self.spec.models.contains_key(model) {
+                continue;
+            }
+            let engines = self.engines.values().filter(|record| record.is_accepting);
+            let replicas = engines.filter(|record| record.keeps(model)).count();
             let rate = match replicas {
-                1 => ASSUMED_SINGLE_RATE,
+                0 | 1 => ASSUMED_SINGLE_RATE,
                 _ => ASSUMED_RATE * replicas as f64,
             };
-            let replicas = replicas as f64;
-            let work = self.settings.replica_load * (replicas - 0.5);
-            let demand = self.demand.entry(model).or_default();
-            demand.assume(rate, work, half_life, now);
+            let work = self.settings.replica_load * (replicas as f64 - 0.5);
+            let demand = self.demand.entry(model.clone()).or_default();
+            if !demand.is_measured() {
+                demand.assume(rate, work, half_life, now);
+            }
         }
     }
 
--- a/crates/serving/src/residency_demand.rs
+++ b/crates/serving/src/residency_demand.rs
@@ -20,6 +20,8 @@
     /// Engine time that the requests take: seconds each second, so 1 keeps one engine busy.
     work: f64,
     at: MonotonicTime,
+    /// True once a request was counted.
+    is_measured: bool,
 }
 
 impl ModelDemand {
@@ -36,6 +38,12 @@
         let weight = std::f64::consts::LN_2 / half_life.as_secs_f64();
         self.rate += f64::from(count) * weight;
         self.work += work_ms / 1000.0 * weight;
+        self.is_measured = true;
+    }
+
+    /// True once a request was counted; before, the demand is at most assumed.
+    pub(crate) fn is_measured(&self) -> bool {
+        self.is_measured
     }
 
     /// Raises the demand to at least `rate` requests a second and the work of `work` engines.
--- a/crates/serving/src/residency_observation.rs
+++ b/crates/serving/src/residency_observation.rs
@@ -29,6 +29,7 @@
         let Some(record) = self.engines.get_mut(&entry.id) else {
             let record = EngineRecord::new(entry, now);
             self.engines.insert(entry.id.clone(), record);
+            self.assume_demand(entry, now);
             return;
         };
         if entry.born_ms > record.born_ms {
