Plan replicas by the waiting time that they save

Cause: the planner gave up on replicas while any request waited and fewer than 20 engines were there, and otherwise asked for twice the demand and displaced models that cost under half a second. Ruled out: the choice of servers by hosts; a hot model stood on one server while others had a few requests each.

One function now gives the waiting time of a model's requests by its number of replicas. A further replica and the eviction of one are weighed with it, so that neither undoes the other. Demand is the larger of a fast and a slow average.

--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -35,6 +35,7 @@
 mod residency_planner;
 mod residency_settings;
 mod residency_view;
+mod residency_waiting;
 mod route_rule;
 mod route_table;
 mod sent_parts;
--- a/crates/serving/src/residency_background.rs
+++ b/crates/serving/src/residency_background.rs
@@ -13,11 +13,10 @@
 use crate::plan_snapshot::PlanSnapshot;
 use crate::residency_demand::WeightSource;
 use crate::residency_load::LoadLimit;
-use crate::residency_load::RELOAD_DELAY_S;
-use crate::residency_load::REPLICA_LOSS_DELAY_S;
+use crate::residency_waiting::RELOAD_DELAY_S;
 
-/// Load time from the weight store that is accepted for a further replica, seconds.
-const REPLICA_LOAD_S: f64 = 7.0;
+/// Waiting time over the horizon, seconds, from which a further replica is considered: the shortest load from a copy.
+const MIN_SAVED_S: f64 = 1.0;
 
 /// Largest cost of preloading a model that no engine has a copy of, seconds: two loads from the weight store, and
 /// little for the models that it displaces.
@@ -29,34 +28,8 @@
 /// Requests a second that a new planner assumes for a model with a single replica.
 const ASSUMED_SINGLE_RATE: f64 = 0.2;
 
-/// Number of engines for each load of a further replica while requests wait for other models. An engine takes no other
-/// order for the seconds that a load from the weight store lasts.
-const ENGINES_PER_REPLICA_LOAD: usize = 20;
-
-/// When an overloaded model gets a further replica.
-#[derive(Clone, Copy, Debug)]
-struct ReplicaRule {
-    /// Smallest ratio of required to present replicas.
-    shortage: f64,
-    /// Largest cost of the displaced models, seconds.
-    displaced_s: f64,
-}
-
-impl ReplicaRule {
-    /// Applies while no request waits for a model.
-    const IDLE: Self = Self {
-        shortage: 1.0,
-        displaced_s: f64::INFINITY,
-    };
-
-    /// Applies while requests wait for other models. The engines of a model with twice the demand that its replicas
-    /// carry process prompts without a pause, and every answer is late. But a displaced model must be hardly used, or
-    /// requests wait for that one next.
-    const WAITING: Self = Self {
-        shortage: 2.0,
-        displaced_s: 0.5,
-    };
-}
+/// Share of each replica's time that a new planner assumes to be in use.
+const ASSUMED_LOAD: f64 = 0.35;
 
 impl ResidencyPlanner {
     /// Assumes a demand that matches the number of replicas for each model that an engine held when it was first seen,
@@ -76,7 +49,7 @@
                 0 | 1 => ASSUMED_SINGLE_RATE,
                 _ => ASSUMED_RATE * replicas as f64,
             };
-            let work = self.settings.replica_load * (replicas as f64 - 0.5);
+            let work = ASSUMED_LOAD * (replicas as f64 - 0.5);
             let demand = self.demand.entry(model.clone()).or_default();
             if !demand.is_measured() {
                 demand.assume(rate, work, half_life, now);
@@ -90,60 +63,54 @@
         snapshot: Option<PlanSnapshot>,
         now: MonotonicTime,
     ) -> Option<EngineOrder> {
-        let is_waiting = !self.load_requests.is_empty();
-        if is_waiting
-            && self.active_store_loads(now) >= self.engines.len() / ENGINES_PER_REPLICA_LOAD
-        {
-            return None;
-        }
         let snapshot = snapshot.unwrap_or_else(|| self.snapshot(now));
-        if is_waiting {
-            return self.plan_replica(&snapshot, &ReplicaRule::WAITING, now);
+        let order = self.plan_replica(&snapshot, now);
+        if self.load_requests.is_empty() {
+            order.or_else(|| self.plan_preload(&snapshot, now))
+        } else {
+            order
         }
-        let order = self.plan_replica(&snapshot, &ReplicaRule::IDLE, now);
-        order.or_else(|| self.plan_preload(&snapshot, now))
     }
 
-    /// Returns the next order towards a further replica of a model with too few, the one with the largest shortage
-    /// first.
-    fn plan_replica(
-        &mut self,
-        snapshot: &PlanSnapshot,
-        rule: &ReplicaRule,
-        now: MonotonicTime,
-    ) -> Option<EngineOrder> {
-        let mut busy: Vec<(f64, f64, Name)> = snapshot
+    /// Returns the next order towards a further replica that saves more waiting time than its load costs, the one that
+    /// saves most first.
+    fn plan_replica(&mut self, snapshot: &PlanSnapshot, now: MonotonicTime) -> Option<EngineOrder> {
+        let limit = LoadLimit {
+            source: self.slowest_replica_source(now),
+            ..LoadLimit::NONE
+        };
+        let horizon_s = self.settings.eviction_horizon_s;
+        let mut short: Vec<(f64, Name)> = snapshot
             .replicas
             .iter()
             .filter_map(|(model, replicas)| {
-                let target = self.target_replicas(model, now);
-                let short = target as f64 / *replicas as f64;
-                let is_short = target > *replicas && short >= rule.shortage;
-                is_short.then(|| (short, self.rate(model, now), model.clone()))
+                let saved = self.saved_waiting(model, *replicas, now);
+                (saved * horizon_s >= MIN_SAVED_S).then(|| (saved, model.clone()))
             })
             .collect();
-        busy.sort_by(|one, other| {
-            let by_shortage = other.0.total_cmp(&one.0);
-            by_shortage.then_with(|| one.2.cmp(&other.2))
-        });
-        busy.into_iter().find_map(|(_, rate, model)| {
-            let source = self
-                .best_target(&model, LoadLimit::NONE, snapshot, now)?
-                .source;
-            let time_s = match source {
-                WeightSource::Store => REPLICA_LOAD_S,
-                WeightSource::Memory | WeightSource::Disk => RELOAD_DELAY_S,
-            };
-            let gain_s = rate * REPLICA_LOSS_DELAY_S * self.settings.eviction_horizon_s;
-            let gain_s = gain_s.min(rule.displaced_s);
-            let limit = LoadLimit {
-                cost_s: gain_s + time_s,
-                ..LoadLimit::NONE
-            };
+        short.sort_by(|one, other| other.0.total_cmp(&one.0).then_with(|| one.1.cmp(&other.1)));
+        short.into_iter().find_map(|(saved, model)| {
+            let target = self.best_target(&model, limit, snapshot, now)?;
+            // The replica saves nothing while it loads.
+            let load_time = self.load_time(&target.backend, &model, now);
+            let cost_s = saved * (horizon_s - load_time.as_secs_f64());
+            let limit = LoadLimit { cost_s, ..limit };
             self.plan_model(&model, limit, snapshot, now)
         })
     }
 
+    /// Slowest source for the load of a further replica. While requests wait for models, one load from the weight store
+    /// at full speed is left for them.
+    fn slowest_replica_source(&self, now: MonotonicTime) -> WeightSource {
+        let is_waiting = !self.load_requests.is_empty();
+        let loads = self.active_store_loads(now) as f64;
+        if is_waiting && loads + 1.0 >= self.full_speed_loads {
+            WeightSource::Disk
+        } else {
+            WeightSource::Store
+        }
+    }
+
     /// Returns the next order towards a model that no engine holds: first a model without any copy, then one that fits
     /// into free memory.
     fn plan_preload(&mut self, snapshot: &PlanSnapshot, now: MonotonicTime) -> Option<EngineOrder> {
--- a/crates/serving/src/residency_demand.rs
+++ b/crates/serving/src/residency_demand.rs
@@ -12,18 +12,29 @@
     Store,
 }
 
-/// Decaying average of the requests for a model.
+/// Requests for a model, as the larger of two decaying averages: the fast one notices within seconds that a model has
+/// become busy, the slow one remembers a busy model through a pause.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ModelDemand {
+    fast: DemandAverage,
+    slow: DemandAverage,
+    /// True once a request was counted.
+    is_measured: bool,
+}
+
+/// Decaying averages of the requests for a model and of the work that they are.
+#[derive(Clone, Copy, Debug, Default)]
+struct DemandAverage {
     /// Requests a second.
     rate: f64,
     /// Engine time that the requests take: seconds each second, so 1 keeps one engine busy.
     work: f64,
     at: MonotonicTime,
-    /// True once a request was counted.
-    is_measured: bool,
 }
 
+/// Half-life of the fast average as a share of that of the slow one.
+const FAST_HALF_LIFE: f64 = 0.25;
+
 impl ModelDemand {
     /// Adds `count` requests that took `work_ms` milliseconds of engine time together.
     pub(crate) fn add(
@@ -33,11 +44,9 @@
         half_life: Duration,
         now: MonotonicTime,
     ) {
-        self.decay(half_life, now);
-        // With a weight of ln 2 / half-life for each request, a steady rate of r requests a second converges to r.
-        let weight = std::f64::consts::LN_2 / half_life.as_secs_f64();
-        self.rate += f64::from(count) * weight;
-        self.work += work_ms / 1000.0 * weight;
+        let fast_half_life = half_life.mul_f64(FAST_HALF_LIFE);
+        self.fast.add(count, work_ms, fast_half_life, now);
+        self.slow.add(count, work_ms, half_life, now);
         self.is_measured = true;
     }
 
@@ -48,17 +57,31 @@
 
     /// Raises the demand to at least `rate` requests a second and the work of `work` engines.
     pub(crate) fn assume(&mut self, rate: f64, work: f64, half_life: Duration, now: MonotonicTime) {
-        self.decay(half_life, now);
-        self.rate = self.rate.max(rate);
-        self.work = self.work.max(work);
+        self.slow.decay(half_life, now);
+        self.slow.rate = self.slow.rate.max(rate);
+        self.slow.work = self.slow.work.max(work);
     }
 
+    /// Requests a second.
     pub(crate) fn rate(&self, half_life: Duration, now: MonotonicTime) -> f64 {
-        self.rate * self.kept(half_life, now)
+        let fast = self.fast.rate * self.fast.kept(half_life.mul_f64(FAST_HALF_LIFE), now);
+        fast.max(self.slow.rate * self.slow.kept(half_life, now))
     }
 
+    /// Engine time that the requests take, seconds each second.
     pub(crate) fn work(&self, half_life: Duration, now: MonotonicTime) -> f64 {
-        self.work * self.kept(half_life, now)
+        let fast = self.fast.work * self.fast.kept(half_life.mul_f64(FAST_HALF_LIFE), now);
+        fast.max(self.slow.work * self.slow.kept(half_life, now))
+    }
+}
+
+impl DemandAverage {
+    fn add(&mut self, count: u32, work_ms: f64, half_life: Duration, now: MonotonicTime) {
+        self.decay(half_life, now);
+        // With a weight of ln 2 / half-life for each request, a steady rate of r requests a second converges to r.
+        let weight = std::f64::consts::LN_2 / half_life.as_secs_f64();
+        self.rate += f64::from(count) * weight;
+        self.work += work_ms / 1000.0 * weight;
     }
 
     fn decay(&mut self, half_life: Duration, now: MonotonicTime) {
--- a/crates/serving/src/residency_load.rs
+++ b/crates/serving/src/residency_load.rs
@@ -30,12 +30,6 @@
 /// Memory left free to absorb rounding errors, megabytes.
 const ROUNDING_MB: f64 = 1.0;
 
-/// Delay of a request whose model has to be loaded from a copy, seconds: the unload, the load and the messages.
-pub(crate) const RELOAD_DELAY_S: f64 = 1.0;
-
-/// Extra delay of a model's requests when one of its replicas is evicted, seconds.
-pub(crate) const REPLICA_LOSS_DELAY_S: f64 = 0.15;
-
 /// Added cost of evicting a model that was used a moment ago: its unload waits for its requests and blocks the engine.
 const IN_USE_COST_S: f64 = 20.0;
 
@@ -62,7 +56,7 @@
 /// An engine that could load a model, and what that costs.
 #[derive(Debug)]
 pub(crate) struct LoadTarget {
-    backend: Name,
+    pub(crate) backend: Name,
     /// First model to evict; `None` if there is enough free memory.
     victim: Option<Name>,
     pub(crate) source: WeightSource,
@@ -299,7 +293,7 @@
         self.load_requests.keys().any(|key| key.model == *model)
     }
 
-    /// Delay of future requests over the eviction horizon if the model is evicted from the engine, seconds.
+    /// Waiting time of future requests over the eviction horizon if the model is evicted from the engine, seconds.
     pub(crate) fn eviction_cost(
         &self,
         record: &EngineRecord,
@@ -307,18 +301,8 @@
         replicas: usize,
         now: MonotonicTime,
     ) -> f64 {
-        let rate = self.rate(model, now);
         let horizon = self.settings.eviction_horizon_s;
-        let delay = if replicas > 1 {
-            let target = self.target_replicas(model, now);
-            if replicas > target {
-                REPLICA_LOSS_DELAY_S / replicas as f64
-            } else {
-                REPLICA_LOSS_DELAY_S * 2.0
-            }
-        } else {
-            RELOAD_DELAY_S
-        };
+        let lost = self.saved_waiting(model, replicas.saturating_sub(1), now);
         let Some(held) = record.held.get(model) else {
             return 0.0;
         };
@@ -326,7 +310,7 @@
         let in_use = held.last_used != MonotonicTime::ZERO && idle < self.settings.recent_use;
         let in_use = if in_use { IN_USE_COST_S } else { 0.0 };
         // The last term evicts the least recently used model where costs are otherwise equal.
-        rate * delay * horizon + in_use + 0.02 / (1.0 + idle.as_secs_f64())
+        lost * horizon + in_use + 0.02 / (1.0 + idle.as_secs_f64())
     }
 
     /// Demand for the model, requests a second.
@@ -336,15 +320,6 @@
         demand.map_or(0.0, |demand| demand.rate(half_life, now))
     }
 
-    /// Number of replicas that the demand for the model requires; at least 1, at most half of the engines.
-    pub(crate) fn target_replicas(&self, model: &Name, now: MonotonicTime) -> usize {
-        let half_life = self.settings.demand_half_life;
-        let demand = self.demand.get(model);
-        let work = demand.map_or(0.0, |demand| demand.work(half_life, now));
-        let wanted = (work / self.settings.replica_load).ceil() as usize;
-        wanted.clamp(1, (self.engines.len() / 2).max(1))
-    }
-
     /// Estimated time to load the model on the engine. Concurrent loads beyond full speed share the store's bandwidth.
     pub(crate) fn load_time(&self, backend: &str, model: &Name, now: MonotonicTime) -> Duration {
         let (Some(record), Some(spec)) = (self.engines.get(backend), self.spec.models.get(model))
--- a/crates/serving/src/residency_settings.rs
+++ b/crates/serving/src/residency_settings.rs
@@ -21,9 +21,7 @@
     pub prompt_token_ms: f64,
     /// Engine time for each output token when several requests share a batch, milliseconds.
     pub output_token_ms: f64,
-    /// Share of an engine's time that a model may use before it gets another replica.
-    pub replica_load: f64,
-    /// Period whose demand is weighed against the reload that an eviction makes necessary, seconds.
+    /// Period over which the waiting time that a replica saves is weighed against that of the models it displaces, seconds.
     pub eviction_horizon_s: f64,
 }
 
@@ -39,7 +37,6 @@
             demand_half_life: Duration::from_secs(8),
             prompt_token_ms: 0.02,
             output_token_ms: 0.7,
-            replica_load: 0.35,
             eviction_horizon_s: 10.0,
         }
     }
