Learn how fast engines process requests

Cause: replicas were planned by fixed times of one kind of engine.

Hosts report the times of prompts read without other prompts before them and of complete answers; the coordinator averages them by tokens. Reports of older hosts lack the field and change nothing.

--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -158,6 +158,11 @@
                 planner.record_use(&used.model, used.adapter.as_ref(), used.count, tokens, now);
             }
         }
+        for times in &report.engine_times {
+            if let Some(planner) = self.planners.get_mut(&times.service) {
+                planner.record_times(times);
+            }
+        }
         let mut engines = Vec::new();
         let mut view_version = 0;
         for planner in self.planners.values_mut() {
--- a/crates/host/src/event_relay.rs
+++ b/crates/host/src/event_relay.rs
@@ -146,6 +146,8 @@
         mut stream: OpenStream,
         sender: mpsc::Sender<Result<Bytes, StreamAborted>>,
     ) {
+        let opened_at = Instant::now();
+        let mut is_resumed = false;
         let mut last_event: Option<String> = None;
         let mut events = std::mem::take(&mut stream.first_events);
         loop {
@@ -170,6 +172,12 @@
                         lease.return_to_pool();
                     }
                     stream.guard.load().count_success();
+                    if !is_resumed {
+                        let (tokens, time) =
+                            (self.context.facts.output_tokens, opened_at.elapsed());
+                        let service = &self.context.service;
+                        self.state.timings().record_output(service, tokens, time);
+                    }
                     self.log.finish("served", 200);
                     return;
                 }
@@ -184,7 +192,10 @@
             // Ends the run at this server before another server continues it.
             drop(stream);
             match self.resume(last_event.as_deref()).await {
-                Some(next) => stream = next,
+                Some(next) => {
+                    stream = next;
+                    is_resumed = true;
+                }
                 None => {
                     let _ = sender.send(Err(StreamAborted)).await;
                     self.log.finish("cut", 200);
--- a/crates/host/src/fleet_reporter.rs
+++ b/crates/host/src/fleet_reporter.rs
@@ -190,6 +190,7 @@
             heard: prior_levels,
             backends: backends.collect(),
             models: state.uses().take(),
+            engine_times: state.timings().take(),
         }
     }
 
--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -306,10 +306,19 @@
     } else {
         context.deadline
     };
+    let sent_at = Instant::now();
+    let is_alone = target.load.fleet_pending_tokens() == 0;
     let response = send(state, context, history, target, None, deadline).await?;
     let delivered = match context.rule.kind {
         RouteKind::Streaming { .. } if response.metadata.status.is_success() => {
-            open_stream(response, target, deadline).await
+            let opened = open_stream(response, target, deadline).await;
+            if is_alone && opened.is_ok() {
+                let (tokens, time) = (context.facts.prompt_tokens, sent_at.elapsed());
+                state
+                    .timings()
+                    .record_prompt(&context.service, tokens, time);
+            }
+            opened
         }
         _ => read_response(context, response, deadline).await,
     };
--- a/crates/host/src/host_process.rs
+++ b/crates/host/src/host_process.rs
@@ -47,6 +47,7 @@
 use crate::coordinator_election::CoordinatorElection;
 use crate::coordinator_election::lease_times;
 use crate::coordinator_orders::CoordinatorOrders;
+use crate::engine_timings::EngineTimings;
 use crate::fleet_reporter::FleetReporter;
 use crate::fleet_table::FleetTable;
 use crate::host_counters::HostCounters;
@@ -204,6 +205,7 @@
         stand_in: Mutex::new(StandInMeter::new(meter_settings(&startup.bounds))),
         retries: RetryBudgets::new(&startup.bounds),
         uses: Mutex::new(ModelUses::default()),
+        timings: Mutex::new(EngineTimings::default()),
         link,
         stopping: CancellationToken::new(),
         closing: CancellationToken::new(),
--- a/crates/host/src/host_state.rs
+++ b/crates/host/src/host_state.rs
@@ -20,6 +20,7 @@
 use zinniahinge_types::FleetChargeReply;
 use zinniahinge_types::MonotonicTime;
 
+use crate::engine_timings::EngineTimings;
 use crate::fleet_table::FleetTable;
 use crate::host_counters::HostCounters;
 use crate::model_uses::ModelUses;
@@ -54,6 +55,8 @@
     pub(crate) retries: RetryBudgets,
     /// Uses of models since the last report to the coordinator.
     pub(crate) uses: Mutex<ModelUses>,
+    /// Times that engines took for requests since the last report to the coordinator.
+    pub(crate) timings: Mutex<EngineTimings>,
     /// Client for messages to other hosts.
     pub(crate) link: PeerLink,
     /// Cancelled when SIGTERM starts a graceful shutdown.
@@ -104,6 +107,11 @@
         self.uses.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the measured times of engines.
+    pub(crate) fn timings(&self) -> MutexGuard<'_, EngineTimings> {
+        self.timings.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Calls `change` with the table's source under its lock, and publishes a new table if it returns true.
     pub(crate) fn update(&self, change: impl FnOnce(&mut TableSource) -> bool) {
         let mut source = self.source.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -11,6 +11,7 @@
 mod coordinator;
 mod coordinator_election;
 mod coordinator_orders;
+mod engine_timings;
 mod event_relay;
 mod event_splitter;
 mod filters;
--- a/crates/serving/src/residency_planner.rs
+++ b/crates/serving/src/residency_planner.rs
@@ -3,10 +3,12 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use zinniahinge_types::EngineTimes;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 
 use crate::EngineSpec;
+use crate::EngineSpeed;
 use crate::ReadyModel;
 use crate::ResidencySettings;
 use crate::ResidencyView;
@@ -76,6 +78,7 @@
     pub(crate) spec: EngineSpec,
     pub(crate) engines: BTreeMap<Name, EngineRecord>,
     pub(crate) demand: HashMap<Name, ModelDemand>,
+    speed: EngineSpeed,
     /// Models and adapters that requests wait for.
     pub(crate) load_requests: BTreeMap<LoadKey, LoadRequest>,
     /// Estimated number of concurrent loads from the weight store that run at full speed.
@@ -103,6 +106,7 @@
             spec,
             engines: BTreeMap::new(),
             demand: HashMap::new(),
+            speed: EngineSpeed::default(),
             load_requests: BTreeMap::new(),
             store_starts: VecDeque::new(),
             views: BTreeMap::new(),
@@ -123,6 +127,11 @@
         self.spec = spec;
     }
 
+    /// Applies the times that a host measured for requests to this service's engines.
+    pub fn record_times(&mut self, times: &EngineTimes) {
+        self.speed.record(times);
+    }
+
     /// Records `count` requests for a model that hosts have forwarded, for its demand and the time of its last use. The
     /// last pair holds the prompt and output tokens of all these requests together.
     pub fn record_use(
@@ -133,8 +142,8 @@
         (prompt_tokens, output_tokens): (u64, u64),
         now: MonotonicTime,
     ) {
-        let work = prompt_tokens as f64 * self.settings.prompt_token_ms
-            + output_tokens as f64 * self.settings.output_token_ms;
+        let slots = self.spec.slots;
+        let work = self.speed.work_ms(prompt_tokens, output_tokens, slots);
         let half_life = self.settings.demand_half_life;
         let demand = self.demand.entry(model.clone()).or_default();
         demand.add(count, work, half_life, now);
--- a/crates/serving/src/residency_settings.rs
+++ b/crates/serving/src/residency_settings.rs
@@ -17,10 +17,6 @@
     pub recent_use: Duration,
     /// Half-life of the decaying average of demand.
     pub demand_half_life: Duration,
-    /// Engine time for each prompt token, milliseconds.
-    pub prompt_token_ms: f64,
-    /// Engine time for each output token when several requests share a batch, milliseconds.
-    pub output_token_ms: f64,
     /// Period over which the waiting time that a replica saves is weighed against that of the models it displaces, seconds.
     pub eviction_horizon_s: f64,
 }
@@ -35,8 +31,6 @@
             report_interval: Duration::from_secs(3),
             recent_use: Duration::from_millis(700),
             demand_half_life: Duration::from_secs(8),
-            prompt_token_ms: 0.02,
-            output_token_ms: 0.7,
             eviction_horizon_s: 10.0,
         }
     }
--- a/crates/serving/tests/residency_crowding.rs
+++ b/crates/serving/tests/residency_crowding.rs
@@ -8,6 +8,7 @@
 use zinniahinge_serving::ResidencyAction;
 use zinniahinge_serving::ResidencyPlanner;
 use zinniahinge_serving::ResidencySettings;
+use zinniahinge_types::EngineTimes;
 
 use crate::common::accept_all;
 use crate::common::at;
@@ -87,6 +88,60 @@
     assert_that!(loads, ge(2));
 }
 
+struct SpeedCase {
+    name: &'static str,
+    /// Measured time for each prompt token, microseconds.
+    prompt_token_us: u64,
+    /// Measured time between two output tokens, microseconds.
+    output_token_us: u64,
+    /// Number of engines that the requests keep busy all the time.
+    least: usize,
+}
+
+/// Load pattern: the same traffic on engines of three kinds, with memory to spare. Guards against a number of replicas
+/// that is right for one kind of engine only: too few, or loads that nobody needs.
+#[test]
+fn replicas_follow_the_measured_speed_of_the_engines() {
+    let cases = [
+        SpeedCase {
+            name: "7 ms for a request",
+            prompt_token_us: 3,
+            output_token_us: 140,
+            least: 1,
+        },
+        SpeedCase {
+            name: "70 ms",
+            prompt_token_us: 30,
+            output_token_us: 1_400,
+            least: 2,
+        },
+        SpeedCase {
+            name: "210 ms",
+            prompt_token_us: 90,
+            output_token_us: 4_200,
+            least: 5,
+        },
+    ];
+    let mut fewer = 0;
+    for case in cases {
+        let mut planner = planner(1);
+        for _ in 0..20 {
+            planner.record_times(&EngineTimes {
+                service: name("llm"),
+                prompt_tokens: 20_000,
+                prompt_us: 20_000 * case.prompt_token_us,
+                output_tokens: 20_000,
+                output_us: 20_000 * case.output_token_us,
+            });
+        }
+        let replicas = 1 + load_busy_model(&mut planner, 20, 60_000, 90_000);
+        let least = case.least.max(fewer + 1);
+        assert_that!(replicas, ge(least), "{}", case.name);
+        fewer = replicas;
+    }
+    assert_that!(fewer, le(ENGINES));
+}
+
 /// Load pattern: a busy model stands on all engines that it needs, and requests come for a model that no engine holds.
 /// Guards against room that is made by evicting a replica although the other engines hold models without any use.
 #[test]
--- a/crates/types/src/fleet_message.rs
+++ b/crates/types/src/fleet_message.rs
@@ -40,6 +40,10 @@
     pub backends: Vec<BackendUse>,
     /// Requests since the last acknowledged report, by model.
     pub models: Vec<ModelUse>,
+    /// Times that engines took for requests since the last report, by service. A report that isn't acknowledged loses
+    /// them: they are samples, not counts.
+    #[serde(default)]
+    pub engine_times: Vec<EngineTimes>,
 }
 
 /// Gives a client account's level as an earlier coordinator last sent it, so that a new one does not start from
@@ -93,6 +97,21 @@
     pub output_tokens: u64,
 }
 
+/// Sums up the times that the engines of one service took for requests of one host.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct EngineTimes {
+    /// Service that the engines belong to.
+    pub service: Name,
+    /// Prompt tokens of requests that were sent to an engine without other unread prompts.
+    pub prompt_tokens: u64,
+    /// Time from the send to the first event of these requests, microseconds.
+    pub prompt_us: u64,
+    /// Output tokens that requests with complete answers allowed.
+    pub output_tokens: u64,
+    /// Time from the first to the last event of these answers, microseconds.
+    pub output_us: u64,
+}
+
 /// Answers a [`FleetReport`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum FleetReply {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -32,6 +32,7 @@
 pub use fleet_message::BackendTotal;
 pub use fleet_message::BackendUse;
 pub use fleet_message::EngineModels;
+pub use fleet_message::EngineTimes;
 pub use fleet_message::FleetCharge;
 pub use fleet_message::FleetChargeReply;
 pub use fleet_message::FleetReply;
