Bound the samples of engine times

Cause: one answer whose engine stalled for three seconds made the average prompt time five times as long, so that every model seemed to lack replicas. The averages of demand are now computed in one place.

--- a/crates/serving/src/engine_speed.rs
+++ b/crates/serving/src/engine_speed.rs
@@ -6,10 +6,13 @@
 /// Time between two output tokens of one answer before any was measured, milliseconds.
 const INITIAL_OUTPUT_TOKEN_MS: f64 = 5.5;
 
-/// Number of tokens whose measured times weigh as much as all earlier ones: some dozens of requests, so that a single
-/// slow engine doesn't change the average much.
+/// Number of tokens whose measured times weigh as much as all earlier ones: those of some dozens of requests.
 const MEMORY_TOKENS: f64 = 20_000.0;
 
+/// Largest ratio of a sample to the average, or of the average to a sample. A request that was preempted, or whose
+/// engine stalled, takes a hundred times as long as others and says nothing about the engines' speed.
+const MAX_SAMPLE_RATIO: f64 = 4.0;
+
 /// How fast the engines of a service process requests, learned from the times that hosts measure.
 ///
 /// Load pattern: deployments have engines of several kinds. With fixed times, a model on fast engines gets more replicas
@@ -57,5 +60,6 @@
     }
     let tokens = tokens as f64;
     let sample_ms = time_us as f64 / 1000.0 / tokens;
+    let sample_ms = sample_ms.clamp(*token_ms / MAX_SAMPLE_RATIO, *token_ms * MAX_SAMPLE_RATIO);
     *token_ms += (sample_ms - *token_ms) * tokens / (tokens + MEMORY_TOKENS);
 }
--- a/crates/serving/src/residency_demand.rs
+++ b/crates/serving/src/residency_demand.rs
@@ -67,24 +67,33 @@
 
     /// Requests a second.
     pub(crate) fn rate(&self, half_life: Duration, now: MonotonicTime) -> f64 {
-        let fast = self.fast.at(half_life.mul_f64(FAST_HALF_LIFE), now);
-        let sure = fast.sure_share(half_life.mul_f64(FAST_HALF_LIFE));
-        (fast.rate * sure).max(self.slow.at(half_life, now).rate)
+        let (slow, fast, share) = self.averages(half_life, now);
+        slow.rate.max(fast.rate * share)
     }
 
     /// Engine time that the requests take, seconds each second.
     pub(crate) fn work(&self, half_life: Duration, now: MonotonicTime) -> f64 {
-        let fast = self.fast.at(half_life.mul_f64(FAST_HALF_LIFE), now);
-        let sure = fast.sure_share(half_life.mul_f64(FAST_HALF_LIFE));
-        (fast.work * sure).max(self.slow.at(half_life, now).work)
+        let (slow, fast, share) = self.averages(half_life, now);
+        slow.work.max(fast.work * share)
+    }
+
+    /// The slow and the fast average at `now`, and the share of the fast one that random arrivals don't explain.
+    fn averages(
+        &self,
+        half_life: Duration,
+        now: MonotonicTime,
+    ) -> (DemandAverage, DemandAverage, f64) {
+        let fast_half_life = half_life.mul_f64(FAST_HALF_LIFE);
+        let fast = self.fast.at(fast_half_life, now);
+        let share = fast.significant_share(fast_half_life);
+        (self.slow.at(half_life, now), fast, share)
     }
 }
 
 impl DemandAverage {
     fn add(&mut self, count: u32, work_ms: f64, half_life: Duration, now: MonotonicTime) {
         self.decay(half_life, now);
-        // With a weight of ln 2 / half-life for each request, a steady rate of r requests a second converges to r.
-        let weight = std::f64::consts::LN_2 / half_life.as_secs_f64();
+        let weight = request_weight(half_life);
         self.rate += f64::from(count) * weight;
         self.work += work_ms / 1000.0 * weight;
     }
@@ -96,14 +105,13 @@
         current
     }
 
-    /// Share of the averages that random arrivals don't explain. The variance of a decaying average of random arrivals is
-    /// half of the weight of one times their rate.
-    fn sure_share(&self, half_life: Duration) -> f64 {
+    /// Share of the averages that random arrivals don't explain.
+    fn significant_share(&self, half_life: Duration) -> f64 {
         if self.rate <= 0.0 {
             return 0.0;
         }
-        let weight = std::f64::consts::LN_2 / half_life.as_secs_f64();
-        let deviation = (self.rate * weight / 2.0).sqrt();
+        // The variance of the decaying average is the rate times half of one request's weight.
+        let deviation = (self.rate * request_weight(half_life) / 2.0).sqrt();
         (1.0 - DEVIATIONS * deviation / self.rate).max(0.0)
     }
 
@@ -120,6 +128,11 @@
     }
 }
 
+/// What one request adds to a decaying average of requests a second. With it, a steady rate of r converges to r.
+fn request_weight(half_life: Duration) -> f64 {
+    std::f64::consts::LN_2 / half_life.as_secs_f64()
+}
+
 /// Model or adapter that requests wait for.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct LoadKey {
--- a/crates/serving/tests/residency_crowding.rs
+++ b/crates/serving/tests/residency_crowding.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use zinniahinge_serving::EngineSpeed;
 use zinniahinge_serving::ResidencyAction;
 use zinniahinge_serving::ResidencyPlanner;
 use zinniahinge_serving::ResidencySettings;
@@ -190,3 +191,22 @@
     }
     assert_that!(orders_sent, le(2));
 }
+
+/// Load pattern: an engine stalls, or preempts a request, so that its first event comes after seconds. Guards against
+/// replicas that one such answer makes necessary for all models.
+#[test]
+fn a_stalled_answer_hardly_changes_the_measured_speed() {
+    let times = |prompt_us| EngineTimes {
+        service: name("llm"),
+        prompt_tokens: TOKENS.0,
+        prompt_us,
+        ..EngineTimes::default()
+    };
+    let mut speed = EngineSpeed::default();
+    for _ in 0..100 {
+        speed.record(&times(20_000));
+    }
+    let before = speed.work_ms(TOKENS.0, 0, 8);
+    speed.record(&times(3_000_000));
+    assert_that!(speed.work_ms(TOKENS.0, 0, 8), le(before * 1.2));
+}
