--- a/scripts/compare_builds.py
+++ b/scripts/compare_builds.py
@@ -19,7 +19,7 @@
 # Longest time that one day may take, seconds. A day of 300 hosts takes several minutes.
 DAY_LIMIT_S = 900
 
-Play = collections.namedtuple("Play", "build day seed worth parts prices breaks missed error")
+Play = collections.namedtuple("Play", "build day seed worth parts prices breaks shortfalls error")
 
 
 def parse_arguments():
@@ -55,7 +55,7 @@
             return Play(build, day, seed, None, {}, [], {}, [], f"{failure} {output}")
     parts = {name: value for name, _, value in figures["parts"]}
     prices = [(name, price) for name, _, price in figures["prices"]]
-    return Play(build, day, seed, figures["G"], parts, prices, figures["breaks"], figures["missed"],
+    return Play(build, day, seed, figures["G"], parts, prices, figures["breaks"], figures["short"],
                 figures["fault"])
 
 
@@ -98,10 +98,10 @@
         for name, _ in builds:
             own = base if name == builds[0][0] else [play for play in of_day if play.build == name]
             print(row(f"{pathlib.Path(day).stem if day else 'all days'}, {name}", own, base))
-    failed = [play for play in plays if play.breaks or play.missed or play.error]
+    failed = [play for play in plays if play.breaks or play.shortfalls or play.error]
     for play_ in failed:
         print(f"{play_.build} {play_.day} seed {play_.seed}: rules {play_.breaks or 'kept'}, "
-              f"gate {play_.missed or 'passed'}, {play_.error or 'no fault'}")
+              f"gate {play_.shortfalls or 'passed'}, {play_.error or 'no fault'}")
     sys.exit(1 if any(play.worth is None for play in plays) else 0)
 
 
