--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -15,6 +15,7 @@
 use zinniahinge_serving::ModelSpec;
 use zinniahinge_serving::OrderOutcome;
 use zinniahinge_serving::Placement;
+use zinniahinge_serving::ResidencyAction;
 use zinniahinge_serving::ResidencyPlanner;
 use zinniahinge_serving::ResidencySettings;
 use zinniahinge_types::MonotonicTime;
@@ -118,3 +119,11 @@
     }
     orders
 }
+
+/// Number of orders that load or unload the model itself or one of its adapters.
+pub fn count_orders(orders: &[EngineOrder], action: ResidencyAction, model: &str) -> usize {
+    let orders = orders.iter();
+    orders
+        .filter(|order| order.action == action && *order.model == *model)
+        .count()
+}
--- a/crates/serving/tests/residency_crowding.rs
+++ b/crates/serving/tests/residency_crowding.rs
@@ -16,6 +16,7 @@
 
 use crate::common::accept_all;
 use crate::common::at;
+use crate::common::count_orders;
 use crate::common::engine_spec;
 use crate::common::entry;
 use crate::common::name;
@@ -70,10 +71,8 @@
         let tokens = (TOKENS.0 * count, TOKENS.1 * count);
         planner.record_use(&name("busy"), None, count as u32, tokens, at(now));
         let orders = accept_all(planner, at(now));
-        let busy = orders
-            .iter()
-            .filter(|order| order.action == ResidencyAction::Load && *order.model == *"busy");
-        loads += busy.count();
+        let busy = count_orders(&orders, ResidencyAction::Load, "busy");
+        loads += busy;
     }
     loads
 }
@@ -163,10 +162,8 @@
     let mut evicted = 0;
     for now in (75_000..77_000).step_by(STEP as usize) {
         let orders = accept_all(&mut planner, at(now));
-        let unloads = orders
-            .iter()
-            .filter(|order| order.action == ResidencyAction::Unload && *order.model == *"busy");
-        evicted += unloads.count();
+        let unloads = count_orders(&orders, ResidencyAction::Unload, "busy");
+        evicted += unloads;
     }
     assert_that!(evicted, eq(0));
 }
--- a/crates/serving/tests/residency_replicas.rs
+++ b/crates/serving/tests/residency_replicas.rs
@@ -15,6 +15,7 @@
 
 use crate::common::accept_all;
 use crate::common::at;
+use crate::common::count_orders;
 use crate::common::engine_spec;
 use crate::common::entry;
 use crate::common::name;
@@ -59,10 +60,8 @@
         request(&mut planner, model, at(62_000));
     }
     let orders = planner.plan(at(62_000));
-    let unloads = orders
-        .iter()
-        .filter(|order| order.action == ResidencyAction::Unload && &*order.model == "busy");
-    assert_that!(unloads.count(), eq(2));
+    let unloads = count_orders(&orders, ResidencyAction::Unload, "busy");
+    assert_that!(unloads, eq(2));
 }
 
 /// Guards against a new coordinator that treats all models as unused because it has seen no requests yet.
@@ -97,10 +96,8 @@
     let mut unloads = 0;
     for now in (0..8_000).step_by(50) {
         let orders = accept_all(&mut planner, at(now));
-        let unloaded = orders
-            .iter()
-            .filter(|order| order.action == ResidencyAction::Unload && *order.model == *"busy");
-        unloads += unloaded.count();
+        let unloaded = count_orders(&orders, ResidencyAction::Unload, "busy");
+        unloads += unloaded;
     }
     assert_that!(unloads, eq(0));
 }
