Drop servers that leave while the store rejects only the coordinator

Cause: an entry that disappears around an outage of the store is kept for two seconds. Hosts took over the coordinator's outage even when the store served them, heard nothing of it once they knew newer changes than the coordinator, and an outage of any age kept an entry for two seconds from its removal.

Change: each reply to a report states the coordinator's outage, from its first failure to its last failed call, renewals included. A call of the host that was answered in between, or the end of the coordinator's lease, shows a partial outage, which keeps no entry. Kept entries are logged.

--- a/crates/host/src/change_applier.rs
+++ b/crates/host/src/change_applier.rs
@@ -80,7 +80,6 @@
         read_at: MonotonicTime,
     ) -> bool {
         let state = &self.state;
-        let now = state.now();
         let mut is_complete = false;
         state.update(|source| {
             is_complete = source.known_revision().is_some_and(|known| after <= known);
@@ -92,7 +91,7 @@
             for change in changes {
                 if change.revision > known {
                     is_changed = true;
-                    self.apply_change(source, change, now);
+                    self.apply_change(source, change, read_at);
                 }
             }
             source.log.advance(revision);
@@ -113,8 +112,9 @@
     }
 
     /// Applies one change and adds it to the log for the other hosts. Leaves out of the log an update of a backend server's
-    /// entry that makes no difference to requests.
-    fn apply_change(&self, source: &mut TableSource, change: StoreChange, now: MonotonicTime) {
+    /// entry that makes no difference to requests. `read_at` is the time at which the change was requested.
+    fn apply_change(&self, source: &mut TableSource, change: StoreChange, read_at: MonotonicTime) {
+        let now = self.state.now();
         let StoreChange {
             key,
             revision,
@@ -127,6 +127,9 @@
         };
         let Some(id) = key.strip_prefix(SERVERS_PREFIX) else {
             source.log.push(relayed);
+            if *key == *LEASE_KEY && value.is_none() {
+                source.roster.record_lease_end(read_at);
+            }
             self.apply_record_change(source, key, revision, value);
             return;
         };
@@ -140,7 +143,13 @@
         }
         match entry {
             Some(entry) => source.put_backend(entry, revision, now),
-            None => source.roster.remove(id, revision, now),
+            None => {
+                source.roster.remove(id, revision, now);
+                if source.roster.find(id).is_some() {
+                    info!(self.state.logger, "backend kept, its entry disappeared around an outage of the store";
+                        "backend" => id, "revision" => revision);
+                }
+            }
         }
     }
 
--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -28,6 +28,7 @@
 use crate::host_state::HostState;
 use crate::host_state::meter_settings;
 use crate::store_relay::reading_since;
+use crate::store_relay::relayed_outage;
 
 /// Low bits of a view version that count changes; the fencing number is in the bits above. Leaves 16 million changes for
 /// each term.
@@ -194,6 +195,7 @@
             store: report
                 .store_revision
                 .and_then(|after| reading_since(&self.state, after)),
+            store_outage: relayed_outage(&self.state),
         }
     }
 }
--- a/crates/host/src/coordinator_election.rs
+++ b/crates/host/src/coordinator_election.rs
@@ -325,6 +325,7 @@
             let sent = self.state.now();
             match self.store.renew_lease(lease).await {
                 Ok(true) => {
+                    self.state.record_store_answer(sent);
                     self.cell.renew(sent);
                     pause = RENEW_INTERVAL;
                     if is_expired {
@@ -338,6 +339,10 @@
                     return;
                 }
                 Err(error) => {
+                    self.state.update(|source| {
+                        source.roster.record_failed_renewal(sent);
+                        false
+                    });
                     pause = RENEW_RETRY_PAUSE;
                     if !is_expired && self.is_expired(self.state.now()) {
                         warn!(self.state.logger, "coordinator term lapsed, no renewal was answered in time";
--- a/crates/host/src/fleet_reporter.rs
+++ b/crates/host/src/fleet_reporter.rs
@@ -14,6 +14,7 @@
 use zinniahinge_types::FleetView;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
+use zinniahinge_types::RelayedOutage;
 
 use crate::account_charge::notify_stand_in;
 use crate::fleet_table::LeaseHolder;
@@ -212,6 +213,7 @@
             view_version,
             engines,
             store,
+            store_outage,
         } = view;
         let known_hosts = state.with_source(|source| source.hosts.len() as u32);
         state.set_hosts(hosts.max(known_hosts));
@@ -227,6 +229,15 @@
         self.apply_totals(report, session);
         let now = state.now();
         state.update(|source| source.apply_views(engines, view_version, now));
+        // A coordinator of an earlier version states no more than when a call last failed.
+        let last_failure = store.as_ref().and_then(|reading| reading.outage_age_ms);
+        let last_failure = last_failure.map(|age_ms| RelayedOutage {
+            since_ms: age_ms,
+            last_sent_ms: age_ms,
+            until_ms: age_ms,
+        });
+        self.relay
+            .apply_outage(store_outage.or(last_failure), asked_at);
         if let Some(reading) = store {
             self.relay.apply(reading, asked_at);
         }
--- a/crates/host/src/host_state.rs
+++ b/crates/host/src/host_state.rs
@@ -122,6 +122,15 @@
         }
     }
 
+    /// Records that the store answered a call that was sent at `sent`. To be called before the answer is applied.
+    pub(crate) fn record_store_answer(&self, sent: MonotonicTime) {
+        let now = self.now();
+        self.update(|source| {
+            source.roster.record_answer(sent, now);
+            false
+        });
+    }
+
     /// Sets the number of hosts that share the accounts' rates and the retry budgets.
     pub(crate) fn set_hosts(&self, hosts: u32) {
         self.meter().set_hosts(hosts);
--- a/crates/host/src/store_follower.rs
+++ b/crates/host/src/store_follower.rs
@@ -14,6 +14,7 @@
 use zinniahinge_platform::StoreResult;
 use zinniahinge_platform::StoreWrite;
 use zinniahinge_platform::TransactionOutcome;
+use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 use zinniahinge_types::Revision;
 
@@ -69,15 +70,17 @@
     async fn follow(&self) {
         let mut is_registered = false;
         loop {
+            let sent = self.state.now();
             if let Err(error) = self.list().await {
-                self.handle_failure(&error).await;
+                self.handle_failure(&error, sent).await;
                 continue;
             }
             if !is_registered {
+                let sent = self.state.now();
                 match self.register().await {
                     Ok(()) => is_registered = true,
                     Err(error) => {
-                        self.handle_failure(&error).await;
+                        self.handle_failure(&error, sent).await;
                         continue;
                     }
                 }
@@ -90,6 +93,7 @@
     async fn list(&self) -> StoreResult<()> {
         let sent = self.state.now();
         let (items, revision) = self.store.range(WATCHED_PREFIX).await?;
+        self.state.record_store_answer(sent);
         self.changes.apply_listing(items, revision, sent);
         self.log_known_state("listed the store", revision);
         Ok(())
@@ -113,6 +117,7 @@
             match self.store.watch(WATCHED_PREFIX, revision, wait).await {
                 Ok(answer) => {
                     self.failures.store(0, Ordering::Relaxed);
+                    self.state.record_store_answer(sent);
                     if is_store_lost {
                         info!(self.state.logger, "store reachable again"; "revision" => answer.revision);
                         is_store_lost = false;
@@ -147,7 +152,7 @@
                             "error" => %error, "revision" => revision);
                         is_store_lost = true;
                     }
-                    self.handle_failure(&error).await;
+                    self.handle_failure(&error, sent).await;
                 }
             }
         }
@@ -196,13 +201,14 @@
         Ok(())
     }
 
-    /// Counts a failed call, notes the outage, and sleeps for a random pause that grows with the failures in a row.
-    async fn handle_failure(&self, error: &StoreError) {
+    /// Counts a failed call that was sent at `sent`, notes the outage, and sleeps for a random pause that grows with the
+    /// failures in a row.
+    async fn handle_failure(&self, error: &StoreError, sent: MonotonicTime) {
         let state = &self.state;
         state.counters.store_failures.inc();
         let now = state.now();
         state.update(|source| {
-            source.roster.record_outage(now);
+            source.roster.record_failure(sent, now);
             false
         });
         slog::debug!(state.logger, "store call failed"; "error" => %error);
--- a/crates/host/src/store_relay.rs
+++ b/crates/host/src/store_relay.rs
@@ -11,11 +11,13 @@
 use zinniahinge_platform::CONFIG_KEY;
 use zinniahinge_platform::StoreChange;
 use zinniahinge_platform::StoreClient;
+use zinniahinge_serving::StoreOutage;
 use zinniahinge_types::ConfigReply;
 use zinniahinge_types::ConfigRequest;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::RecordBytes;
 use zinniahinge_types::RelayedChange;
+use zinniahinge_types::RelayedOutage;
 use zinniahinge_types::RelayedValue;
 use zinniahinge_types::Revision;
 use zinniahinge_types::StoreUpdate;
@@ -38,6 +40,23 @@
 }
 
 impl StoreRelay {
+    /// Applies the outage that came with the answer to a report, sent at `asked_at`; `None` if the coordinator had none.
+    pub(crate) fn apply_outage(&self, outage: Option<RelayedOutage>, asked_at: MonotonicTime) {
+        let state = &self.changes.state;
+        let now = state.now();
+        // The coordinator's ages are those of a moment between `asked_at` and now. Both ends are moved inwards, so that no
+        // call of this host is wrongly taken for one during the outage.
+        let outage = outage.map(|outage| StoreOutage {
+            since: earlier(now, outage.since_ms),
+            last_sent: earlier(asked_at, outage.last_sent_ms),
+            until: earlier(asked_at, outage.until_ms),
+        });
+        state.update(|source| {
+            source.roster.set_relayed_outage(outage);
+            source.roster.has_missing()
+        });
+    }
+
     /// Applies a reading that came with the answer to a report; the report was sent at `asked_at`. Omitted values are read
     /// first, in a task.
     pub(crate) fn apply(&self, reading: StoreUpdate, asked_at: MonotonicTime) {
@@ -114,17 +133,10 @@
             after,
             revision,
             age_ms,
-            outage_age_ms,
+            outage_age_ms: _,
             changes,
         } = reading;
         let state = &self.changes.state;
-        if let Some(age_ms) = outage_age_ms {
-            let failed_at = earlier(asked_at, age_ms);
-            state.update(|source| {
-                source.roster.record_outage(failed_at);
-                false
-            });
-        }
         let changes = changes.into_iter().map(decode).collect();
         // The coordinator answered after the report was sent, so its reading is at most this old.
         let read_at = earlier(asked_at, age_ms);
@@ -158,15 +170,31 @@
             after,
             revision: source.known_revision()?,
             age_ms: age.as_millis() as u64 + 1,
-            outage_age_ms: source
-                .roster
-                .outage_age(now)
-                .map(|age| age.as_millis() as u64),
+            outage_age_ms: relayed(source.roster.own_outage(now), now)
+                .map(|outage| outage.until_ms),
             changes,
         })
     })
 }
 
+/// Returns the outage that the coordinator's own calls had, for the other hosts.
+pub(crate) fn relayed_outage(state: &HostState) -> Option<RelayedOutage> {
+    let now = state.now();
+    relayed(
+        state.with_source(|source| source.roster.own_outage(now)),
+        now,
+    )
+}
+
+fn relayed(outage: Option<StoreOutage>, now: MonotonicTime) -> Option<RelayedOutage> {
+    let age_ms = |at: MonotonicTime| now.since(at).as_millis() as u64;
+    outage.map(|outage| RelayedOutage {
+        since_ms: age_ms(outage.since),
+        last_sent_ms: age_ms(outage.last_sent),
+        until_ms: age_ms(outage.until),
+    })
+}
+
 /// Returns how long this host need not watch the store because relayed readings are fresh; `None` if it should watch now,
 /// as the coordinator always does.
 pub(crate) fn watch_pause(state: &HostState) -> Option<Duration> {
--- a/crates/serving/src/backend_roster.rs
+++ b/crates/serving/src/backend_roster.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,11 +8,19 @@
 use zinniahinge_types::Revision;
 
 use crate::BackendEntry;
+use crate::StoreOutage;
+
+/// Number of answered calls that are remembered. A host makes a few calls a second at most while it follows the store
+/// itself, so they cover the time until the coordinator's next failed call is relayed.
+const ANSWERED_CALLS: usize = 8;
 
 /// The backend servers that exist, according to the store.
 ///
 /// During an outage of the store, entries of running servers may expire; they are written again shortly after it. An
 /// entry that disappears then is kept until `return_time` after the outage. At other times it is removed at once.
+///
+/// The store may also reject some hosts and serve the others. Servers' entries don't expire then, so an outage that only
+/// the coordinator had keeps no entry here.
 #[derive(Debug)]
 pub struct BackendRoster {
     /// Time within which running servers write their entries again after an outage.
@@ -19,8 +28,12 @@
     records: BTreeMap<Name, RosterRecord>,
     /// Revision at which an entry was removed, to ignore an older write of it that arrives late.
     removed: BTreeMap<Name, Revision>,
-    /// When the store was last unusable.
-    outage_at: Option<MonotonicTime>,
+    /// Outage that this host's own calls had.
+    outage: Option<StoreOutage>,
+    /// Outage that the coordinator relayed.
+    relayed_outage: Option<StoreOutage>,
+    /// When this host's last answered calls were sent and answered, the newest last.
+    answered: VecDeque<(MonotonicTime, MonotonicTime)>,
 }
 
 #[derive(Debug)]
@@ -38,19 +51,79 @@
             return_time,
             records: BTreeMap::new(),
             removed: BTreeMap::new(),
-            outage_at: None,
+            outage: None,
+            relayed_outage: None,
+            answered: VecDeque::new(),
         }
     }
 
-    /// Records that the store was unusable at `now`.
-    pub fn record_outage(&mut self, now: MonotonicTime) {
-        self.outage_at = self.outage_at.max(Some(now));
+    /// Records that a reading call of this host, sent at `sent`, failed at `now`.
+    pub fn record_failure(&mut self, sent: MonotonicTime, now: MonotonicTime) {
+        match self.current_outage() {
+            Some(outage) => {
+                outage.last_sent = sent;
+                outage.until = now;
+            }
+            None => {
+                self.outage = Some(StoreOutage {
+                    since: now,
+                    last_sent: sent,
+                    until: now,
+                });
+            }
+        }
     }
 
-    /// Time since the store was last unusable; `None` once running servers have had time to write their entries again.
-    pub fn outage_age(&self, now: MonotonicTime) -> Option<Duration> {
-        let age = now.since(self.outage_at?);
-        (age < self.return_time).then_some(age)
+    /// Records that a renewal of the coordinator's lease, sent at `sent`, failed. Renewals are sent more often than reading
+    /// calls, so they show sooner that an outage goes on; alone they show none.
+    pub fn record_failed_renewal(&mut self, sent: MonotonicTime) {
+        if let Some(outage) = self.current_outage() {
+            outage.last_sent = outage.last_sent.max(sent);
+        }
+    }
+
+    /// This host's own outage, unless a call was answered since.
+    fn current_outage(&mut self) -> Option<&mut StoreOutage> {
+        let answered_at = self.answered.back().map(|(_, answered_at)| *answered_at);
+        let outage = self.outage.as_mut();
+        outage.filter(|outage| answered_at.is_none_or(|at| at < outage.since))
+    }
+
+    /// Records that a call of this host, sent at `sent`, was answered at `now`.
+    pub fn record_answer(&mut self, sent: MonotonicTime, now: MonotonicTime) {
+        if self.answered.len() == ANSWERED_CALLS {
+            self.answered.pop_front();
+        }
+        self.answered.push_back((sent, now));
+    }
+
+    /// Replaces the outage that the coordinator relayed; `None` if its calls are answered.
+    pub fn set_relayed_outage(&mut self, outage: Option<StoreOutage>) {
+        self.relayed_outage = outage;
+    }
+
+    /// Records that a reading requested at `sent` shows the end of the coordinator's lease. If the coordinator had an outage,
+    /// its renewals failed until then.
+    pub fn record_lease_end(&mut self, sent: MonotonicTime) {
+        if let Some(outage) = &mut self.relayed_outage {
+            outage.last_sent = outage.last_sent.max(sent);
+        }
+    }
+
+    /// This host's own outage, until running servers have had time to write their entries again.
+    pub fn own_outage(&self, now: MonotonicTime) -> Option<StoreOutage> {
+        self.outage
+            .filter(|outage| now.since(outage.until) < self.return_time)
+    }
+
+    /// When the store was last unusable for servers, as far as this host can tell.
+    fn outage_at(&self) -> Option<MonotonicTime> {
+        let mut answered = self.answered.iter();
+        let relayed = self.relayed_outage.filter(|outage| {
+            !answered.any(|(sent, answered_at)| outage.includes(*sent, *answered_at))
+        });
+        let outages = [self.outage, relayed].into_iter().flatten();
+        outages.map(|outage| outage.until).max()
     }
 
     /// The entry of a server, listed or missing.
@@ -90,7 +163,8 @@
     /// Applies the removal of an entry. Also call it for an entry that became unreadable, because it names no usable
     /// server.
     pub fn remove(&mut self, id: &str, revision: Revision, now: MonotonicTime) {
-        let keeps = self.outage_age(now).is_some();
+        let outage_at = self.outage_at();
+        let keeps = outage_at.is_some_and(|at| now.since(at) < self.return_time);
         let Some(record) = self.records.get_mut(id) else {
             return;
         };
@@ -126,20 +200,24 @@
         self.removed.clear();
     }
 
-    /// Removes missing entries once running servers have had time to write them again.
+    /// Removes missing entries once running servers have had time to write them again, or if no outage explains their
+    /// absence any more.
     pub fn expire(&mut self, now: MonotonicTime) {
+        let outage_at = self.outage_at();
         let Self {
             return_time,
             records,
             removed,
-            outage_at,
+            ..
         } = self;
         records.retain(|id, record| {
             let Some(missing_since) = record.missing_since else {
                 return true;
             };
-            let from = outage_at.map_or(missing_since, |at| at.max(missing_since));
-            let stays = now.since(from) < *return_time;
+            let stays = outage_at.is_some_and(|at| {
+                missing_since.since(at) < *return_time
+                    && now.since(at.max(missing_since)) < *return_time
+            });
             if !stays {
                 removed.insert(id.clone(), record.revision);
             }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -43,6 +43,7 @@
 mod service_spec;
 mod serving_config;
 mod stand_in_meter;
+mod store_outage;
 
 pub use account_meter::AccountMeter;
 pub use account_meter::ChargeDecision;
@@ -93,3 +94,4 @@
 pub use service_spec::ServiceSpec;
 pub use serving_config::ServingConfig;
 pub use stand_in_meter::StandInMeter;
+pub use store_outage::StoreOutage;
--- a/crates/types/src/fleet_message.rs
+++ b/crates/types/src/fleet_message.rs
@@ -8,6 +8,7 @@
 
 use crate::HostId;
 use crate::Name;
+use crate::RelayedOutage;
 use crate::Revision;
 use crate::StoreUpdate;
 
@@ -142,6 +143,10 @@
     /// Changes of the platform's store since the report's revision; `None` if the coordinator no longer has all of
     /// them.
     pub store: Option<StoreUpdate>,
+    /// Outage of the platform's store as the coordinator's own calls see it. Stated also if the receiver knows newer changes
+    /// than the coordinator, as happens when the store rejects only the coordinator. Absent from earlier versions.
+    #[serde(default)]
+    pub store_outage: Option<RelayedOutage>,
 }
 
 /// States how much of its quota a client account may still use, over all hosts.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -86,5 +86,6 @@
 pub use store_message::ConfigReply;
 pub use store_message::ConfigRequest;
 pub use store_message::RelayedChange;
+pub use store_message::RelayedOutage;
 pub use store_message::RelayedValue;
 pub use store_message::StoreUpdate;
--- a/crates/types/src/store_message.rs
+++ b/crates/types/src/store_message.rs
@@ -17,12 +17,24 @@
     /// Age in milliseconds of the sender's last confirmation by the store, when this was sent. It is counted from the
     /// sending of the call to the store, so that it is never too low.
     pub age_ms: u64,
-    /// Time in milliseconds since a call of the sender to the store last failed; `None` if none did.
+    /// Time in milliseconds since a call of the sender to the store last failed; `None` if none did. Hosts of earlier
+    /// versions read it here, others in [`RelayedOutage`].
     pub outage_age_ms: Option<u64>,
     /// Changes of the keys that hosts need, in order of revision.
     pub changes: Vec<RelayedChange>,
 }
 
+/// Tells how long ago, in milliseconds, the sender's calls to the store failed without an answered one between them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayedOutage {
+    /// Since the first of the calls failed.
+    pub since_ms: u64,
+    /// Since the last of them was sent.
+    pub last_sent_ms: u64,
+    /// Since the last of them failed.
+    pub until_ms: u64,
+}
+
 /// Relays one change of a key in the store.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RelayedChange {
