Replace a lost coordinator promptly and pass over hosts that don't answer

Hosts wait 2.1 s until their relayed readings are old, watch the store, and then pause 1.35 s, so that the end of its lease at 5 s is noticed between 5.1 and 7.0 s. A weak host claims it at 6.2 s and releases it to a stronger one; all hosts know that one at 10.5 s. Meanwhile 3,500 requests for a charge wait 250 ms each for the lost host, as coordinator and then as first stand-in, and are refused by the host's share of the rate.

Change: a host whose report to the coordinator failed asks the stand-in at once; a stand-in that did not answer is passed over for 2 s, also in the candidate order. Such a host watches the store: the first three candidates with pauses of 0.15 s, the others with 0.25 s once the lease is free or about to end. A host that alone can't reach the coordinator returns to long pauses.

--- a/crates/host/src/account_charge.rs
+++ b/crates/host/src/account_charge.rs
@@ -54,11 +54,14 @@
     account: &AccountSpec,
     request: &FleetCharge,
 ) -> Option<Result<(), ChargeRefusal>> {
+    if state.misses_coordinator() {
+        return None;
+    }
     let holder = state.table.load().holder.clone()?;
     let reply = if holder.host == state.startup.host {
         state.link.cell.charge(request, state)
     } else {
-        request_charge(state, holder.address, request).await
+        request_charge(state, holder.address, request).await?
     };
     match reply {
         FleetChargeReply::Holder { is_admitted, level } => Some(apply_coordinator_reply(
@@ -136,37 +139,42 @@
     request: &FleetCharge,
 ) -> Option<(HostId, FleetChargeReply)> {
     let (host, address) = find_stand_in(state)?;
-    let reply = if host == state.startup.host {
-        state.stand_in_charge(request)
-    } else {
-        request_charge(state, address, request).await
-    };
-    Some((host, reply))
+    if host == state.startup.host {
+        return Some((host, state.stand_in_charge(request)));
+    }
+    let reply = request_charge(state, address, request).await;
+    let mut silent = state.silent_hosts();
+    match &reply {
+        Some(_) => silent.record_answer(&host),
+        None => silent.record_silence(&host, state.now()),
+    }
+    drop(silent);
+    Some((host, reply?))
 }
 
-/// Returns the first host in line for coordinating that doesn't coordinate now, and its address.
+/// Returns the first host in line for coordinating that answers and doesn't coordinate now, and its address.
 fn find_stand_in(state: &HostState) -> Option<(HostId, SocketAddr)> {
+    let order = state.answering_candidates();
     state.with_source(|source| {
         let holder = source.holder.as_ref().map(|holder| &holder.host);
-        let order = source.candidate_order();
         let stand_in = order.into_iter().find(|host| Some(host) != holder)?;
         let address = source.hosts.get(&stand_in)?.address;
         Some((stand_in, address))
     })
 }
 
-/// Sends a charge to another host; [`FleetChargeReply::Unknown`] if it did not reply.
+/// Sends a charge to another host; `None` if it did not reply.
 async fn request_charge(
     state: &HostState,
     address: SocketAddr,
     request: &FleetCharge,
-) -> FleetChargeReply {
+) -> Option<FleetChargeReply> {
     match state.link.charge(address, request).await {
-        Ok(reply) => reply,
+        Ok(reply) => Some(reply),
         Err(error) => {
             info!(state.logger, "host did not answer a charge request"; "account" => &*request.account,
                 "units" => request.units, "host" => %address, "error" => %error);
-            FleetChargeReply::Unknown
+            None
         }
     }
 }
--- a/crates/host/src/coordinator_election.rs
+++ b/crates/host/src/coordinator_election.rs
@@ -24,7 +24,6 @@
 use crate::host_state::HostState;
 use crate::record_keys::LEASE_KEY;
 use crate::record_keys::TERM_KEY;
-use crate::table_source::TableSource;
 
 /// Time to live of the coordinator lease. A longer lease delays the successor of a failed coordinator; with a shorter one,
 /// a slow store ends the term.
@@ -163,7 +162,7 @@
     /// Time that this host waits before it claims a free lease, by its rank in the candidate order.
     fn claim_delay(&self) -> Duration {
         let own = &self.state.startup.host;
-        let order = self.state.with_source(TableSource::candidate_order);
+        let order = self.state.answering_candidates();
         let rank = order.iter().position(|host| host == own);
         match rank.unwrap_or(order.len()) {
             0 => Duration::ZERO,
--- a/crates/host/src/fleet_reporter.rs
+++ b/crates/host/src/fleet_reporter.rs
@@ -134,6 +134,7 @@
                 }
                 session.fence = view.fence;
                 session.answered_at = now;
+                state.silent_hosts().record_answer(&holder.host);
                 if session.is_unanswered {
                     info!(state.logger, "coordinator answers again"; "host" => &*holder.host,
                         "fence" => holder.fence);
@@ -143,6 +144,9 @@
             }
             answer => {
                 state.meter().return_unreported(report.accounts);
+                state
+                    .silent_hosts()
+                    .record_silence(&holder.host, state.now());
                 notify_stand_in(state).await;
                 if !session.is_unanswered {
                     let error = answer.err().map(|error| error.to_string());
--- a/crates/host/src/host_state.rs
+++ b/crates/host/src/host_state.rs
@@ -13,11 +13,15 @@
 use zinniahinge_serving::AccountMeter;
 use zinniahinge_serving::ConfigFreshness;
 use zinniahinge_serving::MeterSettings;
+use zinniahinge_serving::SilentHosts;
 use zinniahinge_serving::StandInMeter;
+use zinniahinge_serving::WatchPace;
+use zinniahinge_serving::WatchRole;
 use zinniahinge_telemetry::BootClock;
 use zinniahinge_transport::HttpPool;
 use zinniahinge_types::FleetCharge;
 use zinniahinge_types::FleetChargeReply;
+use zinniahinge_types::HostId;
 use zinniahinge_types::MonotonicTime;
 
 use crate::engine_timings::EngineTimings;
@@ -57,6 +61,8 @@
     pub(crate) uses: Mutex<ModelUses>,
     /// Times that engines took for requests since the last report to the coordinator.
     pub(crate) timings: Mutex<EngineTimings>,
+    /// Hosts that did not answer this one lately.
+    pub(crate) silent_hosts: Mutex<SilentHosts>,
     /// Client for messages to other hosts.
     pub(crate) link: PeerLink,
     /// Cancelled when SIGTERM starts a graceful shutdown.
@@ -112,6 +118,51 @@
         self.timings.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the hosts that did not answer lately.
+    pub(crate) fn silent_hosts(&self) -> MutexGuard<'_, SilentHosts> {
+        self.silent_hosts
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the hosts in the order in which they claim the coordinator lease and stand in for the coordinator, without
+    /// those that did not answer lately.
+    pub(crate) fn answering_candidates(&self) -> Vec<HostId> {
+        let order = self.with_source(TableSource::candidate_order);
+        self.silent_hosts().without_silent(order, self.now())
+    }
+
+    /// True if the coordinator did not answer this host lately, or there is none.
+    pub(crate) fn misses_coordinator(&self) -> bool {
+        let table = self.table.load();
+        let holder = table.holder.as_ref();
+        holder.is_none_or(|holder| {
+            let silence = self.silent_hosts().silence(&holder.host, self.now());
+            silence.is_some()
+        })
+    }
+
+    /// What this host watches the store for.
+    pub(crate) fn watch_role(&self) -> WatchRole {
+        let holder = self.table.load().holder.clone();
+        let holder = holder.as_ref().map(|holder| &*holder.host);
+        let silence = holder.and_then(|holder| self.silent_hosts().silence(holder, self.now()));
+        let candidates = if holder.is_none() || silence.is_some() {
+            self.answering_candidates()
+        } else {
+            Vec::new()
+        };
+        WatchRole::new(&self.startup.host, holder, silence, &candidates)
+    }
+
+    /// How often this host watches the store.
+    pub(crate) fn watch_pace(&self) -> WatchPace {
+        let bounds = &self.startup.bounds;
+        WatchPace {
+            deadline: bounds.config_deadline.min(bounds.drain_deadline),
+        }
+    }
+
     /// Calls `change` with the table's source under its lock, and publishes a new table if it returns true.
     pub(crate) fn update(&self, change: impl FnOnce(&mut TableSource) -> bool) {
         let mut source = self.source.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/host/src/store_follower.rs
+++ b/crates/host/src/store_follower.rs
@@ -28,13 +28,8 @@
 /// answer confirms that all three are up to date.
 const WATCHED_PREFIX: &str = "";
 
-/// Pause after a watch answer with changes, so that changes made close together cost one call. In percent of the shorter of
-/// two deadlines: the one for draining backend servers to get no more requests, and the one for a configuration to be in
-/// force.
-const BATCH_PAUSE_PERCENT: u32 = 45;
-
-/// The same pause on the coordinator; shorter, because the coordinator relays the changes to all other hosts.
-const COORDINATOR_BATCH_PAUSE: Duration = Duration::from_millis(150);
+/// Longest time until a host that relies on relayed readings notices that the coordinator doesn't answer.
+const RELAY_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Longest wait of a watch call on the coordinator. What the other hosts know is at most as old as two such waits and the
 /// time between two reports together.
@@ -43,7 +38,7 @@
 /// Range of the random pause after a failed call; random, so that hosts don't all call at once.
 const RETRY_PAUSE_MS: std::ops::Range<u64> = 120..320;
 
-/// Largest number of times that the pause is doubled. It never exceeds [`StoreFollower::batch_pause`] either.
+/// Largest number of times that the pause is doubled. It never exceeds [`zinniahinge_serving::WatchPace::longest_pause`] either.
 const MAX_PAUSE_DOUBLINGS: u32 = 4;
 
 /// Number of failed calls in a row for each doubling of the pause.
@@ -104,7 +99,7 @@
         let mut is_store_lost = false;
         loop {
             if let Some(rest) = watch_pause(&self.state) {
-                tokio::time::sleep(rest).await;
+                tokio::time::sleep(rest.min(RELAY_CHECK_INTERVAL)).await;
                 continue;
             }
             let revision = self.state.with_source(|source| source.log.revision());
@@ -133,11 +128,8 @@
                     let range = (revision, answer.revision);
                     self.changes.apply(answer.changes, range, sent);
                     if has_changes {
-                        let pause = if self.is_coordinator() {
-                            COORDINATOR_BATCH_PAUSE
-                        } else {
-                            self.batch_pause()
-                        };
+                        let role = self.state.watch_role();
+                        let pause = self.state.watch_pace().pause_after_changes(role);
                         tokio::time::sleep(pause).await;
                     }
                 }
@@ -158,12 +150,6 @@
         }
     }
 
-    /// Pause after changes on a host that does not coordinate; also the longest pause after failed calls.
-    fn batch_pause(&self) -> Duration {
-        let bounds = &self.state.startup.bounds;
-        bounds.config_deadline.min(bounds.drain_deadline) * BATCH_PAUSE_PERCENT / 100
-    }
-
     fn is_coordinator(&self) -> bool {
         let table = self.state.table.load();
         let holder = table.holder.as_ref();
@@ -215,7 +201,7 @@
         let failed = self.failures.fetch_add(1, Ordering::Relaxed);
         let pause = Duration::from_millis(rand::rng().random_range(RETRY_PAUSE_MS));
         let pause = pause * 2_u32.pow((failed / FAILURES_PER_DOUBLING).min(MAX_PAUSE_DOUBLINGS));
-        tokio::time::sleep(pause.min(self.batch_pause())).await;
+        tokio::time::sleep(pause.min(state.watch_pace().longest_pause())).await;
     }
 
     /// Logs `message` with the known revision, number of backend servers and version of the configuration.
--- a/crates/host/src/store_relay.rs
+++ b/crates/host/src/store_relay.rs
@@ -25,11 +25,6 @@
 use crate::change_applier::ChangeApplier;
 use crate::host_state::HostState;
 
-/// Age up to which a host relies on relayed readings, in percent of the shorter of two deadlines: the one for a
-/// configuration to be in force, and the one for draining backend servers to get no more requests. With an older reading
-/// the host watches the store itself; the rest of the deadline is for that call.
-const RELAY_MAX_AGE_PERCENT: u32 = 70;
-
 /// Receives the readings that the coordinator relays, and reads the values that it omits.
 #[derive(Clone)]
 pub(crate) struct StoreRelay {
@@ -195,18 +190,10 @@
     })
 }
 
-/// Returns how long this host need not watch the store because relayed readings are fresh; `None` if it should watch now,
-/// as the coordinator always does.
+/// Returns how long this host need not watch the store because relayed readings are fresh; `None` if it should watch now.
 pub(crate) fn watch_pause(state: &HostState) -> Option<Duration> {
-    let table = state.table.load();
-    let holder = table.holder.as_ref()?;
-    if holder.host == state.startup.host {
-        return None;
-    }
-    let bounds = &state.startup.bounds;
-    let limit = bounds.config_deadline.min(bounds.drain_deadline) * RELAY_MAX_AGE_PERCENT / 100;
-    let rest = limit.saturating_sub(state.confirmed.age(state.now())?);
-    (!rest.is_zero()).then_some(rest)
+    let age = state.confirmed.age(state.now())?;
+    state.watch_pace().relay_time(state.watch_role(), age)
 }
 
 /// Turns a relayed change into the form in which the store delivers it.
