Log the shared prompt parts of requests

The log lines of a request, of a failed send and of an interrupted stream did not say what requests had in common, so the hypotheses of the incident (one prompt part, repeats, orders) could not be told apart by logs alone. No decision changes.

--- a/crates/host/src/event_relay.rs
+++ b/crates/host/src/event_relay.rs
@@ -187,7 +187,8 @@
             load.count_failure();
             load.avoid(self.state.now());
             info!(self.state.logger, "event stream interrupted"; "id" => &*self.context.facts.attempt_id,
-                "backend" => &*stream.backend, "events" => self.log.events, "reason" => &reason);
+                "backend" => &*stream.backend, "events" => self.log.events,
+                "parts" => self.context.facts.shared_parts_text(), "reason" => &reason);
             self.history.record_possible_run(&stream.backend);
             // Ends the run at this server before another server continues it.
             drop(stream);
--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -166,7 +166,7 @@
             Err(failed) => failed,
         };
         info!(state.logger, "send to backend server failed"; "id" => &*context.facts.attempt_id, "backend" => &*backend,
-            "end" => %error);
+            "parts" => context.facts.shared_parts_text(), "end" => %error);
         state
             .counters
             .sends
--- a/crates/host/src/request_log.rs
+++ b/crates/host/src/request_log.rs
@@ -17,6 +17,8 @@
     service: Option<Name>,
     account: Option<Name>,
     model: Option<Name>,
+    /// Ids of the prompt parts that other requests may share.
+    parts: Option<String>,
     /// Version of the configuration.
     config: Option<u64>,
     pub(crate) backend: Option<Name>,
@@ -45,6 +47,7 @@
             service: None,
             account: None,
             model: None,
+            parts: None,
             config: None,
             backend: None,
             delivered_sends: 0,
@@ -66,6 +69,7 @@
             (Some(model), Some(adapter)) => Some(format!("{model}/{adapter}").into()),
             (model, _) => model.clone(),
         };
+        self.parts = context.facts.shared_parts_text();
         self.config = Some(context.config.version);
     }
 
@@ -109,7 +113,7 @@
         info!(self.state.logger, "request"; "id" => &*self.id, "outcome" => outcome, "status" => status,
             "route" => self.route.as_deref(), "service" => self.service.as_deref(),
             "account" => self.account.as_deref(), "model" => self.model.as_deref(),
-            "backend" => self.backend.as_deref(), "arrivals" => self.delivered_sends, "events" => self.events,
+            "parts" => self.parts.as_deref(), "backend" => self.backend.as_deref(), "arrivals" => self.delivered_sends, "events" => self.events,
             "pause_ms" => millis(self.longest_event_gap), "sent_ms" => millis(self.first_send),
             "answer_ms" => millis(self.first_response),
             "total_ms" => self.arrived.elapsed().as_millis() as u64,
--- a/crates/serving/src/backend_chooser.rs
+++ b/crates/serving/src/backend_chooser.rs
@@ -237,8 +237,7 @@
 
 /// Number of tokens in all parts of the prompt but the last.
 fn shared_tokens(facts: &RequestFacts) -> f64 {
-    let shared = facts.parts.len().saturating_sub(1);
-    let parts = facts.parts.iter().take(shared);
+    let parts = facts.shared_parts().iter();
     parts.map(|part| f64::from(part.tokens)).sum()
 }
 
--- a/crates/serving/src/request_facts.rs
+++ b/crates/serving/src/request_facts.rs
@@ -40,6 +40,18 @@
             .then(|| self.prompt_tokens.saturating_add(self.output_tokens))
     }
 
+    /// The parts that other requests may share: all but the last one.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
+    /// The ids of the shared parts for log lines: hexadecimal, in order, separated by commas; `None` without any.
+    pub fn shared_parts_text(&self) -> Option<String> {
+        let ids = self.shared_parts().iter();
+        let ids: SmallVec<[String; 4]> = ids.map(|part| format!("{:x}", part.id)).collect();
+        (!ids.is_empty()).then(|| ids.join(","))
+    }
+
     /// The last shared part: the last one but one, or the only one. It differs most between requests, and requests that
     /// share it share all parts before it.
     pub fn shared_part(&self) -> Option<PromptPart> {
