Block prompt parts that crash backend servers

What callers saw: from second 8 of the incident on, vendor-chat and draft-report failed with 502 or broken streams, as one server after the other ended, 32 and 35 in all.

Cause: requests that share one part of their prompts crash each server which begins to answer them, and each host handled each end by itself. Nothing remembered what the requests had in common, and no host learned from the ends that others saw.

Evidence: of 98 requests that broke off in the incident none did so twice, so it was not one request repeated. At each of the first four ends exactly one request had no event yet. crashing_parts, with real processes: 51, 20 and 25 requests with the part reached servers where 3 are allowed; passes now.

Why it works: hosts report the shared parts of requests that were cut off before their answer was under way, and of those that got under way. The coordinator blocks a part whose requests broke off in three separate crashes or more at two addresses or more, with none answered in between, if chance does not explain that. Crashes with a blocked part accuse no other part, so the parts beside it stay free; part_ledger has cases of other causes that block nothing (a bad server, a lost rack, a service lost server by server). Hosts learn the parts from answers to their reports and from the store, a new coordinator from the store and from the hosts, which repeat what they saw. Requests with a blocked part are refused on arrival, before each send and before each resumption. One host tries the part again after two minutes, then after twice as long.

Tests of host, serving, platform, transport and soak pass. FleetReply::View is boxed, since the view grew.

--- a/crates/host/src/backend_send.rs
+++ b/crates/host/src/backend_send.rs
@@ -36,6 +36,9 @@
     /// The server may have run the request.
     #[error("request may have run: {0}")]
     MayHaveRun(String),
+    /// The connection ended before the answer was under way, as when the server crashes; the request may have run.
+    #[error("request may have run, the connection ended: {0}")]
+    ConnectionLost(String),
     /// No response came before the deadline; the request may have run or may still be running.
     #[error("no response before the deadline")]
     TimedOut,
@@ -48,6 +51,7 @@
             Self::NotSent(_) => "not-sent",
             Self::NotRun(_) => "not-run",
             Self::MayHaveRun(_) => "may-have-run",
+            Self::ConnectionLost(_) => "connection-lost",
             Self::TimedOut => "timed-out",
         }
     }
@@ -155,7 +159,7 @@
     let reason = failure.to_string();
     match failure {
         SendFailure::NotSent { .. } => BackendSendError::NotSent(reason),
-        SendFailure::Unanswered { .. } => BackendSendError::MayHaveRun(reason),
+        SendFailure::Unanswered { .. } => BackendSendError::ConnectionLost(reason),
         SendFailure::TimedOut => BackendSendError::TimedOut,
     }
 }
--- a/crates/host/src/caller_response.rs
+++ b/crates/host/src/caller_response.rs
@@ -97,6 +97,8 @@
     RateLimited,
     /// No backend server of the service is available.
     NoBackend,
+    /// A part of the request's prompt crashes backend servers.
+    PartBlocked,
     /// The model is not loaded and can't be loaded in time.
     ModelUnavailable,
     /// No body memory is left, or no retry became available.
@@ -122,6 +124,7 @@
             Self::BodyTooSlow => "body-too-slow",
             Self::RateLimited => "rate-limited",
             Self::NoBackend => "no-backend",
+            Self::PartBlocked => "prompt-part-blocked",
             Self::ModelUnavailable => "model-unavailable",
             Self::Overloaded => "overloaded",
             Self::DeadlinePassed => "deadline-passed",
@@ -141,6 +144,7 @@
             Self::NoConfiguration
             | Self::StaleConfiguration
             | Self::NoBackend
+            | Self::PartBlocked
             | Self::ModelUnavailable
             | Self::Overloaded
             | Self::DeadlinePassed => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/host/src/change_applier.rs
+++ b/crates/host/src/change_applier.rs
@@ -12,6 +12,7 @@
 use zinniahinge_platform::decode_backend;
 use zinniahinge_platform::decode_config;
 use zinniahinge_serving::BackendEntry;
+use zinniahinge_types::BlockedParts;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 use zinniahinge_types::RecordBytes;
@@ -23,6 +24,7 @@
 use crate::fleet_table::LeaseRecord;
 use crate::fleet_table::TermRecord;
 use crate::host_state::HostState;
+use crate::record_keys::BLOCKED_PARTS_KEY;
 use crate::record_keys::HOSTS_PREFIX;
 use crate::record_keys::LEASE_KEY;
 use crate::record_keys::PEER_KEYS_KEY;
@@ -215,6 +217,14 @@
                     warn!(logger, "term record ignored, cannot decode it"; "error" => %error)
                 }
             },
+            BLOCKED_PARTS_KEY => match serde_json::from_slice::<BlockedParts>(&item.value) {
+                Ok(blocked) => {
+                    source.apply_blocked(blocked, self.state.now());
+                }
+                Err(error) => {
+                    warn!(logger, "record of blocked prompt parts ignored, cannot decode it"; "error" => %error)
+                }
+            },
             PEER_KEYS_KEY => {
                 source.has_peer_keys = true;
                 self.apply_keys(&item.value);
--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -6,10 +6,13 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use slog::info;
+use slog::warn;
 use tokio::sync::Notify;
 use zinniahinge_serving::CoordinatorTerm;
 use zinniahinge_serving::CoordinatorTimes;
 use zinniahinge_serving::FleetLedger;
+use zinniahinge_serving::PartLedger;
 use zinniahinge_serving::Placement;
 use zinniahinge_serving::ResidencyPlanner;
 use zinniahinge_serving::ResidencySettings;
@@ -24,6 +27,7 @@
 use zinniahinge_types::PlacementReply;
 use zinniahinge_types::PlacementRequest;
 
+use crate::fleet_reporter::INTERVAL_PER_HOST;
 use crate::fleet_table::FleetTable;
 use crate::host_state::HostState;
 use crate::host_state::meter_settings;
@@ -40,12 +44,17 @@
 /// Shortest time after which a held placement request is decided again, unless an order for its model ends before.
 const PLACE_RECHECK_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Shortest time within which all hosts report what they saw: two reports of a small fleet.
+const MIN_REPORT_LAG: Duration = Duration::from_millis(600);
+
 /// State of the coordinator during one term: a residency planner for each service, and the ledger of rates and loads.
 pub(crate) struct Coordinator {
     pub(crate) state: Arc<HostState>,
     pub(crate) fence: u64,
     pub(crate) planners: HashMap<Name, ResidencyPlanner>,
     pub(crate) ledger: FleetLedger,
+    /// Prompt parts that crash backend servers.
+    pub(crate) parts: PartLedger,
 }
 
 /// The term and the coordinator's state; both are empty while another host coordinates.
@@ -66,11 +75,13 @@
         let mut ledger = FleetLedger::new(settings, is_first, now);
         let table = state.table.load_full();
         ledger.record_stand_in(&state.take_stand_in(), table.accounts(), now);
+        let parts = PartLedger::new(&table.blocked, fence << VERSION_BITS_PER_FENCE, now);
         Self {
             state,
             fence,
             planners: HashMap::new(),
             ledger,
+            parts,
         }
     }
 
@@ -133,6 +144,23 @@
         self.ledger.settle(accounts, groups, now);
     }
 
+    /// Decides on prompt parts, and logs the decisions.
+    fn settle_parts(&mut self, now: MonotonicTime) {
+        let lag = INTERVAL_PER_HOST * 2 * self.ledger.host_count();
+        let verdicts = self.parts.settle(lag.max(MIN_REPORT_LAG), now);
+        let logger = &self.state.logger;
+        for accused in &verdicts.blocked {
+            warn!(logger, "prompt part blocked, it crashes backend servers";
+                "part" => format!("{:x}", accused.part), "crashes" => accused.crashes,
+                "first_ms" => now.since(accused.first_at).as_millis() as u64,
+                "chance" => accused.chance, "fence" => self.fence);
+        }
+        for part in &verdicts.released {
+            info!(logger, "prompt part released, an answer with it got under way";
+                "part" => format!("{part:x}"), "fence" => self.fence);
+        }
+    }
+
     /// Charges a request to its client account in the ledger.
     fn charge(&mut self, request: &FleetCharge, now: MonotonicTime) -> FleetChargeReply {
         let table = self.state.table.load_full();
@@ -153,6 +181,8 @@
         let accounts = table.accounts();
         self.settle(&table, now);
         self.ledger.apply(report, accounts, now);
+        self.parts.apply(&report.host, &report.parts, now);
+        self.settle_parts(now);
         for used in &report.models {
             if let Some(planner) = self.planners.get_mut(&used.service) {
                 let tokens = (used.prompt_tokens, used.output_tokens);
@@ -196,6 +226,7 @@
                 .store_revision
                 .and_then(|after| reading_since(&self.state, after)),
             store_outage: relayed_outage(&self.state),
+            blocked: self.parts.changes_since(report.parts.blocked_version, now),
         }
     }
 }
@@ -274,7 +305,7 @@
             return FleetReply::NotHolder;
         }
         match self.with(|coordinator| coordinator.report(report, now)) {
-            Some(view) => FleetReply::View(view),
+            Some(view) => FleetReply::View(Box::new(view)),
             None => FleetReply::NotHolder,
         }
     }
--- a/crates/host/src/coordinator_election.rs
+++ b/crates/host/src/coordinator_election.rs
@@ -22,6 +22,7 @@
 use crate::fleet_table::LeaseRecord;
 use crate::fleet_table::TermRecord;
 use crate::host_state::HostState;
+use crate::record_keys::BLOCKED_PARTS_KEY;
 use crate::record_keys::LEASE_KEY;
 use crate::record_keys::TERM_KEY;
 
@@ -293,6 +294,44 @@
         }
     }
 
+    /// Writes the blocked prompt parts to the store if they have changed, so that they outlast all hosts. After a failed
+    /// call, the next renewal tries again.
+    async fn store_blocked_parts(&self) {
+        let state = &self.state;
+        let now = state.now();
+        let unstored = self.cell.with(|coordinator| {
+            let blocked = coordinator.parts.unstored(now)?;
+            Some((coordinator.fence, blocked))
+        });
+        let Some(Some((fence, blocked))) = unstored else {
+            return;
+        };
+        let condition = StoreCondition {
+            key: LEASE_KEY.into(),
+            revision: fence,
+        };
+        let write = StoreWrite {
+            key: BLOCKED_PARTS_KEY.into(),
+            value: serde_json::to_vec(&blocked).unwrap_or_default().into(),
+            lease: None,
+        };
+        match self.store.transact(&[condition], &[write], &[]).await {
+            Ok(outcome) => {
+                let is_written = matches!(outcome, TransactionOutcome::Done { .. });
+                info!(state.logger, "blocked prompt parts stored"; "version" => blocked.version,
+                    "parts" => blocked.parts.len(), "written" => is_written);
+                self.cell.with(|coordinator| {
+                    if is_written {
+                        coordinator.parts.record_stored(blocked.version);
+                    }
+                });
+            }
+            Err(error) => {
+                info!(state.logger, "blocked prompt parts not stored yet"; "error" => %error);
+            }
+        }
+    }
+
     /// Checks whether a claim without an answer succeeded all the same; returns its fencing number if the store holds
     /// `record`.
     async fn read_own_claim(&self, record: &LeaseRecord) -> StoreResult<Option<u64>> {
@@ -326,6 +365,7 @@
                 Ok(true) => {
                     self.state.record_store_answer(sent);
                     self.cell.renew(sent);
+                    self.store_blocked_parts().await;
                     pause = RENEW_INTERVAL;
                     if is_expired {
                         info!(self.state.logger, "coordinator lease renewed after a lapse"; "lease" => lease);
--- a/crates/host/src/event_relay.rs
+++ b/crates/host/src/event_relay.rs
@@ -5,21 +5,24 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use slog::info;
+use thiserror::Error;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use zinniahinge_platform::event_id;
+use zinniahinge_serving::BackendCandidate;
 use zinniahinge_serving::LoadGuard;
 use zinniahinge_transport::ConnectionLease;
-use zinniahinge_types::Name;
 
 use crate::backend_response::BackendResponse;
+use crate::backend_send::BackendSendError;
 use crate::backend_send::send;
 use crate::caller_response::ResponseBody;
 use crate::caller_response::StreamAborted;
 use crate::event_splitter::EventSplitter;
 use crate::forward::may_send_again;
 use crate::host_state::HostState;
+use crate::part_filter::check_parts_before_send;
 use crate::request_context::RequestContext;
 use crate::request_log::RequestLog;
 use crate::send_history::SendHistory;
@@ -32,12 +35,16 @@
 /// are silent for a second or two.
 const RESUME_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Number of events after which an answer is under way. A request that crashes its server does so when the answer
+/// begins; the first event may still arrive.
+const UNDER_WAY_EVENTS: u64 = 2;
+
 /// Shortest time before the deadline at which a stream is still resumed at another server.
 const MIN_RESUME_TIME: Duration = Duration::from_millis(300);
 
 /// An event stream from a backend server whose first events have arrived.
 pub(crate) struct OpenStream {
-    pub(crate) backend: Name,
+    target: BackendCandidate,
     first_events: Bytes,
     body: Incoming,
     lease: Option<ConnectionLease>,
@@ -51,8 +58,19 @@
     Events(Bytes),
     /// The stream ended after a complete event.
     End,
-    /// The stream can't be read further, with the reason.
-    Broken(String),
+    /// The stream can't be read further.
+    Broken(StreamFailure),
+}
+
+/// Why a stream can't be read further.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub(crate) enum StreamFailure {
+    /// The connection ended, as when the server crashes.
+    #[error("{0}")]
+    ConnectionLost(String),
+    /// This host gives the stream up: it took too long, or its events are too large.
+    #[error("{0}")]
+    Unusable(String),
 }
 
 impl OpenStream {
@@ -62,14 +80,14 @@
     /// The error is the reason why no event came.
     pub(crate) async fn start(
         response: BackendResponse,
-        backend: Name,
+        target: &BackendCandidate,
         deadline: Instant,
-    ) -> Result<Self, String> {
+    ) -> Result<Self, StreamFailure> {
         let BackendResponse {
             body, lease, guard, ..
         } = response;
         let mut stream = Self {
-            backend,
+            target: target.clone(),
             first_events: Bytes::new(),
             body,
             lease: Some(lease),
@@ -82,9 +100,13 @@
                 stream.first_events = events;
                 Ok(stream)
             }
-            Ok(StreamStep::End) => Err("the stream ended before its first event".to_owned()),
-            Ok(StreamStep::Broken(reason)) => Err(reason),
-            Err(_) => Err("no event before the deadline".to_owned()),
+            Ok(StreamStep::End) => Err(StreamFailure::ConnectionLost(
+                "the stream ended before its first event".to_owned(),
+            )),
+            Ok(StreamStep::Broken(failure)) => Err(failure),
+            Err(_) => Err(StreamFailure::Unusable(
+                "no event before the deadline".to_owned(),
+            )),
         }
     }
 
@@ -94,11 +116,13 @@
             match self.body.frame().await {
                 None if self.splitter.is_between_events() => return StreamStep::End,
                 None => {
-                    return StreamStep::Broken(
+                    return StreamStep::Broken(StreamFailure::ConnectionLost(
                         "the stream ended in the middle of an event".to_owned(),
-                    );
+                    ));
+                }
+                Some(Err(error)) => {
+                    return StreamStep::Broken(StreamFailure::ConnectionLost(error.to_string()));
                 }
-                Some(Err(error)) => return StreamStep::Broken(error.to_string()),
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else {
                         continue;
@@ -108,7 +132,9 @@
                         return StreamStep::Events(events);
                     }
                     if self.splitter.is_too_long() {
-                        return StreamStep::Broken("an event exceeds the size limit".to_owned());
+                        return StreamStep::Broken(StreamFailure::Unusable(
+                            "an event exceeds the size limit".to_owned(),
+                        ));
                     }
                 }
             }
@@ -148,11 +174,16 @@
     ) {
         let opened_at = Instant::now();
         let mut is_resumed = false;
+        let mut is_under_way = false;
         let mut last_event: Option<String> = None;
         let mut events = std::mem::take(&mut stream.first_events);
         loop {
             if !events.is_empty() {
                 self.log.events += count_events(&events);
+                if !is_under_way && self.log.events >= UNDER_WAY_EVENTS {
+                    is_under_way = true;
+                    self.record_progress();
+                }
                 if let Some(id) = last_event_id(&events) {
                     last_event = Some(id);
                 }
@@ -161,7 +192,7 @@
                 }
             }
             let waiting_since = Instant::now();
-            let reason = match self.next_step(&mut stream).await {
+            let failure = match self.next_step(&mut stream).await {
                 StreamStep::Events(next) => {
                     self.log.record_event_gap(waiting_since.elapsed());
                     events = next;
@@ -172,6 +203,9 @@
                         lease.return_to_pool();
                     }
                     stream.guard.load().count_success();
+                    if !is_under_way {
+                        self.record_progress();
+                    }
                     if !is_resumed {
                         let (tokens, time) =
                             (self.context.facts.output_tokens, opened_at.elapsed());
@@ -181,15 +215,19 @@
                     self.log.finish("served", 200);
                     return;
                 }
-                StreamStep::Broken(reason) => reason,
+                StreamStep::Broken(failure) => failure,
             };
+            if !is_under_way && matches!(failure, StreamFailure::ConnectionLost(_)) {
+                let (facts, now) = (&self.context.facts, self.state.now());
+                self.state.parts().record_cut(facts, &stream.target, now);
+            }
             let load = stream.guard.load().clone();
             load.count_failure();
             load.avoid(self.state.now());
             info!(self.state.logger, "event stream interrupted"; "id" => &*self.context.facts.attempt_id,
-                "backend" => &*stream.backend, "events" => self.log.events,
-                "parts" => self.context.facts.shared_parts_text(), "reason" => &reason);
-            self.history.record_possible_run(&stream.backend);
+                "backend" => &*stream.target.entry.id, "events" => self.log.events,
+                "parts" => self.context.facts.shared_parts_text(), "reason" => %failure);
+            self.history.record_possible_run(&stream.target.entry.id);
             // Ends the run at this server before another server continues it.
             drop(stream);
             match self.resume(last_event.as_deref()).await {
@@ -207,11 +245,19 @@
         }
     }
 
+    /// Records that the answer is under way, so that no part of the prompt crashes the server at its start.
+    fn record_progress(&self) {
+        let (facts, now) = (&self.context.facts, self.state.now());
+        self.state.parts().record_progress(facts, now);
+    }
+
     /// Reads the next events, within the deadline and, for a resumable stream, within [`RESUME_IDLE_TIMEOUT`].
     async fn next_step(&self, stream: &mut OpenStream) -> StreamStep {
         // The time-out below never fires on a stream that always has an event ready.
         if Instant::now() >= self.context.deadline {
-            return StreamStep::Broken("the request's deadline has passed".to_owned());
+            return StreamStep::Broken(StreamFailure::Unusable(
+                "the request's deadline has passed".to_owned(),
+            ));
         }
         let next_event_deadline = if self.context.rule.kind.is_repeatable() {
             self.context
@@ -222,7 +268,9 @@
         };
         match tokio::time::timeout_at(next_event_deadline, stream.next()).await {
             Ok(next_step) => next_step,
-            Err(_) => StreamStep::Broken("no event within the time limit".to_owned()),
+            Err(_) => StreamStep::Broken(StreamFailure::Unusable(
+                "no event within the time limit".to_owned(),
+            )),
         }
     }
 
@@ -242,6 +290,7 @@
             if !state.retries.for_service(&context.service).try_retry() {
                 return None;
             }
+            check_parts_before_send(state, &context.facts).ok()?;
             let backend = target.entry.id.clone();
             self.log.delivered_sends += 1;
             self.log.backend = Some(backend.clone());
@@ -252,10 +301,15 @@
                     if response.metadata.status.is_success()
                         && response.metadata.has_original_body() =>
                 {
-                    OpenStream::start(response, backend.clone(), context.deadline).await
+                    OpenStream::start(response, &target, context.deadline).await
                 }
-                Ok(response) => Err(response.metadata.status.to_string()),
-                Err(end) => Err(end.to_string()),
+                Ok(response) => Err(StreamFailure::Unusable(
+                    response.metadata.status.to_string(),
+                )),
+                Err(BackendSendError::ConnectionLost(reason)) => {
+                    Err(StreamFailure::ConnectionLost(reason))
+                }
+                Err(end) => Err(StreamFailure::Unusable(end.to_string())),
             };
             match opened {
                 Ok(stream) => {
@@ -263,9 +317,13 @@
                         "id" => &*context.facts.attempt_id, "backend" => &*backend, "after" => last_event);
                     return Some(stream);
                 }
-                Err(reason) => {
+                Err(failure) => {
+                    if matches!(failure, StreamFailure::ConnectionLost(_)) {
+                        let now = state.now();
+                        state.parts().record_cut(&context.facts, &target, now);
+                    }
                     info!(state.logger, "event stream not resumed at backend server";
-                        "id" => &*context.facts.attempt_id, "backend" => &*backend, "reason" => reason);
+                        "id" => &*context.facts.attempt_id, "backend" => &*backend, "reason" => %failure);
                     self.history.record_possible_run(&backend);
                 }
             }
--- a/crates/host/src/filters.rs
+++ b/crates/host/src/filters.rs
@@ -23,6 +23,7 @@
 use crate::caller_response::RefusalKind;
 use crate::caller_response::Result;
 use crate::host_state::HostState;
+use crate::part_filter::check_parts;
 use crate::request_context::RequestContext;
 
 /// Delay after which callers are told to retry while this host can't tell whether keys were withdrawn. Mostly the store
@@ -51,6 +52,7 @@
         slog::info!(state.logger, "request headers rejected"; "fault" => %fault);
         Refusal::not_run(RefusalKind::BadHeaders)
     })?;
+    check_parts(state, &facts)?;
     let (body, reservation) = bodies.read(body, &config.limits).await?;
     let service = rule.service(rand::random()).cloned();
     let service = service.ok_or(Refusal::not_run(RefusalKind::NoBackend))?;
--- a/crates/host/src/fleet_reporter.rs
+++ b/crates/host/src/fleet_reporter.rs
@@ -9,11 +9,13 @@
 use zinniahinge_serving::LIVENESS_INTERVAL;
 use zinniahinge_types::BackendTotal;
 use zinniahinge_types::BackendUse;
+use zinniahinge_types::BlockedParts;
 use zinniahinge_types::FleetReply;
 use zinniahinge_types::FleetReport;
 use zinniahinge_types::FleetView;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
+use zinniahinge_types::PartReport;
 use zinniahinge_types::RelayedOutage;
 
 use crate::account_charge::notify_stand_in;
@@ -31,7 +33,7 @@
 const MAX_IDLE_INTERVAL: Duration = Duration::from_millis(800);
 
 /// Shortest report interval divided by the number of hosts in the fleet. Limits the coordinator to 333 reports a second.
-const INTERVAL_PER_HOST: Duration = Duration::from_millis(3);
+pub(crate) const INTERVAL_PER_HOST: Duration = Duration::from_millis(3);
 
 /// Reports this host's usage and load to the coordinator at intervals, and applies the fleet's state from the answers.
 pub(crate) struct FleetReporter {
@@ -115,7 +117,9 @@
         session: &mut ReportSession,
     ) {
         let state = &self.state;
-        let is_idle = state.uses().is_empty() && state.counters.active.get() == 0;
+        let is_idle = state.uses().is_empty()
+            && state.counters.active.get() == 0
+            && !state.parts().has_unreported_cut();
         session.idle_rounds = if is_idle { session.idle_rounds + 1 } else { 0 };
         let is_known = session.fence == holder.fence;
         if is_known
@@ -126,7 +130,7 @@
             return;
         }
         let now = state.now();
-        let report = self.build(holder, session);
+        let report = self.build(holder, session, now);
         match state.link.report(holder, &report, state).await {
             Ok(FleetReply::View(view)) => {
                 if session.fence != view.fence {
@@ -134,13 +138,14 @@
                 }
                 session.fence = view.fence;
                 session.answered_at = now;
+                state.parts().record_answer(view.fence, now);
                 state.silent_hosts().record_answer(&holder.host);
                 if session.is_unanswered {
                     info!(state.logger, "coordinator answers again"; "host" => &*holder.host,
                         "fence" => holder.fence);
                     session.is_unanswered = false;
                 }
-                self.apply(view, &report, session, now);
+                self.apply(*view, &report, session, now);
             }
             answer => {
                 state.meter().return_unreported(report.accounts);
@@ -160,7 +165,12 @@
 
     /// Builds a report of the usage and load since the last one. A new coordinator also gets the account levels that its
     /// predecessor sent to this host.
-    fn build(&self, holder: &LeaseHolder, session: &ReportSession) -> FleetReport {
+    fn build(
+        &self,
+        holder: &LeaseHolder,
+        session: &ReportSession,
+        now: MonotonicTime,
+    ) -> FleetReport {
         let state = &self.state;
         let is_new = session.fence != holder.fence;
         let (accounts, prior_levels) = {
@@ -196,6 +206,12 @@
             backends: backends.collect(),
             models: state.uses().take(),
             engine_times: state.timings().take(),
+            parts: PartReport {
+                blocked_version: table.blocked.version,
+                prior_blocked: (is_new && !table.blocked.parts.is_empty())
+                    .then(|| BlockedParts::clone(&table.blocked)),
+                ..state.parts().report(holder.fence, now)
+            },
         }
     }
 
@@ -218,6 +234,7 @@
             engines,
             store,
             store_outage,
+            blocked,
         } = view;
         let known_hosts = state.with_source(|source| source.hosts.len() as u32);
         state.set_hosts(hosts.max(known_hosts));
@@ -232,7 +249,11 @@
         session.totals.extend(changed);
         self.apply_totals(report, session);
         let now = state.now();
-        state.update(|source| source.apply_views(engines, view_version, now));
+        state.update(|source| {
+            let has_views = source.apply_views(engines, view_version, now);
+            let has_blocked = blocked.is_some_and(|blocked| source.apply_blocked(blocked, now));
+            has_views || has_blocked
+        });
         // A coordinator of an earlier version states no more than when a call last failed.
         let last_failure = store.as_ref().and_then(|reading| reading.outage_age_ms);
         let last_failure = last_failure.map(|age_ms| RelayedOutage {
--- a/crates/host/src/fleet_table.rs
+++ b/crates/host/src/fleet_table.rs
@@ -10,7 +10,9 @@
 use zinniahinge_serving::BackendLoad;
 use zinniahinge_serving::BackendPhase;
 use zinniahinge_serving::ServingConfig;
+use zinniahinge_types::BlockedParts;
 use zinniahinge_types::HostId;
+use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 
 /// The coordinator: the host that holds the coordinator lease, from its record in the store.
@@ -86,6 +88,10 @@
     pub(crate) services: HashMap<Name, Vec<BackendSlot>>,
     /// Current coordinator; `None` while no host holds the lease.
     pub(crate) holder: Option<LeaseHolder>,
+    /// Prompt parts whose requests are refused.
+    pub(crate) blocked: Arc<BlockedParts>,
+    /// When this host learned of them.
+    pub(crate) blocked_at: MonotonicTime,
 }
 
 /// Empty table for the time before the first configuration.
--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -19,8 +19,10 @@
 use crate::caller_response::Result;
 use crate::event_relay::EventRelay;
 use crate::event_relay::OpenStream;
+use crate::event_relay::StreamFailure;
 use crate::filters::recheck_key;
 use crate::host_state::HostState;
+use crate::part_filter::check_parts_before_send;
 use crate::request_context::RequestContext;
 use crate::request_log::RequestLog;
 use crate::send_history::SendHistory;
@@ -133,7 +135,7 @@
             Ok(target) => target,
             Err(refusal) => return end_with_failure(refusal, history, failed_response),
         };
-        // The choice may have waited for a model; meanwhile the key may have been withdrawn.
+        // The choice may have waited for a model; meanwhile the key may have been withdrawn or a prompt part blocked.
         if let Err(refusal) = recheck_key(state, context) {
             return end_with_failure(refusal, history, failed_response);
         }
@@ -152,6 +154,9 @@
             }
         }
         has_retry = false;
+        if let Err(refusal) = check_parts_before_send(state, &context.facts) {
+            return end_with_failure(refusal, history, failed_response);
+        }
         let backend = target.entry.id.clone();
         log.record_send(&backend);
         let sent = send_and_read(state, context, history, &target).await;
@@ -178,7 +183,13 @@
                 let pause = record_rejection(state, context, history, &target, status);
                 tokio::time::sleep(pause.min(context.time_left())).await;
             }
-            BackendSendError::MayHaveRun(_) | BackendSendError::TimedOut => {
+            BackendSendError::MayHaveRun(_)
+            | BackendSendError::ConnectionLost(_)
+            | BackendSendError::TimedOut => {
+                if matches!(error, BackendSendError::ConnectionLost(_)) {
+                    let now = state.now();
+                    state.parts().record_cut(&context.facts, &target, now);
+                }
                 history.record_possible_run(&backend);
                 failed_response = response.or(failed_response);
                 if !may_send_again(state, context, history) {
@@ -322,6 +333,11 @@
         }
         _ => read_response(context, response, deadline).await,
     };
+    if let Ok(CallerResponse::Buffered(response, _)) = &delivered
+        && response.status().is_success()
+    {
+        state.parts().record_progress(&context.facts, state.now());
+    }
     match &delivered {
         Err(_) => target.load.count_failure(),
         Ok(CallerResponse::Buffered(..)) => target.load.count_success(),
@@ -345,8 +361,11 @@
     let mut head = Response::new(());
     *head.status_mut() = response.metadata.status;
     *head.headers_mut() = ResponseMetadata::forwardable_headers(&response.headers);
-    let opened = OpenStream::start(response, target.entry.id.clone(), deadline).await;
-    let stream = opened.map_err(unusable_response)?;
+    let opened = OpenStream::start(response, target, deadline).await;
+    let stream = opened.map_err(|failure| match failure {
+        StreamFailure::ConnectionLost(reason) => BackendSendError::ConnectionLost(reason).into(),
+        StreamFailure::Unusable(reason) => unusable_response(reason),
+    })?;
     Ok(CallerResponse::Stream(head, stream))
 }
 
--- a/crates/host/src/host_process.rs
+++ b/crates/host/src/host_process.rs
@@ -206,6 +206,7 @@
         retries: RetryBudgets::new(&startup.bounds),
         uses: Mutex::new(ModelUses::default()),
         timings: Mutex::new(EngineTimings::default()),
+        parts: Mutex::default(),
         silent_hosts: Mutex::default(),
         link,
         stopping: CancellationToken::new(),
--- a/crates/host/src/host_state.rs
+++ b/crates/host/src/host_state.rs
@@ -28,6 +28,7 @@
 use crate::fleet_table::FleetTable;
 use crate::host_counters::HostCounters;
 use crate::model_uses::ModelUses;
+use crate::part_watch::PartWatch;
 use crate::peer_link::PeerLink;
 use crate::retry_budgets::RetryBudgets;
 use crate::table_source::TableSource;
@@ -61,6 +62,8 @@
     pub(crate) uses: Mutex<ModelUses>,
     /// Times that engines took for requests since the last report to the coordinator.
     pub(crate) timings: Mutex<EngineTimings>,
+    /// What requests showed about their prompt parts.
+    pub(crate) parts: Mutex<PartWatch>,
     /// Hosts that did not answer this one lately.
     pub(crate) silent_hosts: Mutex<SilentHosts>,
     /// Client for messages to other hosts.
@@ -118,6 +121,11 @@
         self.timings.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks what requests showed about their prompt parts.
+    pub(crate) fn parts(&self) -> MutexGuard<'_, PartWatch> {
+        self.parts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the hosts that did not answer lately.
     pub(crate) fn silent_hosts(&self) -> MutexGuard<'_, SilentHosts> {
         self.silent_hosts
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -21,6 +21,8 @@
 mod host_counters;
 mod host_state;
 mod model_uses;
+mod part_filter;
+mod part_watch;
 mod peer_link;
 mod peer_routes;
 mod record_keys;
--- a/crates/host/src/record_keys.rs
+++ b/crates/host/src/record_keys.rs
@@ -15,6 +15,9 @@
 /// Key of the record with the keys that authenticate messages between hosts.
 pub(crate) const PEER_KEYS_KEY: &str = "zinniahinge/peer-keys";
 
+/// Key of the record with the blocked prompt parts.
+pub(crate) const BLOCKED_PARTS_KEY: &str = "zinniahinge/blocked-parts";
+
 /// Prefix of the keys of host records; the host's name follows.
 pub(crate) const HOSTS_PREFIX: &str = "zinniahinge/hosts/";
 
--- a/crates/host/src/store_relay.rs
+++ b/crates/host/src/store_relay.rs
@@ -215,6 +215,5 @@
 
 /// Returns the time `age_ms` before `time`, no earlier than the clock's origin.
 fn earlier(time: MonotonicTime, age_ms: u64) -> MonotonicTime {
-    let age = Duration::from_millis(age_ms);
-    MonotonicTime::from_origin(time.since_origin().saturating_sub(age))
+    time.before(Duration::from_millis(age_ms))
 }
--- a/crates/host/src/table_source.rs
+++ b/crates/host/src/table_source.rs
@@ -11,6 +11,7 @@
 use zinniahinge_serving::ChangeLog;
 use zinniahinge_serving::ServingConfig;
 use zinniahinge_serving::candidate_order;
+use zinniahinge_types::BlockedParts;
 use zinniahinge_types::EngineModels;
 use zinniahinge_types::HostPower;
 use zinniahinge_types::MonotonicTime;
@@ -65,6 +66,8 @@
     /// Version of the views; 0 asks the coordinator for all of them.
     pub(crate) view_version: u64,
     views_received_at: MonotonicTime,
+    /// Prompt parts whose requests are refused, and when this host learned of them.
+    blocked: (Arc<BlockedParts>, MonotonicTime),
     /// Load counters by backend server and time of its start, so that a restarted server starts with new ones.
     loads: HashMap<(Name, u64), Arc<BackendLoad>>,
 }
@@ -85,6 +88,7 @@
             views: HashMap::new(),
             view_version: 0,
             views_received_at: MonotonicTime::ZERO,
+            blocked: Default::default(),
             loads: HashMap::new(),
         }
     }
@@ -134,6 +138,16 @@
         is_changed
     }
 
+    /// Applies blocked prompt parts from the coordinator or the store; returns true if they are newer than the known
+    /// ones.
+    pub(crate) fn apply_blocked(&mut self, blocked: BlockedParts, now: MonotonicTime) -> bool {
+        let is_newer = blocked.version > self.blocked.0.version;
+        if is_newer {
+            self.blocked = (Arc::new(blocked), now);
+        }
+        is_newer
+    }
+
     /// Removes a model, or one adapter of it, that a backend server denied holding, until the next view lists it again.
     /// Returns true if the view listed it.
     pub(crate) fn forget_model(
@@ -192,6 +206,8 @@
             config: self.config.clone(),
             services,
             holder: self.holder.clone(),
+            blocked: self.blocked.0.clone(),
+            blocked_at: self.blocked.1,
         }
     }
 }
--- a/crates/host/tests/crashing_parts.rs
+++ b/crates/host/tests/crashing_parts.rs
@@ -40,7 +40,6 @@
 
 /// Three hosts in front of eight engines that hold the same model and crash on the part.
 struct CrashBed {
-    store: PlatformStore,
     engines: Vec<BackendServer>,
     fleet: HostFleet,
     hosts: Vec<HostProcess>,
@@ -71,7 +70,6 @@
             hosts.push(fleet.start(name).await?);
         }
         Ok(Self {
-            store,
             engines,
             fleet,
             hosts,
--- a/crates/types/src/fleet_message.rs
+++ b/crates/types/src/fleet_message.rs
@@ -6,8 +6,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::BlockedParts;
 use crate::HostId;
 use crate::Name;
+use crate::PartReport;
 use crate::RelayedOutage;
 use crate::Revision;
 use crate::StoreUpdate;
@@ -45,6 +47,9 @@
     /// them: they are samples, not counts.
     #[serde(default)]
     pub engine_times: Vec<EngineTimes>,
+    /// What the sender's requests showed about the parts of their prompts. Empty in reports of earlier versions.
+    #[serde(default)]
+    pub parts: PartReport,
 }
 
 /// Gives a client account's level as an earlier coordinator last sent it, so that a new one does not start from
@@ -119,7 +124,7 @@
     /// The receiver is not the coordinator.
     NotHolder,
     /// State of the fleet, as far as it changed since the versions in the report.
-    View(FleetView),
+    View(Box<FleetView>),
 }
 
 /// Describes the fleet's usage and load to one host, which admits and routes requests by it until the next reply.
@@ -147,6 +152,9 @@
     /// than the coordinator, as happens when the store rejects only the coordinator. Absent from earlier versions.
     #[serde(default)]
     pub store_outage: Option<RelayedOutage>,
+    /// Blocked prompt parts, if the sender of the report knows an older version of them.
+    #[serde(default)]
+    pub blocked: Option<BlockedParts>,
 }
 
 /// States how much of its quota a client account may still use, over all hosts.
--- a/crates/types/src/monotonic_time.rs
+++ b/crates/types/src/monotonic_time.rs
@@ -26,6 +26,11 @@
         self.0
     }
 
+    /// Returns the reading that is `age` earlier; the origin of the clock if that is later.
+    pub fn before(self, age: Duration) -> Self {
+        Self(self.0.saturating_sub(age))
+    }
+
     /// Returns the time from `earlier` to `self`; zero if `earlier` is later.
     pub fn since(self, earlier: Self) -> Duration {
         self.0.saturating_sub(earlier.0)
