Don't trust a rejection that names no request on a reused connection

Cause: a faulty server writes an earlier rejection once more on a kept connection. If the copy names its attempt, it was recognized; without the id it was taken for the answer to the next request on that connection, which the server then runs.

Evidence: a_duplicate_rejection_without_an_id_is_not_taken_for_the_next_response failed before: a booking ran twice and its caller was told 503 "not run". It passes now.

Why it works: the pool says whether a connection had an exchange before. A rejection that names no request counts only on a new connection; on a reused one the request may have run, and the connection is closed. Rejections that name the attempt are trusted as before. Whether this is what the users saw on real machines is not known: they kept no logs.

--- a/crates/host/src/backend_send.rs
+++ b/crates/host/src/backend_send.rs
@@ -90,7 +90,9 @@
         Err(failure) => return Err(record_failure(state, target, failure)),
     };
     let PooledExchange {
-        response, lease, ..
+        response,
+        lease,
+        is_reused,
     } = exchange;
     let (head, body) = response.into_parts();
     let metadata = ResponseMetadata::read(head.status, &head.headers, &context.facts.attempt_id);
@@ -100,6 +102,12 @@
             "the response belongs to another request".to_owned(),
         ));
     }
+    if metadata.states_not_executed && !metadata.names_attempt && is_reused {
+        target.load.count_failure();
+        return Err(BackendSendError::MayHaveRun(
+            "the rejection names no request, it may be an earlier one".to_owned(),
+        ));
+    }
     if let Some(sample) = metadata.load {
         target.load.record_sample(sample, state.now());
     }
--- a/crates/host/tests/late_answers.rs
+++ b/crates/host/tests/late_answers.rs
@@ -50,9 +50,20 @@
 /// which does run.
 #[tokio::test]
 async fn a_duplicate_rejection_is_not_taken_for_the_next_response() -> Outcome {
+    check_duplicate_rejections(BackendFault::LateRefusal).await
+}
+
+/// Guards against a second copy of a rejection that names no request and is mistaken for the response to the next request
+/// on the connection, which does run.
+#[tokio::test]
+async fn a_duplicate_rejection_without_an_id_is_not_taken_for_the_next_response() -> Outcome {
+    check_duplicate_rejections(BackendFault::LateBareRefusal).await
+}
+
+async fn check_duplicate_rejections(fault: BackendFault) -> Outcome {
     let bed = TestBed::start().await?;
     for server in &bed.plain {
-        server.set_fault(BackendFault::LateRefusal);
+        server.set_fault(fault);
     }
     for round in 0..20 {
         let id = format!("refused-{round}");
--- a/crates/transport/src/http_pool.rs
+++ b/crates/transport/src/http_pool.rs
@@ -187,7 +187,12 @@
         let mut request = request;
         while let Some(connection) = self.idle.take(address, rule) {
             match self.exchange(connection, address, request, deadline).await {
-                Ok(exchange) => return Ok(exchange),
+                Ok(exchange) => {
+                    return Ok(PooledExchange {
+                        is_reused: true,
+                        ..exchange
+                    });
+                }
                 Err((_, Some(unsent))) => request = unsent,
                 Err((failure, None)) => return Err(failure),
             }
@@ -227,7 +232,11 @@
             idle_time: self.idle_time(response.headers()),
             idle: self.idle.clone(),
         };
-        Ok(PooledExchange { response, lease })
+        Ok(PooledExchange {
+            response,
+            lease,
+            is_reused: false,
+        })
     }
 
     /// Sets up a new connection within the connect time-out or until `deadline`, whichever ends first.
--- a/crates/transport/src/pooled_exchange.rs
+++ b/crates/transport/src/pooled_exchange.rs
@@ -30,6 +30,8 @@
     pub response: Response<Incoming>,
     /// Connection of the response. If it is dropped before the body was read to its end, the connection is closed.
     pub lease: ConnectionLease,
+    /// True if the connection had an exchange before. Late bytes of that one may have come first.
+    pub is_reused: bool,
 }
 
 /// Holds a pooled connection while it is in use. Dropping it closes the connection.
