--- a/crates/host/src/store_follower.rs
+++ b/crates/host/src/store_follower.rs
@@ -67,6 +67,9 @@
         loop {
             let sent = self.state.now();
             if let Err(error) = self.list().await {
+                if self.failures.load(Ordering::Relaxed) == 0 {
+                    warn!(self.state.logger, "store not listed, trying again"; "error" => %error);
+                }
                 self.handle_failure(&error, sent).await;
                 continue;
             }
