Stop sending to servers that leave, and grant servers the pauses that they ask for

A server that rejects a request with 503 and Retry-After got more at once. When all servers of a route did so, callers waited until their deadline and were told a wrong time.

Cause: both headers were not read. Whether a server may be sent to was decided from the store's entry alone, in several places.

Why it works: SendBar decides from the entry, what this host heard from that run of the server, and the clock; the choice of a server, the wait for a placement and each send ask it, resumed streams and repeats among them. What a run said is kept while it may be listed again. The coordinator hears of leaving runs with the reports, plans no loads on them, and passes them on. The later end of several pauses holds; hosts return up to 0.5 s apart. If all servers that could run a request pause, it waits if its caller can, otherwise it is refused at once with the time of the first return. The reason stands in the request line (barred) and in host_sends_total.

--- a/crates/host/src/backend_send.rs
+++ b/crates/host/src/backend_send.rs
@@ -4,13 +4,16 @@
 use http::Request;
 use http::StatusCode;
 use http_body_util::Full;
+use slog::info;
 use thiserror::Error;
 use tokio::time::Instant;
 use zinniahinge_platform::BackendHeaders;
+use zinniahinge_platform::PauseRequest;
 use zinniahinge_platform::ResponseMetadata;
 use zinniahinge_platform::set_resume_point;
 use zinniahinge_serving::BackendCandidate;
 use zinniahinge_serving::LoadGuard;
+use zinniahinge_serving::SendBar;
 use zinniahinge_transport::PooledExchange;
 use zinniahinge_transport::ReuseRule;
 use zinniahinge_transport::SendFailure;
@@ -24,9 +27,16 @@
 /// that were idle for several seconds, and a request written just then may or may not have been read.
 const MAX_NON_REPEATABLE_IDLE: Duration = Duration::from_secs(3);
 
+/// A pause is longer by a random part of up to this share of it, one tenth, and at most [`MAX_PAUSE_SPREAD`].
+const PAUSE_SPREAD_SHARE: u32 = 10;
+const MAX_PAUSE_SPREAD: Duration = Duration::from_millis(500);
+
 /// Why a send to a backend server gave no usable response, and whether the request may have run.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub(crate) enum BackendSendError {
+    /// Nothing was sent, because the server leaves or wants a pause.
+    #[error("request not sent, the server is {}", .0.name())]
+    Barred(SendBar),
     /// No byte of the request was written.
     #[error("request not sent: {0}")]
     NotSent(String),
@@ -48,6 +58,7 @@
     /// Value of the metric label.
     pub(crate) fn label(&self) -> &'static str {
         match self {
+            Self::Barred(bar) => bar.name(),
             Self::NotSent(_) => "not-sent",
             Self::NotRun(_) => "not-run",
             Self::MayHaveRun(_) => "may-have-run",
@@ -70,6 +81,9 @@
     resume_after: Option<&str>,
     deadline: Instant,
 ) -> Result<BackendResponse, BackendSendError> {
+    if let Some(bar) = SendBar::find(&target.entry, &target.load, state.now()) {
+        return Err(BackendSendError::Barred(bar));
+    }
     let guard = LoadGuard::new(target.load.clone(), context.facts.prompt_tokens);
     let request =
         build_request(context, target, resume_after).map_err(BackendSendError::NotSent)?;
@@ -96,6 +110,7 @@
     } = exchange;
     let (head, body) = response.into_parts();
     let metadata = ResponseMetadata::read(head.status, &head.headers, &context.facts.attempt_id);
+    apply_server_wishes(state, context, target, &metadata);
     if metadata.is_for_other_attempt {
         target.load.count_failure();
         return Err(BackendSendError::MayHaveRun(
@@ -126,6 +141,37 @@
     Ok(response)
 }
 
+/// Notes that the server leaves or wants a pause. Hosts come back from a pause at different times, so that the server isn't
+/// met by all of them at once.
+fn apply_server_wishes(
+    state: &HostState,
+    context: &RequestContext,
+    target: &BackendCandidate,
+    metadata: &ResponseMetadata,
+) {
+    let (id, backend) = (&*context.facts.attempt_id, &*target.entry.id);
+    if metadata.is_leaving && target.load.mark_leaving() {
+        info!(state.logger, "backend server says that it leaves"; "id" => id, "backend" => backend,
+            "phase" => ?target.entry.phase);
+        // The next plan and the next report leave the server out.
+        state.update(|_| true);
+    }
+    match &metadata.pause {
+        PauseRequest::None => {}
+        PauseRequest::For(pause) => {
+            let spread = (*pause / PAUSE_SPREAD_SHARE).min(MAX_PAUSE_SPREAD);
+            let pause = *pause + spread.mul_f64(rand::random());
+            target.load.pause(state.now() + pause);
+            info!(state.logger, "backend server asks for a pause"; "id" => id, "backend" => backend,
+                "pause_ms" => pause.as_millis() as u64);
+        }
+        PauseRequest::Unreadable(value) => {
+            info!(state.logger, "pause of a backend server ignored, it is not a number of seconds";
+                "id" => id, "backend" => backend, "value" => value);
+        }
+    }
+}
+
 /// Builds the request for the backend server: the caller's method, path and body with the system's own headers.
 fn build_request(
     context: &RequestContext,
--- a/crates/host/src/caller_response.rs
+++ b/crates/host/src/caller_response.rs
@@ -97,6 +97,8 @@
     RateLimited,
     /// No backend server of the service is available.
     NoBackend,
+    /// All backend servers that could run the request asked for a pause.
+    ServersPaused,
     /// A part of the request's prompt crashes backend servers.
     PartBlocked,
     /// The model is not loaded and can't be loaded in time.
@@ -124,6 +126,7 @@
             Self::BodyTooSlow => "body-too-slow",
             Self::RateLimited => "rate-limited",
             Self::NoBackend => "no-backend",
+            Self::ServersPaused => "servers-paused",
             Self::PartBlocked => "prompt-part-blocked",
             Self::ModelUnavailable => "model-unavailable",
             Self::Overloaded => "overloaded",
@@ -144,6 +147,7 @@
             Self::NoConfiguration
             | Self::StaleConfiguration
             | Self::NoBackend
+            | Self::ServersPaused
             | Self::PartBlocked
             | Self::ModelUnavailable
             | Self::Overloaded
--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -9,6 +9,8 @@
 use slog::info;
 use slog::warn;
 use tokio::sync::Notify;
+use zinniahinge_serving::BackendEntry;
+use zinniahinge_serving::BackendPhase;
 use zinniahinge_serving::CoordinatorTerm;
 use zinniahinge_serving::CoordinatorTimes;
 use zinniahinge_serving::FleetLedger;
@@ -16,6 +18,7 @@
 use zinniahinge_serving::Placement;
 use zinniahinge_serving::ResidencyPlanner;
 use zinniahinge_serving::ResidencySettings;
+use zinniahinge_types::BackendRun;
 use zinniahinge_types::EngineModels;
 use zinniahinge_types::FleetCharge;
 use zinniahinge_types::FleetChargeReply;
@@ -44,6 +47,9 @@
 /// Shortest time after which a held placement request is decided again, unless an order for its model ends before.
 const PLACE_RECHECK_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Shortest time between two decisions on prompt parts, so that a report costs the same in a large fleet.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Shortest time within which all hosts report what they saw: two reports of a small fleet.
 const MIN_REPORT_LAG: Duration = Duration::from_millis(600);
 
@@ -55,6 +61,10 @@
     pub(crate) ledger: FleetLedger,
     /// Prompt parts that crash backend servers.
     pub(crate) parts: PartLedger,
+    /// Backend servers that say that they leave while the store lists them as ready, as of `settled_at`.
+    leaving: Vec<BackendRun>,
+    /// When the prompt parts were last decided on.
+    settled_at: MonotonicTime,
 }
 
 /// The term and the coordinator's state; both are empty while another host coordinates.
@@ -82,6 +92,8 @@
             planners: HashMap::new(),
             ledger,
             parts,
+            leaving: Vec::new(),
+            settled_at: now,
         }
     }
 
@@ -111,7 +123,13 @@
             planner.set_spec(spec.clone());
             let backends = table.backends(&service);
             for slot in backends {
-                planner.observe_entry(&slot.entry, now);
+                if slot.leaves_unlisted() {
+                    let mut entry = BackendEntry::clone(&slot.entry);
+                    entry.phase = BackendPhase::Leaving;
+                    planner.observe_entry(&entry, now);
+                } else {
+                    planner.observe_entry(&slot.entry, now);
+                }
             }
             let listed: HashSet<&Name> = backends.iter().map(|slot| &slot.entry.id).collect();
             planner.retain_engines(|id| listed.contains(id));
@@ -181,8 +199,13 @@
         let accounts = table.accounts();
         self.settle(&table, now);
         self.ledger.apply(report, accounts, now);
+        self.state.mark_leaving(&report.leaving);
         self.parts.apply(&report.host, &report.parts, now);
-        self.settle_parts(now);
+        if now.since(self.settled_at) >= SETTLE_INTERVAL {
+            self.settled_at = now;
+            self.leaving = table.leaving_unlisted();
+            self.settle_parts(now);
+        }
         for used in &report.models {
             if let Some(planner) = self.planners.get_mut(&used.service) {
                 let tokens = (used.prompt_tokens, used.output_tokens);
@@ -226,6 +249,7 @@
                 .store_revision
                 .and_then(|after| reading_since(&self.state, after)),
             store_outage: relayed_outage(&self.state),
+            leaving: self.leaving.clone(),
             blocked: self.parts.changes_since(report.parts.blocked_version, now),
         }
     }
--- a/crates/host/src/fleet_reporter.rs
+++ b/crates/host/src/fleet_reporter.rs
@@ -212,6 +212,7 @@
                     .then(|| BlockedParts::clone(&table.blocked)),
                 ..state.parts().report(holder.fence, now)
             },
+            leaving: table.leaving_unlisted(),
         }
     }
 
@@ -235,6 +236,7 @@
             store,
             store_outage,
             blocked,
+            leaving,
         } = view;
         let known_hosts = state.with_source(|source| source.hosts.len() as u32);
         state.set_hosts(hosts.max(known_hosts));
@@ -254,6 +256,7 @@
             let has_blocked = blocked.is_some_and(|blocked| source.apply_blocked(blocked, now));
             has_views || has_blocked
         });
+        state.mark_leaving(&leaving);
         // A coordinator of an earlier version states no more than when a call last failed.
         let last_failure = store.as_ref().and_then(|reading| reading.outage_age_ms);
         let last_failure = last_failure.map(|age_ms| RelayedOutage {
--- a/crates/host/src/fleet_table.rs
+++ b/crates/host/src/fleet_table.rs
@@ -9,7 +9,9 @@
 use zinniahinge_serving::BackendEntry;
 use zinniahinge_serving::BackendLoad;
 use zinniahinge_serving::BackendPhase;
+use zinniahinge_serving::SendBar;
 use zinniahinge_serving::ServingConfig;
+use zinniahinge_types::BackendRun;
 use zinniahinge_types::BlockedParts;
 use zinniahinge_types::HostId;
 use zinniahinge_types::MonotonicTime;
@@ -65,9 +67,14 @@
 }
 
 impl BackendSlot {
-    /// True if new requests may be sent to it; false while it drains.
-    pub(crate) fn is_accepting(&self) -> bool {
-        self.entry.phase == BackendPhase::Ready
+    /// Why no request may be sent to it now; `None` if one may.
+    pub(crate) fn bar(&self, now: MonotonicTime) -> Option<SendBar> {
+        SendBar::find(&self.entry, &self.load, now)
+    }
+
+    /// True if it says that it leaves while the store lists it as ready.
+    pub(crate) fn leaves_unlisted(&self) -> bool {
+        self.load.is_leaving() && self.entry.phase == BackendPhase::Ready
     }
 
     /// True if it holds the model and, if one is given, the adapter.
@@ -109,6 +116,17 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Runs of backend servers that say that they leave while the store lists them as ready.
+    pub(crate) fn leaving_unlisted(&self) -> Vec<BackendRun> {
+        let slots = self.services.values().flatten();
+        let leaving = slots.filter(|slot| slot.leaves_unlisted());
+        let runs = leaving.map(|slot| BackendRun {
+            backend: slot.entry.id.clone(),
+            born_ms: slot.entry.born_ms,
+        });
+        runs.collect()
+    }
+
     /// Finds a backend server of a service by its id.
     pub(crate) fn backend(&self, service: &str, id: &str) -> Option<&BackendSlot> {
         self.backends(service)
--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -8,6 +8,7 @@
 use zinniahinge_platform::ResponseMetadata;
 use zinniahinge_serving::BackendCandidate;
 use zinniahinge_serving::RouteKind;
+use zinniahinge_serving::SendBar;
 
 use crate::backend_response::BackendResponse;
 use crate::backend_response::BufferedResponse;
@@ -107,6 +108,7 @@
                 (refusal.to_response(), refusal.kind.name())
             }
         };
+    log.bar = history.bar;
     log.finish(outcome, response.status().as_u16());
     response
 }
@@ -178,6 +180,7 @@
             .with_label_values(&[error.label()])
             .inc();
         match error {
+            BackendSendError::Barred(bar) => history.record_bar(&backend, bar),
             BackendSendError::NotSent(_) => history.record_unreachable(&backend),
             BackendSendError::NotRun(status) => {
                 let pause = record_rejection(state, context, history, &target, status);
@@ -269,6 +272,12 @@
     status: StatusCode,
 ) -> Duration {
     let backend = &target.entry.id;
+    if let Some(bar @ SendBar::Paused { .. }) =
+        SendBar::find(&target.entry, &target.load, state.now())
+    {
+        history.record_bar(backend, bar);
+        return Duration::ZERO;
+    }
     let Some(model) = &context.facts.model else {
         history.exclude(backend);
         return if history.delivered_sends > 1 {
@@ -416,7 +425,10 @@
 impl FailedSend {
     /// True if no byte of the request was written.
     fn is_unsent(&self) -> bool {
-        matches!(self.error, BackendSendError::NotSent(_))
+        matches!(
+            self.error,
+            BackendSendError::NotSent(_) | BackendSendError::Barred(_)
+        )
     }
 }
 
--- a/crates/host/src/host_state.rs
+++ b/crates/host/src/host_state.rs
@@ -19,6 +19,7 @@
 use zinniahinge_serving::WatchRole;
 use zinniahinge_telemetry::BootClock;
 use zinniahinge_transport::HttpPool;
+use zinniahinge_types::BackendRun;
 use zinniahinge_types::FleetCharge;
 use zinniahinge_types::FleetChargeReply;
 use zinniahinge_types::HostId;
@@ -181,6 +182,23 @@
         }
     }
 
+    /// Records runs of backend servers that other hosts say leave, and publishes a new table if this host did not know.
+    pub(crate) fn mark_leaving(&self, runs: &[BackendRun]) {
+        if runs.is_empty() {
+            return;
+        }
+        let table = self.table.load();
+        let slots = table.services.values().flatten();
+        let named = slots.filter(|slot| {
+            let mut runs = runs.iter();
+            runs.any(|run| run.backend == slot.entry.id && run.born_ms == slot.entry.born_ms)
+        });
+        let new = named.filter(|slot| slot.load.mark_leaving());
+        if new.count() > 0 {
+            self.update(|_| true);
+        }
+    }
+
     /// Records that the store answered a call that was sent at `sent`. To be called before the answer is applied.
     pub(crate) fn record_store_answer(&self, sent: MonotonicTime) {
         let now = self.now();
--- a/crates/host/src/request_log.rs
+++ b/crates/host/src/request_log.rs
@@ -3,6 +3,7 @@
 
 use slog::info;
 use tokio::time::Instant;
+use zinniahinge_serving::SendBar;
 use zinniahinge_types::Name;
 
 use crate::host_state::HostState;
@@ -22,6 +23,8 @@
     /// Version of the configuration.
     config: Option<u64>,
     pub(crate) backend: Option<Name>,
+    /// Why a backend server was last left out, although it could have run the request.
+    pub(crate) bar: Option<SendBar>,
     /// Sends that reached a backend server.
     pub(crate) delivered_sends: u32,
     /// Events that were relayed to the caller.
@@ -50,6 +53,7 @@
             parts: None,
             config: None,
             backend: None,
+            bar: None,
             delivered_sends: 0,
             events: 0,
             longest_event_gap: None,
@@ -113,7 +117,8 @@
         info!(self.state.logger, "request"; "id" => &*self.id, "outcome" => outcome, "status" => status,
             "route" => self.route.as_deref(), "service" => self.service.as_deref(),
             "account" => self.account.as_deref(), "model" => self.model.as_deref(),
-            "parts" => self.parts.as_deref(), "backend" => self.backend.as_deref(), "arrivals" => self.delivered_sends, "events" => self.events,
+            "parts" => self.parts.as_deref(), "backend" => self.backend.as_deref(),
+            "barred" => self.bar.map(SendBar::name), "arrivals" => self.delivered_sends, "events" => self.events,
             "pause_ms" => millis(self.longest_event_gap), "sent_ms" => millis(self.first_send),
             "answer_ms" => millis(self.first_response),
             "total_ms" => self.arrived.elapsed().as_millis() as u64,
--- a/crates/host/src/send_history.rs
+++ b/crates/host/src/send_history.rs
@@ -1,4 +1,5 @@
 use smallvec::SmallVec;
+use zinniahinge_serving::SendBar;
 use zinniahinge_types::Name;
 
 /// Sends of one request to backend servers so far, and how they ended.
@@ -16,6 +17,8 @@
     pub(crate) missing_model_at: Option<Name>,
     /// Backend server that could not be reached, until the coordinator is told.
     pub(crate) unreported_unreachable: Option<Name>,
+    /// Why a backend server was last left out, although it could have run the request.
+    pub(crate) bar: Option<SendBar>,
     /// Sends that reached a backend server.
     pub(crate) delivered_sends: u32,
 }
@@ -55,6 +58,12 @@
         self.excluded.contains(backend)
     }
 
+    /// Records that a server may not be sent to now, and excludes it from the next choices.
+    pub(crate) fn record_bar(&mut self, backend: &Name, bar: SendBar) {
+        self.bar = Some(bar);
+        self.exclude(backend);
+    }
+
     /// Records that a server could not be reached, and excludes it from the next choices.
     pub(crate) fn record_unreachable(&mut self, backend: &Name) {
         self.unreported_unreachable = Some(backend.clone());
--- a/crates/host/src/table_source.rs
+++ b/crates/host/src/table_source.rs
@@ -29,6 +29,9 @@
 /// Age of the coordinator's newest views from which a server's own entry in the store takes precedence over them.
 const VIEW_MAX_AGE: Duration = Duration::from_secs(5);
 
+/// Largest number of runs that are not listed of which the load is kept, because they leave or pause.
+const MAX_UNLISTED_LOADS: usize = 4096;
+
 /// A host of the fleet as its record in the store describes it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct KnownHost {
@@ -172,6 +175,13 @@
         adapters.len() != count
     }
 
+    /// Drops loads of runs that are not listed if there are too many.
+    fn drop_surplus_loads(&mut self, alive: &HashSet<(Name, u64)>) {
+        if self.loads.len() > alive.len() + MAX_UNLISTED_LOADS {
+            self.loads.retain(|run, _| alive.contains(run));
+        }
+    }
+
     /// Builds the table from the current state. Drops expired entries, and loads and views of servers that are gone.
     pub(crate) fn build(&mut self, now: MonotonicTime) -> FleetTable {
         self.roster.expire(now);
@@ -199,7 +209,11 @@
                 models: Arc::new(models),
             });
         }
-        self.loads.retain(|run, _| alive.contains(run));
+        // A run that leaves or pauses may be listed again.
+        self.loads.retain(|run, load| {
+            alive.contains(run) || load.is_leaving() || load.paused_until(now).is_some()
+        });
+        self.drop_surplus_loads(&alive);
         self.views
             .retain(|id, _| alive.iter().any(|run| run.0 == *id));
         FleetTable {
--- a/crates/host/src/target_choice.rs
+++ b/crates/host/src/target_choice.rs
@@ -5,6 +5,8 @@
 use zinniahinge_serving::BackendCandidate;
 use zinniahinge_serving::BackendChooser;
 use zinniahinge_serving::ChooserWeights;
+use zinniahinge_serving::SendBar;
+use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 use zinniahinge_types::PlacementReply;
 use zinniahinge_types::PlacementRequest;
@@ -51,15 +53,69 @@
     context: &RequestContext,
     history: &mut SendHistory,
 ) -> Result<BackendCandidate> {
-    match &context.facts.model {
-        None => target_without_model(state, context, history),
-        Some(model) => match target_with_model(state, context, model, history) {
-            Some(target) => Ok(target),
-            None => wait_for_placement(state, context, model, history).await,
-        },
+    let model = context.facts.model.as_ref();
+    loop {
+        let target = match model {
+            None => target_without_model(state, context, history),
+            Some(model) => target_with_model(state, context, model, history),
+        };
+        if let Some(target) = target {
+            return Ok(target);
+        }
+        match pause_end(state, context) {
+            Some(until) => wait_for_pause_end(state, context, history, until).await?,
+            None => break,
+        }
+    }
+    match model {
+        Some(model) => wait_for_placement(state, context, model, history).await,
+        None => Err(Refusal::not_run(RefusalKind::NoBackend).retry_after(NO_BACKEND_RETRY_AFTER)),
     }
 }
 
+/// End of the first pause among the servers that could run the request; `None` if one of them could be sent to, or none
+/// pauses.
+fn pause_end(state: &HostState, context: &RequestContext) -> Option<MonotonicTime> {
+    let table = state.table.load();
+    let now = state.now();
+    let facts = &context.facts;
+    let slots = table.backends(&context.service).iter();
+    let able = slots.filter(|slot| {
+        let model = facts.model.as_ref();
+        model.is_none_or(|model| slot.has(model, facts.adapter.as_deref()))
+    });
+    let mut first: Option<MonotonicTime> = None;
+    for slot in able {
+        match slot.bar(now) {
+            None => return None,
+            Some(SendBar::Paused { until }) => {
+                first = Some(first.map_or(until, |first| first.min(until)));
+            }
+            Some(SendBar::Draining | SendBar::Leaving) => {}
+        }
+    }
+    first
+}
+
+/// Waits until a pause ends, after which all servers are considered again. Fails at once if the request can't wait that
+/// long.
+async fn wait_for_pause_end(
+    state: &HostState,
+    context: &RequestContext,
+    history: &mut SendHistory,
+    until: MonotonicTime,
+) -> Result<()> {
+    history.bar = Some(SendBar::Paused { until });
+    let pause = until.since(state.now());
+    let paused = Refusal::not_run(RefusalKind::ServersPaused).retry_after(pause);
+    if Instant::now() + pause + FIRST_RESPONSE_MARGIN >= context.first_response_deadline() {
+        return Err(paused);
+    }
+    wait_for_load(state, pause, paused).await?;
+    history.clear_excluded();
+    Ok(())
+}
+
 /// Chooses a server for a request without a model.
 ///
 /// If every server is excluded by earlier sends, all of them are considered again.
@@ -67,17 +123,17 @@
     state: &HostState,
     context: &RequestContext,
     history: &mut SendHistory,
-) -> Result<BackendCandidate> {
+) -> Option<BackendCandidate> {
     let table = state.table.load();
+    let now = state.now();
     let slots = table.backends(&context.service);
-    let accepting = || slots.iter().filter(|slot| slot.is_accepting());
+    let accepting = || slots.iter().filter(|slot| slot.bar(now).is_none());
     let mut candidates = not_excluded(state, accepting(), history);
     if candidates.is_empty() {
         history.clear_excluded();
         candidates = not_excluded(state, accepting(), history);
     }
-    let target = choose(state, context, ChooserWeights::PLAIN, candidates);
-    target.ok_or(Refusal::not_run(RefusalKind::NoBackend).retry_after(NO_BACKEND_RETRY_AFTER))
+    choose(state, context, ChooserWeights::PLAIN, candidates)
 }
 
 /// Chooses among the servers that have the model and the adapter according to this host's view of the fleet.
@@ -88,9 +144,10 @@
     history: &SendHistory,
 ) -> Option<BackendCandidate> {
     let table = state.table.load();
+    let now = state.now();
     let slots = table.backends(&context.service).iter();
     let adapter = context.facts.adapter.as_deref();
-    let with_model = slots.filter(|slot| slot.is_accepting() && slot.has(model, adapter));
+    let with_model = slots.filter(|slot| slot.bar(now).is_none() && slot.has(model, adapter));
     let candidates = not_excluded(state, with_model, history);
     choose(state, context, ChooserWeights::MODELS, candidates)
 }
@@ -174,8 +231,13 @@
                 wait_for_load(state, ready_in, unplaced).await?;
                 let table = state.table.load();
                 let slot = table.backend(&context.service, &backend);
+                let bar = slot.and_then(|slot| slot.bar(state.now()));
+                if let Some(SendBar::Paused { until }) = bar {
+                    wait_for_pause_end(state, context, history, until).await?;
+                    continue;
+                }
                 let is_usable = |slot: &&BackendSlot| {
-                    slot.is_accepting() && !history.is_last_unreachable(&slot.entry.id)
+                    bar.is_none() && !history.is_last_unreachable(&slot.entry.id)
                 };
                 match slot.filter(is_usable) {
                     Some(slot) => return Ok(candidate(state, slot)),
--- a/crates/serving/src/backend_load.rs
+++ b/crates/serving/src/backend_load.rs
@@ -36,6 +36,8 @@
     others_pending_tokens: AtomicU64,
     is_suspect: AtomicBool,
     avoid_until_us: AtomicU64,
+    pause_until_us: AtomicU64,
+    is_leaving: AtomicBool,
     succeeded: AtomicU32,
     failed: AtomicU32,
     sample: Mutex<Option<(LoadSample, MonotonicTime)>>,
@@ -113,6 +115,29 @@
         now < self.avoid_until_us.load(Ordering::Relaxed)
     }
 
+    /// Sends nothing more to the server until `until`, unless an earlier call named a later time.
+    pub fn pause(&self, until: MonotonicTime) {
+        let until = until.since_origin().as_micros() as u64;
+        self.pause_until_us.fetch_max(until, Ordering::Relaxed);
+    }
+
+    /// End of the pause that the server asked for; `None` if there is none at `now`.
+    pub fn paused_until(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+        let until = Duration::from_micros(self.pause_until_us.load(Ordering::Relaxed));
+        let until = MonotonicTime::from_origin(until);
+        (now < until).then_some(until)
+    }
+
+    /// Records that the server leaves, for the rest of its run; returns true if that was not known.
+    pub fn mark_leaving(&self) -> bool {
+        !self.is_leaving.swap(true, Ordering::Relaxed)
+    }
+
+    /// True if the server has said that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Relaxed)
+    }
+
     /// Returns the numbers of answered and of failed requests since the last call.
     pub fn take_outcomes(&self) -> (u32, u32) {
         (
--- a/crates/serving/src/crash_evidence.rs
+++ b/crates/serving/src/crash_evidence.rs
@@ -156,6 +156,11 @@
         self.progressed_requests += u64::from(requests);
     }
 
+    /// True if any crash is known.
+    pub fn has_crashes(&self) -> bool {
+        !self.crashes.is_empty()
+    }
+
     /// Time of the last answer with the part that got under way, if it is known.
     pub fn last_progress(&self, part: u64) -> Option<MonotonicTime> {
         self.progress.get(&part).copied()
--- a/crates/serving/src/part_ledger.rs
+++ b/crates/serving/src/part_ledger.rs
@@ -95,7 +95,7 @@
 
     /// Blocks a part if the evidence suffices. `report_lag` is the time within which all hosts report what they saw.
     pub fn settle(&mut self, report_lag: Duration, now: MonotonicTime) -> PartVerdicts {
-        if now.since(self.started_at) >= FIRST_REPORTS_TIME {
+        if now.since(self.started_at) >= FIRST_REPORTS_TIME && self.evidence.has_crashes() {
             let list = &self.list;
             let settled = now.before(report_lag);
             let accused = self
--- /dev/null
+++ b/crates/serving/src/send_bar.rs
@@ -0,0 +1,42 @@
+use zinniahinge_types::MonotonicTime;
+
+use crate::BackendEntry;
+use crate::BackendLoad;
+use crate::BackendPhase;
+
+/// Why this host may not send requests to a backend server now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendBar {
+    /// The store says that the server drains.
+    Draining,
+    /// The server said in an answer to this host, or to another one, that it leaves.
+    Leaving,
+    /// The server asked this host for a pause.
+    Paused {
+        /// When the pause ends.
+        until: MonotonicTime,
+    },
+}
+
+impl SendBar {
+    /// Returns why a request may not be sent to the server; `None` if it may.
+    pub fn find(entry: &BackendEntry, load: &BackendLoad, now: MonotonicTime) -> Option<Self> {
+        if load.is_leaving() {
+            return Some(Self::Leaving);
+        }
+        if entry.phase == BackendPhase::Leaving {
+            return Some(Self::Draining);
+        }
+        let until = load.paused_until(now)?;
+        Some(Self::Paused { until })
+    }
+
+    /// Name of the reason in log lines and metric labels.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Draining => "draining",
+            Self::Leaving => "leaving",
+            Self::Paused { .. } => "paused",
+        }
+    }
+}
--- a/crates/types/src/fleet_message.rs
+++ b/crates/types/src/fleet_message.rs
@@ -50,6 +50,9 @@
     /// What the sender's requests showed about the parts of their prompts. Empty in reports of earlier versions.
     #[serde(default)]
     pub parts: PartReport,
+    /// Backend servers that said that they leave, and that the store lists as ready. Empty in reports of earlier versions.
+    #[serde(default)]
+    pub leaving: Vec<BackendRun>,
 }
 
 /// Gives a client account's level as an earlier coordinator last sent it, so that a new one does not start from
@@ -86,6 +89,15 @@
     pub failed: u32,
 }
 
+/// Names one run of a backend server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendRun {
+    /// Backend server.
+    pub backend: Name,
+    /// Start time of the run, milliseconds since the Unix epoch.
+    pub born_ms: u64,
+}
+
 /// Sums up one host's requests for one model or adapter.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ModelUse {
@@ -155,6 +167,9 @@
     /// Blocked prompt parts, if the sender of the report knows an older version of them.
     #[serde(default)]
     pub blocked: Option<BlockedParts>,
+    /// Backend servers that said to some host that they leave, and that the store lists as ready.
+    #[serde(default)]
+    pub leaving: Vec<BackendRun>,
 }
 
 /// States how much of its quota a client account may still use, over all hosts.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -30,6 +30,7 @@
 pub use event_record::EventRecord;
 pub use fleet_message::AccountLevel;
 pub use fleet_message::AccountUse;
+pub use fleet_message::BackendRun;
 pub use fleet_message::BackendTotal;
 pub use fleet_message::BackendUse;
 pub use fleet_message::EngineModels;
