Soak: servers that leave by their answers, ask for pauses, or repeat a bare rejection

The fault soak draws these for plain servers and engines, apart from the other faults, so that those of a kept seed stay as they are. It checks from what servers see: no request that a caller sent two seconds after a passed-on answer with the header reaches that server from that host, and at most two reach one between half a second after its refusal and the end of its pause; disturbances of the host or of the server's link excuse both. Mutants of both checks are cases of promise_check.

--- a/crates/soak/src/caller_record.rs
+++ b/crates/soak/src/caller_record.rs
@@ -22,6 +22,8 @@
     pub id: String,
     /// Kind.
     pub kind: RequestKind,
+    /// Host that the request was sent to.
+    pub host: String,
     /// Key.
     pub key: &'static str,
     /// When the first byte was sent.
--- a/crates/soak/src/caller_task.rs
+++ b/crates/soak/src/caller_task.rs
@@ -36,16 +36,16 @@
 ) -> Vec<CallerRecord> {
     let mut random = StdRng::seed_from_u64(seed ^ ((number as u64 + 1) << 32));
     let mut records = Vec::new();
-    let mut connection: Option<Caller> = None;
+    let mut connection: Option<(Caller, usize)> = None;
     let mut count = 0;
     while Instant::now() < until {
-        let mut caller = match connection.take() {
-            Some(caller) => caller,
+        let (mut caller, host) = match connection.take() {
+            Some(kept) => kept,
             None => {
                 let host = random.random_range(0..world.hosts.len());
                 let address = *locked(&world.hosts[host].callers);
                 match tokio::time::timeout(CONNECT_TIME, Caller::connect(address)).await {
-                    Ok(Ok(caller)) => caller,
+                    Ok(Ok(caller)) => (caller, host),
                     // The host is down or paused; the next try goes to any host.
                     Ok(Err(_)) | Err(_) => {
                         tokio::time::sleep(RECONNECT_PAUSE).await;
@@ -68,12 +68,13 @@
         records.push(CallerRecord {
             id: request.id,
             kind,
+            host: world.hosts[host].name.clone(),
             key: request.key.unwrap_or_default(),
             sent_at,
             answer,
         });
         if is_kept && random.random_bool(0.95) {
-            connection = Some(caller);
+            connection = Some((caller, host));
         }
         tokio::time::sleep(Duration::from_millis(random.random_range(0..60))).await;
     }
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -11,6 +11,9 @@
 /// Faults a second. They last longer than the time between them, so that they overlap.
 const FAULTS_PER_S: f64 = 0.8;
 
+/// Servers that ask something of hosts, a second.
+const SERVER_REQUESTS_PER_S: f64 = 0.3;
+
 /// Quiet time at the start, in which hosts start and the first one gets the duty.
 const LEAD: Duration = Duration::from_secs(1);
 
@@ -37,6 +40,8 @@
     Backend(usize, BackendFault),
     /// A plain backend server leaves, and another one comes.
     ReplaceBackend(usize),
+    /// A plain backend server says in its answers that it leaves, a while before the store does, and another one comes.
+    LeaveByAnswer(usize),
     /// The configuration gets another version.
     ChangeConfig,
     /// The second key of the account is withdrawn, or given again.
@@ -88,10 +93,34 @@
         PlannedFault { at, lasts, kind }
     });
     let mut faults: Vec<PlannedFault> = faults.collect();
+    faults.extend(plan_server_requests(seed, time, (plain, backends)));
     faults.sort_by_key(|fault| fault.at);
     faults
 }
 
+/// Draws what servers ask of hosts. Drawn apart, so that the other faults of a seed stay as they are.
+fn plan_server_requests(
+    seed: u64,
+    time: Duration,
+    (plain, backends): (usize, usize),
+) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(!seed);
+    let count = (time.as_secs_f64() * SERVER_REQUESTS_PER_S).ceil() as usize;
+    let faults = (0..count).map(|_| {
+        let at = LEAD + time.saturating_sub(LEAD).mul_f64(random.random::<f64>());
+        let lasts = Duration::from_millis(random.random_range(500..3_000));
+        let backend = random.random_range(0..backends);
+        let kind = match random.random_range(0..4) {
+            0 => FaultKind::LeaveByAnswer(backend % plain),
+            1 => FaultKind::Backend(backend, BackendFault::Pause("1.5")),
+            2 => FaultKind::Backend(backend, BackendFault::Pause("3")),
+            _ => FaultKind::Backend(backend, BackendFault::LateBareRefusal),
+        };
+        PlannedFault { at, lasts, kind }
+    });
+    faults.collect()
+}
+
 fn store_fault(random: &mut StdRng) -> StoreFault {
     match random.random_range(0..3) {
         0 => StoreFault::Busy,
--- a/crates/soak/src/fault_task.rs
+++ b/crates/soak/src/fault_task.rs
@@ -64,9 +64,11 @@
             Ok(())
         }
         FaultKind::BackendLink(backend, mode) => {
-            set_backend_link(world, backend, mode);
+            let from = Instant::now();
+            let id = set_backend_link(world, backend, mode);
             tokio::time::sleep(lasts).await;
             set_backend_link(world, backend, LinkMode::Open);
+            world.disturb(&id, from, Instant::now());
             Ok(())
         }
         FaultKind::Backend(backend, kind) => {
@@ -77,6 +79,12 @@
             Ok(())
         }
         FaultKind::ReplaceBackend(backend) => replace_backend(world, backend).await,
+        FaultKind::LeaveByAnswer(backend) => {
+            let server = locked(&world.backends)[backend].server.clone();
+            server.say_leaving();
+            tokio::time::sleep(lasts).await;
+            replace_backend(world, backend).await
+        }
         FaultKind::ChangeConfig => {
             let mut config = locked(&world.config);
             config.version += 1;
@@ -111,8 +119,11 @@
     }
 }
 
-fn set_backend_link(world: &SoakWorld, backend: usize, mode: LinkMode) {
-    locked(&world.backends)[backend].link.set_mode(mode);
+/// Sets the link of a backend server; returns its id.
+fn set_backend_link(world: &SoakWorld, backend: usize, mode: LinkMode) -> String {
+    let backends = locked(&world.backends);
+    backends[backend].link.set_mode(mode);
+    backends[backend].server.id().to_owned()
 }
 
 fn signal(process: &HostProcess, signal: Signal) -> Result<()> {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,6 +4,7 @@
 mod caller_task;
 mod fault_plan;
 mod fault_task;
+mod ignored_requests;
 mod link_proxy;
 mod promise_check;
 mod soak_error;
--- a/crates/soak/src/promise_check.rs
+++ b/crates/soak/src/promise_check.rs
@@ -8,6 +8,7 @@
 use zinniahinge_platform_standins::SeenRequest;
 
 use crate::CallerRecord;
+use crate::ignored_requests::ignored_requests;
 
 /// A withdrawn key runs nothing after this time, on any host; from the hosts' settings.
 const REVOKE_DEADLINE: Duration = Duration::from_secs(5);
@@ -24,10 +25,10 @@
 /// Events of each stream of the stand-ins.
 const STREAM_EVENTS: u64 = 6;
 
-/// Time during which a host was paused, down, or cut off from the store.
+/// Time during which a host was paused, down, or cut off from the store, or a backend server from the hosts.
 #[derive(Clone, Debug)]
 pub struct Disturbance {
-    /// Host.
+    /// Host, or backend server.
     pub host: String,
     /// Start.
     pub from: Instant,
@@ -80,6 +81,7 @@
             broken.push(format!("request {} ran for {:?}", seen.id, seen.account()));
         }
     }
+    broken.extend(ignored_requests(records));
     for (engine, orders) in records.orders.iter().enumerate() {
         check_orders(engine, orders, &records.disturbances, &mut broken);
     }
--- a/crates/soak/tests/promise_check.rs
+++ b/crates/soak/tests/promise_check.rs
@@ -20,6 +20,7 @@
     CallerRecord {
         id: ID.to_owned(),
         kind,
+        host: "h1".to_owned(),
         key: "key-2",
         sent_at,
         answer: Some(answer),
@@ -52,6 +53,9 @@
         body: Vec::new(),
         at,
         ran: true,
+        server: "app-0".to_owned(),
+        said_leaving: false,
+        pause: None,
     }
 }
 
@@ -262,3 +266,122 @@
         }
     }
 }
+
+/// A request of host h1 with an id, sent and arrived at `at`, that was answered.
+fn request_at(number: usize, at: Instant) -> (CallerRecord, SeenRequest) {
+    let id = format!("w{number}");
+    let body = format!("answer to {id}");
+    let seal = format!("seal-{id}");
+    let answer = answer(200, Some(&body), Some(&seal));
+    let call = CallerRecord {
+        id: id.clone(),
+        ..call(RequestKind::Repeatable, at, answer)
+    };
+    let seen = SeenRequest {
+        id,
+        ..run_at(at, &[])
+    };
+    (call, seen)
+}
+
+struct ServerCase {
+    name: &'static str,
+    /// Times of arrivals after the first one, milliseconds.
+    later_ms: &'static [u64],
+    /// What the first answer says.
+    leaves: bool,
+    pause_ms: Option<u64>,
+    /// A disturbance of h1, milliseconds.
+    disturbed_ms: Option<(u64, u64)>,
+    broken: Option<&'static str>,
+}
+
+/// Guards against a soak that doesn't see hosts which ignore what servers ask of them.
+#[test]
+fn requests_to_servers_that_leave_or_pause_are_found() {
+    let calm = ServerCase {
+        name: "nothing asked",
+        later_ms: &[100, 700, 800, 900, 2500],
+        leaves: false,
+        pause_ms: None,
+        disturbed_ms: None,
+        broken: None,
+    };
+    let cases = [
+        ServerCase { ..calm },
+        ServerCase {
+            name: "leaves, and gets requests for two seconds",
+            later_ms: &[100, 1900],
+            leaves: true,
+            ..calm
+        },
+        ServerCase {
+            name: "leaves, and gets a later request",
+            later_ms: &[100, 2100],
+            leaves: true,
+            broken: Some("said that it leaves"),
+            ..calm
+        },
+        ServerCase {
+            name: "leaves, and the host was restarted",
+            later_ms: &[2100],
+            leaves: true,
+            disturbed_ms: Some((500, 900)),
+            ..calm
+        },
+        ServerCase {
+            name: "pauses, and gets requests at once, two within, and others afterwards",
+            later_ms: &[100, 200, 300, 700, 900, 1600, 1700, 1800],
+            pause_ms: Some(1500),
+            ..calm
+        },
+        ServerCase {
+            name: "pauses, and gets three requests within",
+            later_ms: &[700, 900, 1100],
+            pause_ms: Some(1500),
+            broken: Some("in a pause"),
+            ..calm
+        },
+        ServerCase {
+            name: "pauses, and the host stood still",
+            later_ms: &[700, 900, 1100],
+            pause_ms: Some(1500),
+            disturbed_ms: Some((200, 600)),
+            ..calm
+        },
+    ];
+    let start = Instant::now();
+    let at = |time_ms: u64| start + Duration::from_millis(time_ms);
+    for case in cases {
+        let times = std::iter::once(&0).chain(case.later_ms);
+        let requests = times
+            .enumerate()
+            .map(|(number, time_ms)| request_at(number, at(*time_ms)));
+        let (calls, mut requests): (Vec<_>, Vec<_>) = requests.unzip();
+        requests[0].said_leaving = case.leaves;
+        requests[0].pause = case.pause_ms.map(Duration::from_millis);
+        let disturbances = case.disturbed_ms.map(|(from_ms, until_ms)| Disturbance {
+            host: "h1".to_owned(),
+            from: at(from_ms),
+            until: at(until_ms),
+        });
+        let records = SoakRecords {
+            calls,
+            requests,
+            disturbances: disturbances.into_iter().collect(),
+            ..SoakRecords::default()
+        };
+        let broken = broken_promises(&records);
+        match case.broken {
+            None => assert_that!(broken, is_empty(), "{}", case.name),
+            Some(words) => {
+                assert_that!(
+                    broken,
+                    elements_are![contains_substring(words)],
+                    "{}",
+                    case.name
+                )
+            }
+        }
+    }
+}
