Name suspects and decisions of prompt parts in the usual terms

AccusedPart and accuse become SuspectPart and find_suspect, PartVerdicts becomes PartDecisions, apply_server_wishes becomes apply_server_notices. Names and comments only; no behaviour changes.

--- a/crates/host/src/backend_send.rs
+++ b/crates/host/src/backend_send.rs
@@ -110,7 +110,7 @@
     } = exchange;
     let (head, body) = response.into_parts();
     let metadata = ResponseMetadata::read(head.status, &head.headers, &context.facts.attempt_id);
-    apply_server_wishes(state, context, target, &metadata);
+    apply_server_notices(state, context, target, &metadata);
     if metadata.is_for_other_attempt {
         target.load.count_failure();
         return Err(BackendSendError::MayHaveRun(
@@ -143,7 +143,7 @@
 
 /// Notes that the server leaves or wants a pause. Hosts come back from a pause at different times, so that the server isn't
 /// met by all of them at once.
-fn apply_server_wishes(
+fn apply_server_notices(
     state: &HostState,
     context: &RequestContext,
     target: &BackendCandidate,
--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -165,15 +165,15 @@
     /// Decides on prompt parts, and logs the decisions.
     fn settle_parts(&mut self, now: MonotonicTime) {
         let lag = INTERVAL_PER_HOST * 2 * self.ledger.host_count();
-        let verdicts = self.parts.settle(lag.max(MIN_REPORT_LAG), now);
+        let decisions = self.parts.settle(lag.max(MIN_REPORT_LAG), now);
         let logger = &self.state.logger;
-        for accused in &verdicts.blocked {
+        for suspect in &decisions.blocked {
             warn!(logger, "prompt part blocked, it crashes backend servers";
-                "part" => format!("{:x}", accused.part), "crashes" => accused.crashes,
-                "first_ms" => now.since(accused.first_at).as_millis() as u64,
-                "chance" => accused.chance, "fence" => self.fence);
+                "part" => format!("{:x}", suspect.part), "crashes" => suspect.crashes,
+                "first_ms" => now.since(suspect.first_at).as_millis() as u64,
+                "chance" => suspect.chance, "fence" => self.fence);
         }
-        for part in &verdicts.released {
+        for part in &decisions.released {
             info!(logger, "prompt part released, an answer with it got under way";
                 "part" => format!("{part:x}"), "fence" => self.fence);
         }
--- a/crates/serving/src/crash_evidence.rs
+++ b/crates/serving/src/crash_evidence.rs
@@ -27,8 +27,8 @@
 /// Crashes of several servers within this time count as one: they have a common cause, such as a lost rack.
 const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(100);
 
-/// Smallest number of separate crashes, and of server addresses, that accuse a part. A server that crashes under anything
-/// accuses none.
+/// Smallest number of separate crashes, and of server addresses, that make a part suspect. A server that crashes under
+/// anything makes none suspect.
 const MIN_CRASHES: usize = 3;
 const MIN_ADDRESSES: usize = 2;
 
@@ -40,13 +40,13 @@
 const MAX_CHANCE: f64 = 0.01;
 const MAX_CHANCE_AFTER_PROGRESS: f64 = 0.001;
 
-/// Number of crashes from which one of several equally suspect parts is accused: the one that is later in the prompts, which
+/// Number of crashes from which one of several equally suspect parts is returned: the one that is later in the prompts, which
 /// fewer requests share.
 const TIE_CRASHES: usize = 5;
 
 /// Finds the prompt part that crashes backend servers, from the requests that broke off and those that did not.
 ///
-/// A part is accused if its requests broke off in several separate crashes, none of them was answered in between, and
+/// A part is suspect if its requests broke off in several separate crashes, none of them was answered in between, and
 /// other requests were answered too often for chance. Crashes in which a blocked part took part say nothing about other
 /// parts.
 #[derive(Debug, Default)]
@@ -69,9 +69,9 @@
     progressed_before: u64,
 }
 
-/// A part that the evidence accuses.
+/// A part that the evidence makes suspect.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct AccusedPart {
+pub struct SuspectPart {
     /// Id of the part.
     pub part: u64,
     /// Number of separate crashes.
@@ -175,12 +175,12 @@
 
     /// Returns the most suspect part if the evidence suffices. Crashes after `settled` are left out, because reports of
     /// progress from that time may be on their way, and so are those in which a part of `blocked` took part.
-    pub fn accuse(
+    pub fn find_suspect(
         &mut self,
         blocked: impl Fn(u64) -> bool,
         settled: MonotonicTime,
         now: MonotonicTime,
-    ) -> Option<AccusedPart> {
+    ) -> Option<SuspectPart> {
         self.forget_old(now);
         let records = self.records(&blocked, settled);
         let suspects = records.iter().filter_map(|(part, record)| {
@@ -209,7 +209,7 @@
         if is_tied && crashes < TIE_CRASHES {
             return None;
         }
-        Some(AccusedPart {
+        Some(SuspectPart {
             part,
             crashes,
             first_at: record.times.first().copied().unwrap_or(now),
--- a/crates/serving/src/part_ledger.rs
+++ b/crates/serving/src/part_ledger.rs
@@ -6,12 +6,12 @@
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::PartReport;
 
-use crate::AccusedPart;
 use crate::BlockList;
 use crate::CrashEvidence;
 use crate::KeptEvidence;
+use crate::SuspectPart;
 
-/// Time after the start of a term in which no part is accused, because hosts still report what they saw before.
+/// Time after the start of a term in which no part is blocked, because hosts still report what they saw before.
 const FIRST_REPORTS_TIME: Duration = Duration::from_millis(1500);
 
 /// Pause between two tries to store the list. Each try delays a renewal of the coordinator's lease while the store is slow.
@@ -19,9 +19,9 @@
 
 /// Changes of the blocked parts, for log lines.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct PartVerdicts {
+pub struct PartDecisions {
     /// Parts that are blocked from now on.
-    pub blocked: SmallVec<[AccusedPart; 2]>,
+    pub blocked: SmallVec<[SuspectPart; 2]>,
     /// Parts that are released.
     pub released: SmallVec<[u64; 2]>,
 }
@@ -36,7 +36,7 @@
     stored_version: u64,
     /// When the list was last returned to be stored.
     stored_at: Option<MonotonicTime>,
-    verdicts: PartVerdicts,
+    decisions: PartDecisions,
 }
 
 impl PartLedger {
@@ -55,7 +55,7 @@
             started_at: now,
             stored_version,
             stored_at: None,
-            verdicts: PartVerdicts::default(),
+            decisions: PartDecisions::default(),
         }
     }
 
@@ -89,24 +89,24 @@
         };
         let last_crash = self.evidence.last_crash(part).unwrap_or(blocked_at);
         if progress > last_crash && self.list.release(part) {
-            self.verdicts.released.push(part);
+            self.decisions.released.push(part);
         }
     }
 
     /// Blocks a part if the evidence suffices. `report_lag` is the time within which all hosts report what they saw.
-    pub fn settle(&mut self, report_lag: Duration, now: MonotonicTime) -> PartVerdicts {
+    pub fn settle(&mut self, report_lag: Duration, now: MonotonicTime) -> PartDecisions {
         if now.since(self.started_at) >= FIRST_REPORTS_TIME && self.evidence.has_crashes() {
             let list = &self.list;
             let settled = now.before(report_lag);
-            let accused = self
+            let suspect = self
                 .evidence
-                .accuse(|part| list.contains(part), settled, now);
-            if let Some(accused) = accused {
-                self.list.block(accused.part, now);
-                self.verdicts.blocked.push(accused);
+                .find_suspect(|part| list.contains(part), settled, now);
+            if let Some(suspect) = suspect {
+                self.list.block(suspect.part, now);
+                self.decisions.blocked.push(suspect);
             }
         }
-        std::mem::take(&mut self.verdicts)
+        std::mem::take(&mut self.decisions)
     }
 
     /// The blocked parts, if their version is newer than `known`.
--- a/crates/serving/tests/part_ledger.rs
+++ b/crates/serving/tests/part_ledger.rs
@@ -313,8 +313,8 @@
     let report = progress_report(1, &[FIRST, CRASHING]);
     ledger.apply(&"h2".into(), &report, at(again + 1000));
     assert_that!(blocked_parts(&ledger), eq(&Vec::<u64>::new()), "sound");
-    let verdicts = ledger.settle(REPORT_LAG, at(again + 1000));
-    assert_that!(verdicts.released.to_vec(), eq(&vec![CRASHING]));
+    let decisions = ledger.settle(REPORT_LAG, at(again + 1000));
+    assert_that!(decisions.released.to_vec(), eq(&vec![CRASHING]));
 }
 
 /// Guards against a new coordinator that forgets blocked parts, and against one that blocks sound parts because it hears
