--- a/crates/host/tests/crashing_parts.rs
+++ b/crates/host/tests/crashing_parts.rs
@@ -87,7 +87,7 @@
     fn arrivals_since(&self, since: Instant) -> usize {
         let requests = self.engines.iter().flat_map(BackendServer::requests);
         let with_part = requests.filter(|seen| {
-            let parts = seen.header("x-prompt-prefix").unwrap_or_default();
+            let parts = seen.prompt_parts().unwrap_or_default();
             seen.at > since && parts.contains(CRASHING_PART)
         });
         with_part.count()
@@ -142,7 +142,7 @@
 fn prompt_request(id: &str, part: &str, number: usize) -> CallerRequest {
     let mut request = model_request(id, "/llm/stream/x", "m1");
     let parts = format!("{FIRST_PART}:800,{part}:200,{number:x}f00d:50");
-    request.headers.push(("X-Prompt-Prefix", parts));
+    request.state_parts(parts);
     request
 }
 
