--- a/review/standins.py
+++ b/review/standins.py
@@ -10,7 +10,6 @@
 import signal
 import socket
 import subprocess
-import sys
 import tempfile
 import time
 import urllib.parse
@@ -234,6 +233,7 @@
         self.gap_s = options.get("gap_s", 0.05)
         self.stream = options.get("stream")  # replaces the way in which events are sent
         self.disk = set(options.get("disk", ()))
+        self.proxy = options.get("proxy")  # takes the connections to this worker
         self.seq, self.fence, self.busy_until, self.loading = 0, 0, 0.0, None
         self.running, self.waiting = 0, 0
         self.freed = asyncio.Event()
@@ -245,6 +245,9 @@
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{self.port}"
+        if self.proxy:
+            self.address = f"127.0.0.1:{await self.proxy.start(self.port)}"
         self.beat = asyncio.create_task(self.beats())
 
     async def beats(self):
@@ -253,7 +256,7 @@
             number += 1
             self.finish_load()
             self.store.put(f"servers/{self.name}", {
-                "service": "llm", "address": f"127.0.0.1:{self.port}", "zone": "zone-a", "version": "1",
+                "service": "llm", "address": self.address, "zone": "zone-a", "version": "1",
                 "slots": self.slots, "state": "ready", "cold_left_ms": 0, "seq": number, "born": self.born,
                 "stage": "colocated", "models": self.model_list(),
                 "resident": {"in_host_memory": [], "on_local_disk": sorted(self.disk)}})
@@ -384,6 +387,45 @@
         await writer.drain()
 
 
+class Proxy:
+    """Passes connections on to a worker. Those that are open can be made silent for good; new ones work."""
+
+    def __init__(self):
+        self.silent = set()
+        self.open = set()
+
+    async def start(self, port):
+        self.target = port
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        return self.server.sockets[0].getsockname()[1]
+
+    def silence(self):
+        self.silent |= self.open
+
+    async def serve(self, reader, writer):
+        name = object()
+        self.open.add(name)
+        far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.target)
+
+        async def copy(source, sink):
+            try:
+                while data := await source.read(65536):
+                    if name in self.silent:
+                        return  # neither this nor anything later gets through, and no end is passed on either
+                    sink.write(data)
+                    await sink.drain()
+                if name not in self.silent:
+                    sink.close()
+            except ConnectionError:
+                if name not in self.silent:
+                    sink.close()
+
+        await asyncio.gather(copy(reader, far_writer), copy(far_reader, writer))
+        self.open.discard(name)
+        if name in self.silent:
+            await asyncio.sleep(3600)
+
+
 # --------------------------------------------------------------------------------------------- operator
 
 
@@ -592,24 +634,33 @@
         shutil.rmtree(self.temp, ignore_errors=True)
 
 
-def main(folder, scenario, limit_s=110):
+def main(folder, scenario, limit_s=105):
     """Runs `scenario(world)`, which returns what broke the rule; exits with 0, 1, or 2 if the case couldn't run."""
     world = World(folder)
 
-    async def play():
-        return await asyncio.wait_for(scenario(world), limit_s)
-
-    code = 2
-    # Ends the hosts also if the script itself is stopped.
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-    try:
-        broken = asyncio.run(play())
-        for text in broken:
-            world.record.line(f"BROKEN: {text}")
-        code = 1 if broken else 0
-    except Exception as error:  # the case couldn't run
-        world.record.line(f"could not run: {error!r}")
-    finally:
+    def end(code, lines):
+        """Ends the hosts, and the process without waiting for tasks that still serve them."""
+        for text in lines:
+            world.record.line(text)
         world.close()
         world.record.line({0: "rule held", 1: "rule broken", 2: "case could not run"}[code])
-    os._exit(code)
+        os._exit(code)
+
+    async def play():
+        task = asyncio.create_task(scenario(world))
+        await asyncio.wait({task}, timeout=limit_s)
+        if not task.done():
+            end(2, ["could not run: not over in time"])
+        if task.exception() is not None:
+            end(2, [f"could not run: {task.exception()!r}"])
+        broken = task.result()
+        end(1 if broken else 0, [f"BROKEN: {text}" for text in broken])
+
+    # Ends the hosts also if the script is stopped or hangs.
+    signal.signal(signal.SIGTERM, lambda *_: end(2, ["stopped"]))
+    signal.signal(signal.SIGALRM, lambda *_: end(2, ["could not run: hung"]))
+    signal.alarm(limit_s + 8)
+    try:
+        asyncio.run(play())
+    except BaseException as error:  # the case couldn't run
+        end(2, [f"could not run: {error!r}"])
