--- a/review/standins.py
+++ b/review/standins.py
@@ -235,6 +235,8 @@
         self.disk = set(options.get("disk", ()))
         self.proxy = options.get("proxy")  # takes the connections to this worker
         self.seq, self.fence, self.busy_until, self.loading = 0, 0, 0.0, None
+        self.unloading = None  # model whose unload waits for its runs
+        self.users = {}  # number of runs by model
         self.running, self.waiting = 0, 0
         self.freed = asyncio.Event()
         self.born = int(time.time() * 1000)
@@ -254,7 +256,7 @@
         number = 0
         while True:
             number += 1
-            self.finish_load()
+            self.finish_orders()
             self.store.put(f"servers/{self.name}", {
                 "service": "llm", "address": self.address, "zone": "zone-a", "version": "1",
                 "slots": self.slots, "state": "ready", "cold_left_ms": 0, "seq": number, "born": self.born,
@@ -270,11 +272,15 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
-    def finish_load(self):
+    def finish_orders(self):
+        """Applies a load whose time is over, and an unload whose runs have ended."""
         if self.loading and now() >= self.busy_until:
             self.models.setdefault(self.loading, set())
             self.disk.add(self.loading)
             self.loading = None
+        if self.unloading and not self.users.get(self.unloading):
+            self.models.pop(self.unloading, None)
+            self.unloading = None
 
     def model_list(self):
         return [{"name": m, "version": 1, "adapters": sorted(a)} for m, a in sorted(self.models.items())]
@@ -283,7 +289,7 @@
         self.writers.add(writer)
         try:
             while (request := await read_request(reader)) is not None:
-                self.finish_load()
+                self.finish_orders()
                 if request.header("x-expect-instance") not in ("", self.name):
                     writer.write(response(421, self.identity(request)))
                 elif request.path == "/report":
@@ -303,7 +309,7 @@
         return [("X-Attempt-Id", request.header("x-attempt-id")), ("X-Not-Executed", "1")]
 
     def report(self):
-        return {"stage": "colocated", "models": self.model_list(), "busy": self.loading is not None,
+        return {"stage": "colocated", "models": self.model_list(), "busy": bool(self.loading or self.unloading),
                 "seq": self.seq, "born": self.born, "queued": self.waiting, "running": self.running,
                 "kv_used_tokens": 0, "kv_total_tokens": 232000, "loaded": 0, "pending": [],
                 "resident": {"in_host_memory": [], "on_local_disk": sorted(self.disk)}}
@@ -320,7 +326,7 @@
         if order["fence"] < self.fence:
             return 412
         self.fence = order["fence"]
-        if order.get("expected") not in (None, self.seq) or self.loading:
+        if order.get("expected") not in (None, self.seq) or self.loading or self.unloading:
             return 409
         model, adapter = order["model"], order.get("adapter")
         if order["op"] == "load":
@@ -333,7 +339,8 @@
                     return 200
                 self.models[model].add(adapter)
         elif adapter is None:
-            self.models.pop(model, None)
+            self.unloading = model
+            self.finish_orders()
         else:
             self.models.get(model, set()).discard(adapter)
             self.seq += 1
@@ -348,13 +355,20 @@
     async def run(self, request, reader, writer):
         """Answers one request; false if its connection ends."""
         attempt, name = request.header("x-attempt-id"), request.header("x-model")
-        status = 421 if not self.has(name) else 503 if self.running >= self.slots and self.waiting >= self.queue else 0
+        model = name.partition("/")[0]
+        if model in (self.loading, self.unloading):
+            status = 503  # until the order is complete
+        elif not self.has(name):
+            status = 421
+        else:
+            status = 503 if self.running >= self.slots and self.waiting >= self.queue else 0
         if status:
             self.rejections.append(attempt)
             self.record.line(f"worker {self.name}: {attempt} rejected, {status}, not run")
             writer.write(response(status, self.identity(request)))
             return True
         self.taken.add(attempt)
+        self.users[model] = self.users.get(model, 0) + 1
         self.waiting += 1
         try:
             while self.running >= self.slots:
@@ -378,6 +392,7 @@
             return True
         finally:
             self.running -= 1
+            self.users[model] -= 1
             self.freed.set()
             self.record.line(f"worker {self.name}: {attempt} ends")
 
