Read event streams with one reader that knows every line end

Cause: last_event_id looked for the start of a chunk's last event at "\n\n" only. In a chunk of CR LF events it took the whole chunk for one event and returned the id of the first, so the next server was asked to send the others again. The splitter, the counter and the id were three readings of one format.

Fix: the crate event-stream has one reader for splitting, counting and the resume point, by the HTML standard's rules. The id belongs to an event, not to a chunk, so chunks don't matter any more. A stream goes on at another server only if its last event has an id above all before; otherwise it is broken off visibly. Comments don't count as a first event.

--- a/crates/host/src/event_relay.rs
+++ b/crates/host/src/event_relay.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use slog::info;
@@ -9,7 +10,8 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
-use zinniahinge_platform::event_id;
+use zinniahinge_event_stream::EventBatch;
+use zinniahinge_event_stream::EventReader;
 use zinniahinge_serving::BackendCandidate;
 use zinniahinge_serving::LoadGuard;
 use zinniahinge_transport::ConnectionLease;
@@ -19,7 +21,6 @@
 use crate::backend_send::send;
 use crate::caller_response::ResponseBody;
 use crate::caller_response::StreamAborted;
-use crate::event_splitter::EventSplitter;
 use crate::forward::may_send_again;
 use crate::host_state::HostState;
 use crate::part_filter::check_parts_before_send;
@@ -31,6 +32,9 @@
 /// Chunks that are buffered for a slow caller before the relay stops reading from the backend server.
 const CALLER_BUFFER_CHUNKS: usize = 16;
 
+/// Most bytes before the first event of a stream, as of comments.
+const MAX_LEADING_BYTES: usize = 64 * 1024;
+
 /// Time without an event after which a resumable stream is resumed at another server. Requests that a server preempts
 /// are silent for a second or two.
 const RESUME_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -45,17 +49,17 @@
 /// An event stream from a backend server whose first events have arrived.
 pub(crate) struct OpenStream {
     target: BackendCandidate,
-    first_events: Bytes,
+    first_events: EventBatch,
     body: Incoming,
     lease: Option<ConnectionLease>,
     guard: LoadGuard,
-    splitter: EventSplitter,
+    reader: EventReader,
 }
 
 /// Result of reading on from a stream.
 enum StreamStep {
-    /// One or more complete events.
-    Events(Bytes),
+    /// Bytes up to a place between two events.
+    Events(EventBatch),
     /// The stream ended after a complete event.
     End,
     /// The stream can't be read further.
@@ -75,12 +79,13 @@
 
 impl OpenStream {
     /// Waits until `deadline` for the first complete event, so that a server that fails before it can still be
-    /// replaced.
+    /// replaced. `reader` is that of a new stream or of one that is resumed.
     ///
     /// The error is the reason why no event came.
     pub(crate) async fn start(
         response: BackendResponse,
         target: &BackendCandidate,
+        reader: EventReader,
         deadline: Instant,
     ) -> Result<Self, StreamFailure> {
         let BackendResponse {
@@ -88,33 +93,60 @@
         } = response;
         let mut stream = Self {
             target: target.clone(),
-            first_events: Bytes::new(),
+            first_events: EventBatch::default(),
             body,
             lease: Some(lease),
             guard,
-            splitter: EventSplitter::default(),
+            reader,
         };
-        match tokio::time::timeout_at(deadline, stream.next()).await {
-            Ok(StreamStep::Events(events)) => {
+        match tokio::time::timeout_at(deadline, stream.read_first_events()).await {
+            Ok(Ok(events)) => {
                 stream.guard.finish_prefill();
                 stream.first_events = events;
                 Ok(stream)
             }
-            Ok(StreamStep::End) => Err(StreamFailure::ConnectionLost(
-                "the stream ended before its first event".to_owned(),
-            )),
-            Ok(StreamStep::Broken(failure)) => Err(failure),
+            Ok(Err(failure)) => Err(failure),
             Err(_) => Err(StreamFailure::Unusable(
                 "no event before the deadline".to_owned(),
             )),
         }
     }
 
-    /// Reads until at least one event is complete.
+    /// Reads until the first event is complete; returns it with the comments before it.
+    async fn read_first_events(&mut self) -> Result<EventBatch, StreamFailure> {
+        let mut start = BytesMut::new();
+        loop {
+            match self.next().await {
+                StreamStep::Events(batch) => {
+                    start.extend_from_slice(&batch.bytes);
+                    if batch.events > 0 {
+                        return Ok(EventBatch {
+                            bytes: start.freeze(),
+                            ..batch
+                        });
+                    }
+                    if start.len() > MAX_LEADING_BYTES {
+                        return Err(StreamFailure::Unusable(format!(
+                            "no event in the first {} bytes",
+                            start.len()
+                        )));
+                    }
+                }
+                StreamStep::End => {
+                    return Err(StreamFailure::ConnectionLost(
+                        "the stream ended before its first event".to_owned(),
+                    ));
+                }
+                StreamStep::Broken(failure) => return Err(failure),
+            }
+        }
+    }
+
+    /// Reads until the stream is between two events again.
     async fn next(&mut self) -> StreamStep {
         loop {
             match self.body.frame().await {
-                None if self.splitter.is_between_events() => return StreamStep::End,
+                None if self.reader.is_between_events() => return StreamStep::End,
                 None => {
                     return StreamStep::Broken(StreamFailure::ConnectionLost(
                         "the stream ended in the middle of an event".to_owned(),
@@ -127,14 +159,12 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
-                    let events = self.splitter.push(&data);
-                    if !events.is_empty() {
-                        return StreamStep::Events(events);
-                    }
-                    if self.splitter.is_too_long() {
-                        return StreamStep::Broken(StreamFailure::Unusable(
-                            "an event exceeds the size limit".to_owned(),
-                        ));
+                    match self.reader.push(&data) {
+                        Ok(batch) if batch.bytes.is_empty() => {}
+                        Ok(batch) => return StreamStep::Events(batch),
+                        Err(error) => {
+                            return StreamStep::Broken(StreamFailure::Unusable(error.to_string()));
+                        }
                     }
                 }
             }
@@ -175,19 +205,15 @@
         let opened_at = Instant::now();
         let mut is_resumed = false;
         let mut is_under_way = false;
-        let mut last_event: Option<String> = None;
         let mut events = std::mem::take(&mut stream.first_events);
         loop {
-            if !events.is_empty() {
-                self.log.events += count_events(&events);
+            if !events.bytes.is_empty() {
+                self.log.events += events.events;
                 if !is_under_way && self.log.events >= UNDER_WAY_EVENTS {
                     is_under_way = true;
                     self.record_progress();
                 }
-                if let Some(id) = last_event_id(&events) {
-                    last_event = Some(id);
-                }
-                if sender.send(Ok(std::mem::take(&mut events))).await.is_err() {
+                if sender.send(Ok(events.bytes)).await.is_err() {
                     return;
                 }
             }
@@ -226,11 +252,13 @@
             load.avoid(self.state.now());
             info!(self.state.logger, "event stream interrupted"; "id" => &*self.context.facts.attempt_id,
                 "backend" => &*stream.target.entry.id, "events" => self.log.events,
-                "parts" => self.context.facts.shared_parts_text(), "reason" => %failure);
+                "resume_point" => stream.reader.resume_point(), "parts" => self.context.facts.shared_parts_text(),
+                "reason" => %failure);
             self.history.record_possible_run(&stream.target.entry.id);
+            let reader = stream.reader.resumed();
             // Ends the run at this server before another server continues it.
             drop(stream);
-            match self.resume(last_event.as_deref()).await {
+            match self.resume(reader).await {
                 Some(next) => {
                     stream = next;
                     is_resumed = true;
@@ -274,10 +302,11 @@
         }
     }
 
-    /// Resumes the stream after its last event at another backend server; `None` if that is not possible or not
-    /// allowed.
-    async fn resume(&mut self, last_event: Option<&str>) -> Option<OpenStream> {
-        let last_event = last_event?;
+    /// Resumes the stream at another backend server, at the resume point of `reader`; `None` if that is not possible or
+    /// not allowed.
+    async fn resume(&mut self, reader: Option<EventReader>) -> Option<OpenStream> {
+        let reader = reader?;
+        let last_event = reader.resume_point()?;
         loop {
             let is_allowed = may_send_again(&self.state, &self.context, &self.history);
             if !is_allowed || self.context.time_left() < MIN_RESUME_TIME {
@@ -301,7 +330,7 @@
                     if response.metadata.status.is_success()
                         && response.metadata.has_original_body() =>
                 {
-                    OpenStream::start(response, &target, context.deadline).await
+                    OpenStream::start(response, &target, reader.clone(), context.deadline).await
                 }
                 Ok(response) => Err(StreamFailure::Unusable(
                     response.metadata.status.to_string(),
@@ -330,17 +359,3 @@
         }
     }
 }
-
-/// Counts the events that end with `\n\n` in a chunk.
-fn count_events(events: &[u8]) -> u64 {
-    let ends = events.windows(2).filter(|window| *window == b"\n\n");
-    ends.count() as u64
-}
-
-/// Returns the id of a chunk's last event, if it has one.
-fn last_event_id(events: &[u8]) -> Option<String> {
-    let trimmed = events.trim_ascii_end();
-    let start = trimmed.windows(2).rposition(|window| window == b"\n\n");
-    let last = &trimmed[start.map_or(0, |start| start + 2)..];
-    event_id(last).map(str::to_owned)
-}
--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -5,6 +5,7 @@
 use http::StatusCode;
 use slog::info;
 use tokio::time::Instant;
+use zinniahinge_event_stream::EventReader;
 use zinniahinge_platform::ResponseMetadata;
 use zinniahinge_serving::BackendCandidate;
 use zinniahinge_serving::RouteKind;
@@ -57,7 +58,7 @@
     /// A response that was read to its end, and the outcome for the request log.
     Buffered(Response<ResponseBody>, &'static str),
     /// Status and headers of an event stream whose first events have arrived.
-    Stream(Response<()>, OpenStream),
+    Stream(Response<()>, Box<OpenStream>),
 }
 
 /// Result of taking a retry from the budget.
@@ -96,7 +97,7 @@
                     log,
                 };
                 let (parts, ()) = head.into_parts();
-                return Response::from_parts(parts, relay.start(stream));
+                return Response::from_parts(parts, relay.start(*stream));
             }
             Ok(CallerResponse::Buffered(response, outcome)) => (response, outcome),
             Err(refusal) => {
@@ -370,12 +371,12 @@
     let mut head = Response::new(());
     *head.status_mut() = response.metadata.status;
     *head.headers_mut() = ResponseMetadata::forwardable_headers(&response.headers);
-    let opened = OpenStream::start(response, target, deadline).await;
+    let opened = OpenStream::start(response, target, EventReader::default(), deadline).await;
     let stream = opened.map_err(|failure| match failure {
         StreamFailure::ConnectionLost(reason) => BackendSendError::ConnectionLost(reason).into(),
         StreamFailure::Unusable(reason) => unusable_response(reason),
     })?;
-    Ok(CallerResponse::Stream(head, stream))
+    Ok(CallerResponse::Stream(head, Box::new(stream)))
 }
 
 /// Reads a response to its end and decides whether the caller may get it.
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -13,7 +13,6 @@
 mod coordinator_orders;
 mod engine_timings;
 mod event_relay;
-mod event_splitter;
 mod filters;
 mod fleet_reporter;
 mod fleet_table;
