End requests' waits when their host is stopped

Others were held for 5.7 s and then refused, though another host could have taken them.

Fix: request_wait has all waits of requests that no server has accepted. A wait for an unknown time ends at the stop, one for a known time if it would end more than 0.8 s after the stop or the arrival; the pauses are checked before each send. The refusal (503 host-stopping, Retry-After 50 ms) promises "not run" only if no server may have run the request.

--- a/crates/host/src/caller_lifecycle.rs
+++ b/crates/host/src/caller_lifecycle.rs
@@ -33,13 +33,13 @@
     stop_accepting: &CancellationToken,
     close_gracefully: &CancellationToken,
 ) {
-    state.stopping.cancel();
+    state.stop.start();
     info!(state.logger, "stopping"; "connections" => open.load(Ordering::Acquire),
         "requests" => state.counters.active.get());
     let grace = state.startup.bounds.grace;
     let close_after = STOP_ACCEPTING_DELAY.min(grace / 2);
     tokio::time::sleep(close_after.saturating_sub(CLOSE_NOTICE_TIME)).await;
-    state.closing.cancel();
+    state.stop.closing.cancel();
     tokio::time::sleep(CLOSE_NOTICE_TIME.min(close_after)).await;
     stop_accepting.cancel();
     close_gracefully.cancel();
--- a/crates/host/src/caller_response.rs
+++ b/crates/host/src/caller_response.rs
@@ -93,6 +93,8 @@
     BodyBroken,
     /// The body did not arrive within the time limit.
     BodyTooSlow,
+    /// This host shuts down, and another one can take the request.
+    HostStopping,
     /// The client account exceeds its rate.
     RateLimited,
     /// No backend server of the service is available.
@@ -124,6 +126,7 @@
             Self::BodyTooLarge => "body-too-large",
             Self::BodyBroken => "body-broken",
             Self::BodyTooSlow => "body-too-slow",
+            Self::HostStopping => "host-stopping",
             Self::RateLimited => "rate-limited",
             Self::NoBackend => "no-backend",
             Self::ServersPaused => "servers-paused",
@@ -145,6 +148,7 @@
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::RateLimited => StatusCode::TOO_MANY_REQUESTS,
             Self::NoConfiguration
+            | Self::HostStopping
             | Self::StaleConfiguration
             | Self::NoBackend
             | Self::ServersPaused
--- a/crates/host/src/coordinator_election.rs
+++ b/crates/host/src/coordinator_election.rs
@@ -187,7 +187,7 @@
     fn claimable_revision(&self) -> Option<Revision> {
         let state = &self.state;
         let table = state.table.load();
-        let is_stopping = state.stopping.is_cancelled();
+        let is_stopping = state.stop.started.is_cancelled();
         if table.config.is_none() || is_stopping || !state.has_fresh_keys() {
             return None;
         }
--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -27,6 +27,9 @@
 use crate::part_filter::check_parts_before_send;
 use crate::request_context::RequestContext;
 use crate::request_log::RequestLog;
+use crate::request_wait::check_stop;
+use crate::request_wait::wait_interval;
+use crate::request_wait::wait_until;
 use crate::send_history::SendHistory;
 use crate::target_choice::choose_target;
 
@@ -134,6 +137,11 @@
             let refusal = Refusal::not_run(RefusalKind::DeadlinePassed);
             return end_with_failure(refusal, history, failed_response);
         }
+        if !history.may_have_run()
+            && let Err(refusal) = check_stop(state, context)
+        {
+            return end_with_failure(refusal, history, failed_response);
+        }
         let target = match choose_target(state, context, history).await {
             Ok(target) => target,
             Err(refusal) => return end_with_failure(refusal, history, failed_response),
@@ -143,7 +151,11 @@
             return end_with_failure(refusal, history, failed_response);
         }
         if history.delivered_sends > 0 && !has_retry {
-            match acquire_retry(state, context, history).await {
+            let grant = match acquire_retry(state, context, history).await {
+                Ok(grant) => grant,
+                Err(refusal) => return end_with_failure(refusal, history, failed_response),
+            };
+            match grant {
                 RetryGrant::Immediate => {}
                 RetryGrant::AfterWait => {
                     // Meanwhile the server may have left and the key may have been withdrawn: choose and check again.
@@ -185,7 +197,9 @@
             BackendSendError::NotSent(_) => history.record_unreachable(&backend),
             BackendSendError::NotRun(status) => {
                 let pause = record_rejection(state, context, history, &target, status);
-                tokio::time::sleep(pause.min(context.time_left())).await;
+                if let Err(refusal) = wait_until(state, context, Instant::now() + pause).await {
+                    return end_with_failure(refusal, history, failed_response);
+                }
             }
             BackendSendError::MayHaveRun(_)
             | BackendSendError::ConnectionLost(_)
@@ -232,21 +246,22 @@
 /// Takes a retry from the service's budget.
 ///
 /// A request that surely has not run may wait for one: it should not fail while later requests get their first send.
+/// Fails if the host shuts down meanwhile.
 async fn acquire_retry(
     state: &HostState,
     context: &RequestContext,
     history: &SendHistory,
-) -> RetryGrant {
+) -> Result<RetryGrant> {
     let wait_until = context.arrived + context.total_time() * RETRY_WAIT_PERCENT / 100;
     let mut grant = RetryGrant::Immediate;
     loop {
         if state.retries.for_service(&context.service).try_retry() {
-            return grant;
+            return Ok(grant);
         }
         if history.may_have_run() || Instant::now() + RETRY_POLL_INTERVAL >= wait_until {
-            return RetryGrant::Denied;
+            return Ok(RetryGrant::Denied);
         }
-        tokio::time::sleep(RETRY_POLL_INTERVAL).await;
+        wait_interval(state, RETRY_POLL_INTERVAL).await?;
         grant = RetryGrant::AfterWait;
     }
 }
--- a/crates/host/src/host_process.rs
+++ b/crates/host/src/host_process.rs
@@ -61,6 +61,7 @@
 use crate::retry_budgets::RetryBudgets;
 use crate::side_servers::metrics;
 use crate::side_servers::readiness;
+use crate::stop_progress::StopProgress;
 use crate::store_follower::StoreFollower;
 use crate::store_relay::StoreRelay;
 use crate::table_source::TableSource;
@@ -209,8 +210,7 @@
         parts: Mutex::default(),
         silent_hosts: Mutex::default(),
         link,
-        stopping: CancellationToken::new(),
-        closing: CancellationToken::new(),
+        stop: StopProgress::default(),
         startup,
         logger,
     });
--- a/crates/host/src/host_state.rs
+++ b/crates/host/src/host_state.rs
@@ -7,7 +7,6 @@
 use arc_swap::ArcSwap;
 use slog::Logger;
 use tokio::sync::watch;
-use tokio_util::sync::CancellationToken;
 use zinniahinge_platform::FleetBounds;
 use zinniahinge_platform::StartupSettings;
 use zinniahinge_serving::AccountMeter;
@@ -32,6 +31,7 @@
 use crate::part_watch::PartWatch;
 use crate::peer_link::PeerLink;
 use crate::retry_budgets::RetryBudgets;
+use crate::stop_progress::StopProgress;
 use crate::table_source::TableSource;
 
 /// Subtracted from the deadline for revoked keys: covers the time that a request takes to reach its backend server, and the
@@ -69,10 +69,7 @@
     pub(crate) silent_hosts: Mutex<SilentHosts>,
     /// Client for messages to other hosts.
     pub(crate) link: PeerLink,
-    /// Cancelled when SIGTERM starts a graceful shutdown.
-    pub(crate) stopping: CancellationToken,
-    /// Cancelled some time after that signal; from then on each answer closes its connection.
-    pub(crate) closing: CancellationToken,
+    pub(crate) stop: StopProgress,
 }
 
 impl HostState {
--- a/crates/host/src/request_handler.rs
+++ b/crates/host/src/request_handler.rs
@@ -25,7 +25,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     let mut response = respond(&state, bodies, request).await;
-    if state.closing.is_cancelled() {
+    if state.stop.closing.is_cancelled() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/host/src/side_servers.rs
+++ b/crates/host/src/side_servers.rs
@@ -25,7 +25,7 @@
 
 /// Returns why this host accepts no new connections; `None` if it accepts them.
 fn unready_reason(state: &HostState) -> Option<&'static str> {
-    if state.stopping.is_cancelled() {
+    if state.stop.started.is_cancelled() {
         Some("stopping")
     } else if state.table.load().config.is_none() {
         Some("no configuration is known")
--- a/crates/host/src/target_choice.rs
+++ b/crates/host/src/target_choice.rs
@@ -17,6 +17,9 @@
 use crate::fleet_table::BackendSlot;
 use crate::host_state::HostState;
 use crate::request_context::RequestContext;
+use crate::request_wait::check_stop;
+use crate::request_wait::wait_interval;
+use crate::request_wait::wait_until;
 use crate::send_history::SendHistory;
 
 /// Interval at which the coordinator, or a new one after a change, is asked again for a backend server.
@@ -38,12 +41,6 @@
 /// Delay after which callers are told to retry when it is unknown when the model will be ready.
 const UNPLACED_RETRY_AFTER: Duration = Duration::from_millis(1500);
 
-/// Longest time that a request waits for a model while the host shuts down.
-const MAX_SHUTDOWN_WAIT: Duration = Duration::from_millis(800);
-
-/// Delay after which callers of a host that shuts down are told to retry; another host takes their requests.
-const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 /// Chooses the backend server for the next send of a request.
 ///
 /// A model request waits until a server has the model, at most for a part of its time. The error is the refusal that
@@ -111,7 +108,7 @@
     if Instant::now() + pause + FIRST_RESPONSE_MARGIN >= context.first_response_deadline() {
         return Err(paused);
     }
-    wait_for_load(state, pause, paused).await?;
+    wait_until(state, context, Instant::now() + pause).await?;
     history.clear_excluded();
     Ok(())
 }
@@ -202,17 +199,15 @@
     let unplaced =
         Refusal::not_run(RefusalKind::ModelUnavailable).retry_after(UNPLACED_RETRY_AFTER);
     let response_deadline = context.first_response_deadline();
-    let wait_until = context.arrived + context.total_time() * PLACEMENT_WAIT_PERCENT / 100;
-    let wait_until = wait_until.min(response_deadline - FIRST_RESPONSE_MARGIN);
+    let wait_end = context.arrived + context.total_time() * PLACEMENT_WAIT_PERCENT / 100;
+    let wait_end = wait_end.min(response_deadline - FIRST_RESPONSE_MARGIN);
     let mut last_reply_at = Instant::now();
     loop {
         let now = Instant::now();
-        if now >= wait_until {
+        if now >= wait_end {
             return Err(unplaced);
         }
-        if state.stopping.is_cancelled() && now >= context.arrived + MAX_SHUTDOWN_WAIT {
-            return Err(unplaced.retry_after(SHUTDOWN_RETRY_AFTER));
-        }
+        check_stop(state, context)?;
         let reply = request_placement(state, context, model, history).await;
         if !matches!(reply, None | Some(PlacementReply::NotHolder)) {
             last_reply_at = Instant::now();
@@ -228,7 +223,7 @@
                 if now + ready_in + FIRST_RESPONSE_MARGIN >= response_deadline {
                     return Err(unplaced.retry_after(ready_in));
                 }
-                wait_for_load(state, ready_in, unplaced).await?;
+                wait_until(state, context, Instant::now() + ready_in).await?;
                 let table = state.table.load();
                 let slot = table.backend(&context.service, &backend);
                 let bar = slot.and_then(|slot| slot.bar(state.now()));
@@ -247,7 +242,7 @@
             }
             Some(PlacementReply::AskAgain { again_in_ms }) => {
                 let again_in = Duration::from_millis(again_in_ms);
-                if now + again_in >= wait_until {
+                if now + again_in >= wait_end {
                     return Err(unplaced.retry_after(again_in));
                 }
                 again_in
@@ -259,7 +254,8 @@
             }
             Some(PlacementReply::NotHolder) | None => PLACEMENT_POLL_INTERVAL,
         };
-        tokio::time::sleep_until((now + pause).min(wait_until)).await;
+        let next = (now + pause).min(wait_end);
+        wait_interval(state, next.saturating_duration_since(Instant::now())).await?;
         // Meanwhile another server may have loaded the model.
         if let Some(target) = target_with_model(state, context, model, history) {
             return Ok(target);
@@ -267,22 +263,6 @@
     }
 }
 
-/// Waits for `ready_in`, after which the model should be loaded.
-///
-/// A host that shuts down ends the wait with `unplaced` if more than [`MAX_SHUTDOWN_WAIT`] is left, since another host
-/// can take the request.
-async fn wait_for_load(state: &HostState, ready_in: Duration, unplaced: Refusal) -> Result<()> {
-    let until = Instant::now() + ready_in;
-    if until - Instant::now() > MAX_SHUTDOWN_WAIT {
-        tokio::select! {
-            () = tokio::time::sleep_until(until - MAX_SHUTDOWN_WAIT) => {}
-            () = state.stopping.cancelled() => return Err(unplaced.retry_after(SHUTDOWN_RETRY_AFTER)),
-        }
-    }
-    tokio::time::sleep_until(until).await;
-    Ok(())
-}
-
 /// Sends one placement request; `None` if no coordinator is known or it did not reply.
 ///
 /// The request also tells the coordinator which server lacked the model or could not be reached, once each.
