Refuse requests that are complete late in a planned stop, and answer the rest at its end

Cause: the limit for new requests was one for new connections. Nothing looked at the time at which a request was complete, and the end of the process was the end of its connections.

Fix: a request is refused if its body is complete after the host has stopped accepting. 0.2 s before the process ends, all unanswered requests are answered: 503 if none was sent, otherwise 502. A send in progress counts as a possible run, so the answer's promise stays true.

--- a/crates/host/src/caller_lifecycle.rs
+++ b/crates/host/src/caller_lifecycle.rs
@@ -20,11 +20,14 @@
 /// Part of the grace period that is left when the process ends although requests are still in progress.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
+/// Time before the end of the process in which requests that are still unanswered are told that the host stops.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
+
 /// Interval at which the number of open connections is checked.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Shuts down gracefully within the grace period: reports "not ready" at once, then announces the close of connections
-/// in responses, then stops accepting and closes connections after their responses.
+/// in responses, then stops accepting and closes connections after their responses, and last answers what is left.
 ///
 /// Returns when all connections are closed, or shortly before the grace period ends.
 pub(crate) async fn drain(
@@ -42,6 +45,7 @@
     state.stop.closing.cancel();
     tokio::time::sleep(CLOSE_NOTICE_TIME.min(close_after)).await;
     stop_accepting.cancel();
+    state.stop.refusing.cancel();
     close_gracefully.cancel();
     let all_closed = async {
         while open.load(Ordering::Acquire) > 0 {
@@ -49,7 +53,16 @@
         }
     };
     let time_left = grace.saturating_sub(close_after + EXIT_MARGIN);
-    let is_complete = tokio::time::timeout(time_left, all_closed).await.is_ok();
+    let answer_time = time_left.saturating_sub(LAST_ANSWERS_TIME);
+    let mut all_closed = std::pin::pin!(all_closed);
+    let mut is_complete = tokio::time::timeout(answer_time, all_closed.as_mut())
+        .await
+        .is_ok();
+    if !is_complete {
+        state.stop.ending.cancel();
+        let last_answers = tokio::time::timeout(time_left - answer_time, all_closed);
+        is_complete = last_answers.await.is_ok();
+    }
     info!(state.logger, "stopped"; "complete" => is_complete,
         "requests" => state.counters.active.get());
 }
--- a/crates/host/src/filters.rs
+++ b/crates/host/src/filters.rs
@@ -25,6 +25,7 @@
 use crate::host_state::HostState;
 use crate::part_filter::check_parts;
 use crate::request_context::RequestContext;
+use crate::request_wait::stopping_refusal;
 
 /// Delay after which callers are told to retry while this host can't tell whether keys were withdrawn. Mostly the store
 /// is back within a second or two, or the load balancer sends the callers to other hosts.
@@ -54,6 +55,9 @@
     })?;
     check_parts(state, &facts)?;
     let (body, reservation) = bodies.read(body, &config.limits).await?;
+    if state.stop.refusing.is_cancelled() {
+        return Err(stopping_refusal());
+    }
     let service = rule.service(rand::random()).cloned();
     let service = service.ok_or(Refusal::not_run(RefusalKind::NoBackend))?;
     let caller_timeout = facts.caller_timeout.unwrap_or(rule.timeout);
--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -28,6 +28,7 @@
 use crate::request_context::RequestContext;
 use crate::request_log::RequestLog;
 use crate::request_wait::check_stop;
+use crate::request_wait::stopping_refusal;
 use crate::request_wait::wait_interval;
 use crate::request_wait::wait_until;
 use crate::send_history::SendHistory;
@@ -90,8 +91,10 @@
     mut log: RequestLog,
 ) -> Response<ResponseBody> {
     let mut history = SendHistory::default();
+    let answered = send_until_answered(state, &context, &mut history, &mut log);
+    let answered = state.stop.ending.run_until_cancelled(answered).await;
     let (response, outcome) =
-        match send_until_answered(state, &context, &mut history, &mut log).await {
+        match answered.unwrap_or_else(|| end_with_failure(stopping_refusal(), &history, None)) {
             Ok(CallerResponse::Stream(head, stream)) => {
                 let relay = EventRelay {
                     state: state.clone(),
@@ -174,7 +177,9 @@
         }
         let backend = target.entry.id.clone();
         log.record_send(&backend);
+        history.sending_to = Some(backend.clone());
         let sent = send_and_read(state, context, history, &target).await;
+        history.sending_to = None;
         let is_delivered = !matches!(&sent, Err(failed) if failed.is_unsent());
         history.delivered_sends += u32::from(is_delivered);
         log.delivered_sends = history.delivered_sends;
--- a/crates/host/src/request_handler.rs
+++ b/crates/host/src/request_handler.rs
@@ -16,6 +16,7 @@
 use crate::forward::forward;
 use crate::host_state::HostState;
 use crate::request_log::RequestLog;
+use crate::request_wait::stopping_refusal;
 
 /// Handles one request of a caller; the response announces the close of the connection if the host is about to close
 /// it.
@@ -45,7 +46,9 @@
     let id = facts.as_ref().map(|facts| facts.attempt_id.clone());
     let id = id.unwrap_or_else(|_| Name::from("unknown"));
     let mut log = RequestLog::new(state.clone(), id, arrived);
-    let context = match admit(state, &bodies, request, facts, arrived).await {
+    let admitted = admit(state, &bodies, request, facts, arrived);
+    let admitted = state.stop.ending.run_until_cancelled(admitted).await;
+    let context = match admitted.unwrap_or_else(|| Err(stopping_refusal())) {
         Ok(admitted) => admitted,
         Err(refusal) => {
             let response = refusal.to_response();
--- a/crates/host/src/stop_progress.rs
+++ b/crates/host/src/stop_progress.rs
@@ -10,6 +10,10 @@
     pub(crate) started: CancellationToken,
     /// Each answer closes its connection.
     pub(crate) closing: CancellationToken,
+    /// Requests that are not complete by now are refused, since they could be cut off by the end of the process.
+    pub(crate) refusing: CancellationToken,
+    /// Requests that are still unanswered get an answer now.
+    pub(crate) ending: CancellationToken,
     started_at: OnceLock<Instant>,
 }
 
