Join nothing to a stream but its rest

Cause: a resumption checked only that the next server's answer was a success with a signature, not that it was the rest of this stream.

Evidence: broken_streams with seven wrong answers of the next server, on: five are joined and end as complete (an error text with status 200, an error event without id, the events from the first on, the last event again, status 206); a 500 and an empty stream break off. The first server's events are whole in all cases, which rules out that its end was mixed up.

Fix: status and media type must be those that the stream began with. What isn't the rest of the stream counts as a failed send.

After: broken_streams passes.

--- a/crates/host/src/event_relay.rs
+++ b/crates/host/src/event_relay.rs
@@ -3,6 +3,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use http::header::CONTENT_TYPE;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use slog::info;
@@ -29,6 +30,7 @@
 use crate::run_check::is_run_over;
 use crate::run_check::wait_for_run_end;
 use crate::send_history::SendHistory;
+use crate::stream_head::StreamHead;
 use crate::target_choice::choose_target;
 
 /// Chunks that are buffered for a slow caller before the relay stops reading from the backend server.
@@ -186,6 +188,8 @@
     pub(crate) context: RequestContext,
     pub(crate) history: SendHistory,
     pub(crate) log: RequestLog,
+    /// Head of the stream as the caller gets it.
+    pub(crate) head: StreamHead,
 }
 
 impl EventRelay {
@@ -356,14 +360,17 @@
             let sent = send(state, context, history, &target, Some(last_event), deadline).await;
             let opened = match sent {
                 Ok(response)
-                    if response.metadata.status.is_success()
-                        && response.metadata.has_original_body() =>
+                    if response.metadata.has_original_body()
+                        && StreamHead::new(response.metadata.status, &response.headers)
+                            == self.head =>
                 {
                     OpenStream::start(response, &target, reader.clone(), context.deadline).await
                 }
-                Ok(response) => Err(StreamFailure::Unusable(
-                    response.metadata.status.to_string(),
-                )),
+                Ok(response) => Err(StreamFailure::Unusable(format!(
+                    "status {} or type {:?} is not that of the stream",
+                    response.metadata.status,
+                    response.headers.get(CONTENT_TYPE)
+                ))),
                 Err(BackendSendError::ConnectionLost(reason)) => {
                     Err(StreamFailure::ConnectionLost(reason))
                 }
--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -33,6 +33,7 @@
 use crate::request_wait::wait_until;
 use crate::run_check::wait_for_run_end;
 use crate::send_history::SendHistory;
+use crate::stream_head::StreamHead;
 use crate::target_choice::choose_target;
 
 /// Shortest time before the deadline at which a request is still sent to a backend server.
@@ -102,6 +103,7 @@
                     context,
                     history,
                     log,
+                    head: StreamHead::new(head.status(), head.headers()),
                 };
                 let (parts, ()) = head.into_parts();
                 return Response::from_parts(parts, relay.start(*stream));
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -36,6 +36,7 @@
 mod stop_progress;
 mod store_follower;
 mod store_relay;
+mod stream_head;
 mod table_source;
 mod target_choice;
 
--- a/crates/host/tests/broken_streams.rs
+++ b/crates/host/tests/broken_streams.rs
@@ -6,7 +6,9 @@
 
 use googletest::prelude::*;
 use zinniahinge_platform_standins::BackendFault;
+use zinniahinge_platform_standins::Caller;
 use zinniahinge_platform_standins::EventFormat;
+use zinniahinge_platform_standins::ResumeAnswer;
 
 use crate::common::Outcome;
 use crate::common::TestBed;
@@ -80,6 +82,51 @@
     Ok(())
 }
 
+/// Answers of the next server that don't go on with the stream.
+const WRONG_ANSWERS: [ResumeAnswer; 7] = [
+    ResumeAnswer::ErrorStatus,
+    ResumeAnswer::ErrorText,
+    ResumeAnswer::ErrorEvent,
+    ResumeAnswer::OtherStatus,
+    ResumeAnswer::StartsAgain,
+    ResumeAnswer::Repeats,
+    ResumeAnswer::Empty,
+];
+
+/// Guards against an error, or another run, in the middle of a stream whose next server doesn't go on with it, and against
+/// such a stream that ends as if it were complete.
+#[tokio::test]
+async fn nothing_but_the_rest_of_a_stream_is_joined_to_it() -> Outcome {
+    let bed = TestBed::start().await?;
+    let mut failures = Vec::new();
+    for answer in WRONG_ANSWERS {
+        for engine in &bed.engines {
+            engine.set_fault(BackendFault::BreakNewStream);
+            engine.set_event_format(EventFormat {
+                resume_answer: answer,
+                ..EventFormat::default()
+            });
+        }
+        let id = format!("{answer:?}");
+        let mut caller = Caller::connect(bed.host.callers).await?;
+        let request = model_request(&id, "/resume/stream/x", "m1");
+        caller.send_bytes(&request.to_bytes()).await?;
+        let text = caller.read_rest(Duration::from_secs(6)).await;
+        let body = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+        let numbers = event_numbers(body);
+        let is_whole = body.ends_with("0\r\n\r\n");
+        let has_error = body.contains("failed") || body.contains("HTTP/1.1");
+        if is_whole || has_error || numbers != [1, 2, 3] {
+            failures.push(format!(
+                "{id}: whole {is_whole}, events {numbers:?}, {body:?}"
+            ));
+        }
+        tokio::time::sleep(AVOID_TIME).await;
+    }
+    assert_that!(failures, is_empty());
+    Ok(())
+}
+
 /// Numbers of the events in a body, in order.
 fn event_numbers(body: &str) -> Vec<u64> {
     let pieces = body.split("data: event ").skip(1);
