Block prompt parts that crash servers with one model only, at the third crash

Cause: the evidence knew single prompt parts only. What recurred was the parts with one model; answers with the same parts and another model cleared them.

Fix: hosts report each shared part alone and combined with model and adapter; the evidence treats both alike. Of those that explain the same crashes, the one that fewest requests have is blocked: the combination before the part, the later part before the earlier one. Two more crashes of the same part without the blocked combination block the wider one, too.

The test case "a tie of four crashes blocks nothing" was wrong: it asked to wait for a fifth crash where three more requests are allowed after the third. Requests with the later part have the earlier one, too, so the wait spared no sound request. Four cases replace it, two of which guard a sound part; three cases are for combinations.

--- a/crates/host/src/part_filter.rs
+++ b/crates/host/src/part_filter.rs
@@ -36,11 +36,15 @@
     Ok(())
 }
 
-/// The blocked ones among the request's shared parts.
+/// The blocked ones among the request's shared parts, alone or combined with its model and adapter.
 fn blocked_parts(state: &HostState, facts: &RequestFacts) -> Vec<BlockedPart> {
     let table = state.table.load();
-    let shared = facts.shared_parts().iter();
-    let blocked = shared.filter_map(|part| table.blocked.find(part.id));
+    if table.blocked.parts.is_empty() {
+        return Vec::new();
+    }
+    let shared = facts.shared_parts().iter().map(|part| part.id);
+    let ids = shared.chain(facts.model_parts());
+    let blocked = ids.filter_map(|id| table.blocked.find(id));
     blocked.cloned().collect()
 }
 
--- a/crates/host/src/part_watch.rs
+++ b/crates/host/src/part_watch.rs
@@ -17,7 +17,7 @@
 /// Largest number of requests that broke off, of answers under way and of parts that are kept.
 const MAX_CUTS: usize = 64;
 const MAX_ANSWERS: usize = 1024;
-const MAX_PARTS: usize = 1024;
+const MAX_PARTS: usize = 2048;
 
 /// What this host's requests showed about their prompt parts, and which of it the coordinator knows.
 #[derive(Debug, Default)]
@@ -54,6 +54,7 @@
             address: target.entry.address,
             age_ms: 0,
             parts: parts.iter().map(|part| part.id).collect(),
+            model_parts: facts.model_parts().into_vec(),
         };
         self.cuts.push_back((now, cut));
         if self.cuts.len() > MAX_CUTS {
@@ -71,8 +72,8 @@
         if self.answers.len() > MAX_ANSWERS {
             self.answers.pop_front();
         }
-        for part in parts {
-            self.progress.insert(part.id, now);
+        for id in parts.iter().map(|part| part.id).chain(facts.model_parts()) {
+            self.progress.insert(id, now);
         }
         if self.progress.len() > MAX_PARTS {
             self.progress.retain(|_, at| now.since(*at) < KEEP_TIME / 4);
--- a/crates/serving/src/crash_evidence.rs
+++ b/crates/serving/src/crash_evidence.rs
@@ -40,15 +40,18 @@
 const MAX_CHANCE: f64 = 0.01;
 const MAX_CHANCE_AFTER_PROGRESS: f64 = 0.001;
 
-/// Number of crashes from which one of several equally suspect parts is returned: the one that is later in the prompts, which
-/// fewer requests share.
-const TIE_CRASHES: usize = 5;
+/// Smallest number of separate crashes of a part that no blocked part explains.
+const MIN_UNEXPLAINED: usize = 2;
 
 /// Finds the prompt part that crashes backend servers, from the requests that broke off and those that did not.
 ///
 /// A part is suspect if its requests broke off in several separate crashes, none of them was answered in between, and
-/// other requests were answered too often for chance. Crashes in which a blocked part took part say nothing about other
-/// parts.
+/// other requests were answered too often for chance. The same holds for a part combined with a model and an adapter, which
+/// crashes servers if the part alone doesn't. Of several that explain the same crashes, the one that fewest requests have is
+/// suspect: the latest in the prompts, combined with the model.
+///
+/// Crashes with a blocked part say nothing about the parts of other requests. For the parts of the same requests they count as
+/// soon as further crashes show that the block was too narrow.
 #[derive(Debug, Default)]
 pub struct CrashEvidence {
     /// Oldest first.
@@ -64,11 +67,30 @@
     backend: Name,
     address: SocketAddr,
     at: MonotonicTime,
-    requests: Vec<(Name, SmallVec<[u64; 4]>)>,
+    requests: Vec<CutParts>,
     /// Value of `progressed_requests` when the crash became known.
     progressed_before: u64,
 }
 
+/// The parts of a request that broke off.
+#[derive(Debug)]
+struct CutParts {
+    attempt_id: Name,
+    parts: SmallVec<[u64; 4]>,
+    /// The same parts combined with model and adapter; empty without a model.
+    model_parts: SmallVec<[u64; 4]>,
+}
+
+/// A part in a request that broke off.
+#[derive(Clone, Copy, Debug)]
+struct FoundPart {
+    id: u64,
+    /// Position in the prompt.
+    position: usize,
+    /// True if this is the part's combination with a model.
+    is_combined: bool,
+}
+
 /// A part that the evidence makes suspect.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SuspectPart {
@@ -101,21 +123,29 @@
     first: usize,
     /// Largest position in a prompt.
     position: usize,
+    is_combined: bool,
+    /// Number of the crashes that no blocked part explains.
+    unexplained: usize,
 }
 
 impl CrashEvidence {
     /// Adds a request that broke off before its answer was under way.
     pub fn add_cut(&mut self, cut: &CutRequest, now: MonotonicTime) {
         let at = now.before(Duration::from_millis(cut.age_ms));
-        let parts: SmallVec<[u64; 4]> = cut.parts.iter().copied().take(MAX_PARTS).collect();
-        let request = (cut.attempt_id.clone(), parts);
+        let kept = |parts: &[u64]| parts.iter().copied().take(MAX_PARTS).collect();
+        let request = CutParts {
+            attempt_id: cut.attempt_id.clone(),
+            parts: kept(&cut.parts),
+            model_parts: kept(&cut.model_parts),
+        };
         let known = self.crashes.iter_mut().find(|crash| {
             let distance = crash.at.since(at).max(at.since(crash.at));
             crash.backend == cut.backend && distance < CRASH_WINDOW
         });
         match known {
             Some(crash) => {
-                let is_new = crash.requests.iter().all(|(id, _)| *id != request.0);
+                let mut known = crash.requests.iter();
+                let is_new = known.all(|known| known.attempt_id != request.attempt_id);
                 if is_new && crash.requests.len() < MAX_REQUESTS {
                     crash.requests.push(request);
                 }
@@ -191,24 +221,20 @@
                 MAX_CHANCE_AFTER_PROGRESS
             };
             let crashes = record.times.len();
-            let is_suspect = crashes >= MIN_CRASHES
+            let is_suspect = record.unexplained >= MIN_UNEXPLAINED
+                && crashes >= MIN_CRASHES
                 && record.addresses.len() >= MIN_ADDRESSES
                 && self.chance(*part, record) <= limit;
-            is_suspect.then_some((crashes, is_unknown, record.position, *part))
+            is_suspect.then_some((
+                crashes,
+                is_unknown,
+                record.position,
+                record.is_combined,
+                *part,
+            ))
         });
-        let mut suspects: SmallVec<[_; 4]> = suspects.collect();
-        suspects.sort_unstable_by(|one, other| other.cmp(one));
-        let (crashes, is_unknown, _, part) = *suspects.first()?;
+        let (crashes, _, _, _, part) = suspects.max()?;
         let record = records.get(&part)?;
-        let mut others = suspects.iter().skip(1);
-        let is_tied = others.any(|(_, is_other_unknown, _, other)| {
-            let other = records.get(other);
-            *is_other_unknown == is_unknown
-                && other.is_some_and(|other| other.times == record.times)
-        });
-        if is_tied && crashes < TIE_CRASHES {
-            return None;
-        }
         Some(SuspectPart {
             part,
             crashes,
@@ -225,25 +251,33 @@
     ) -> HashMap<u64, PartRecord> {
         let mut records: HashMap<u64, PartRecord> = HashMap::new();
         for (index, crash) in self.crashes.iter().enumerate() {
-            if crash.at > settled || crash.parts().any(|(_, part)| blocked(part)) {
+            if crash.at > settled {
                 continue;
             }
-            for (position, part) in crash.parts() {
-                if self.last_progress(part).is_some_and(|at| at >= crash.at) {
+            let has_blocked = |request: &CutParts| request.found().any(|found| blocked(found.id));
+            let is_explained = crash.requests.iter().any(has_blocked);
+            let requests = crash.requests.iter();
+            let counted = requests.filter(|request| !is_explained || has_blocked(request));
+            for found in counted.flat_map(CutParts::found) {
+                let answered = self.last_progress(found.id);
+                if blocked(found.id) || answered.is_some_and(|at| at >= crash.at) {
                     continue;
                 }
-                let record = records.entry(part).or_insert_with(|| PartRecord {
+                let record = records.entry(found.id).or_insert_with(|| PartRecord {
                     times: SmallVec::new(),
                     addresses: HashSet::new(),
                     first: index,
-                    position,
+                    position: found.position,
+                    is_combined: found.is_combined,
+                    unexplained: 0,
                 });
                 let last = record.times.last();
                 if last.is_none_or(|last| crash.at.since(*last) >= COMMON_CAUSE_WINDOW) {
                     record.times.push(crash.at);
+                    record.unexplained += usize::from(!is_explained);
                 }
                 record.addresses.insert(crash.address);
-                record.position = record.position.max(position);
+                record.position = record.position.max(found.position);
             }
         }
         records
@@ -255,7 +289,7 @@
     fn chance(&self, part: u64, record: &PartRecord) -> f64 {
         let crashes = self.crashes.range(record.first..);
         let requests = crashes.flat_map(|crash| &crash.requests);
-        let cut = requests.filter(|(_, parts)| !parts.contains(&part)).count() as f64;
+        let cut = requests.filter(|request| !request.has(part)).count() as f64;
         let before = self.crashes.get(record.first);
         let before = before.map_or(0, |crash| crash.progressed_before);
         let progressed = self.progressed_requests.saturating_sub(before) as f64;
@@ -285,13 +319,26 @@
 }
 
 impl ServerCrash {
-    /// Parts of the requests that broke off, with their position in the prompt.
-    fn parts(&self) -> impl Iterator<Item = (usize, u64)> {
-        let requests = self.requests.iter();
-        requests.flat_map(|(_, parts)| parts.iter().copied().enumerate())
+    fn has(&self, part: u64) -> bool {
+        self.requests.iter().any(|request| request.has(part))
     }
+}
 
+impl CutParts {
     fn has(&self, part: u64) -> bool {
-        self.parts().any(|(_, own)| own == part)
+        self.parts.contains(&part) || self.model_parts.contains(&part)
+    }
+
+    /// The parts, alone and combined with the model.
+    fn found(&self) -> impl Iterator<Item = FoundPart> {
+        let lists = [(&self.parts, false), (&self.model_parts, true)];
+        lists.into_iter().flat_map(|(ids, is_combined)| {
+            let ids = ids.iter().enumerate();
+            ids.map(move |(position, id)| FoundPart {
+                id: *id,
+                position,
+                is_combined,
+            })
+        })
     }
 }
--- a/crates/serving/src/part_ledger.rs
+++ b/crates/serving/src/part_ledger.rs
@@ -72,7 +72,7 @@
         }
         for cut in &report.cut {
             self.evidence.add_cut(cut, now);
-            for part in &cut.parts {
+            for part in cut.parts.iter().chain(&cut.model_parts) {
                 self.list.record_cut(*part, now);
             }
         }
--- a/crates/serving/src/request_facts.rs
+++ b/crates/serving/src/request_facts.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use sha2::Digest;
+use sha2::Sha256;
 use smallvec::SmallVec;
 use zinniahinge_types::Name;
 
@@ -45,6 +47,29 @@
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 
+    /// Ids of the shared parts combined with the model and the adapter, in order; the same on all hosts. Empty without a
+    /// model.
+    pub fn model_parts(&self) -> SmallVec<[u64; 4]> {
+        let Some(model) = &self.model else {
+            return SmallVec::new();
+        };
+        let adapter = self.adapter.as_deref().unwrap_or_default();
+        let parts = self.shared_parts().iter();
+        parts
+            .map(|part| {
+                let mut hash = Sha256::new();
+                for name in [&**model, adapter] {
+                    hash.update((name.len() as u64).to_be_bytes());
+                    hash.update(name);
+                }
+                hash.update(part.id.to_be_bytes());
+                let digest = hash.finalize();
+                let (bytes, _) = digest.split_first_chunk().unwrap_or((&[0; 8], &[]));
+                u64::from_be_bytes(*bytes)
+            })
+            .collect()
+    }
+
     /// The ids of the shared parts for log lines: hexadecimal, in order, separated by commas; `None` without any.
     pub fn shared_parts_text(&self) -> Option<String> {
         let ids = self.shared_parts().iter();
--- a/crates/serving/tests/part_ledger.rs
+++ b/crates/serving/tests/part_ledger.rs
@@ -17,6 +17,12 @@
 const SOUND: u64 = 3;
 const RARE: u64 = 4;
 
+/// Parts combined with one of two models.
+const FIRST_M1: u64 = 101;
+const CRASHING_M1: u64 = 102;
+const FIRST_M2: u64 = 201;
+const CRASHING_M2: u64 = 202;
+
 /// Time within which all hosts report.
 const REPORT_LAG: Duration = Duration::from_millis(600);
 
@@ -28,11 +34,14 @@
 enum Step {
     /// A request with these parts broke off at the server with this number.
     Cut(u64, u32, &'static [u64]),
+    /// The same, and the parts combined with the request's model.
+    ModelCut(u64, u32, &'static [u64], &'static [u64]),
     /// Answers got under way, each with these parts.
     Progress(u64, u32, &'static [u64]),
 }
 
 use Step::Cut;
+use Step::ModelCut;
 use Step::Progress;
 
 struct LedgerCase {
@@ -58,6 +67,7 @@
         address: ([10, 0, 0, server as u8], 80).into(),
         age_ms: 0,
         parts: parts.to_vec(),
+        model_parts: Vec::new(),
     };
     PartReport {
         cut: vec![cut],
@@ -65,6 +75,15 @@
     }
 }
 
+/// The same for a request to a model, with the ids of its parts combined with the model.
+fn model_cut_report(time_ms: u64, server: u32, parts: &[u64], model_parts: &[u64]) -> PartReport {
+    let mut report = cut_report(time_ms, server, parts);
+    for cut in &mut report.cut {
+        cut.model_parts = model_parts.to_vec();
+    }
+    report
+}
+
 fn progress_report(requests: u32, parts: &[u64]) -> PartReport {
     let progressed = parts.iter().map(|part| PartProgress {
         part: *part,
@@ -87,6 +106,10 @@
     for step in steps {
         let (time_ms, report) = match step {
             Cut(time_ms, server, parts) => (*time_ms, cut_report(*time_ms, *server, parts)),
+            ModelCut(time_ms, server, parts, model_parts) => (
+                *time_ms,
+                model_cut_report(*time_ms, *server, parts, model_parts),
+            ),
             Progress(time_ms, requests, parts) => (*time_ms, progress_report(*requests, parts)),
         };
         ledger.apply(&host(), &report, at(time_ms));
@@ -145,28 +168,95 @@
             blocked: &[CRASHING],
         },
         LedgerCase {
-            name: "parts that share all of their crashes are tied at first, then the later one is blocked",
+            name: "of parts that share all of their crashes, the later one is blocked",
             steps: &[
                 Progress(2000, 50, &[SOUND]),
                 Cut(3000, 1, &[RARE, CRASHING]),
                 Cut(3500, 2, &[RARE, CRASHING]),
                 Cut(4000, 3, &[RARE, CRASHING]),
-                Cut(4500, 4, &[RARE, CRASHING]),
                 Progress(4600, 50, &[SOUND]),
-                Cut(5000, 5, &[RARE, CRASHING]),
             ],
             blocked: &[CRASHING],
         },
         LedgerCase {
-            name: "a tie of four crashes blocks nothing",
+            name: "one crash without the blocked part does not make the earlier one suspect",
             steps: &[
+                Progress(2000, 50, &[SOUND]),
                 Cut(3000, 1, &[RARE, CRASHING]),
                 Cut(3500, 2, &[RARE, CRASHING]),
                 Cut(4000, 3, &[RARE, CRASHING]),
-                Cut(4500, 4, &[RARE, CRASHING]),
-                Progress(4600, 100, &[SOUND]),
+                Progress(4600, 50, &[SOUND]),
+                Cut(6000, 4, &[RARE, SOUND]),
+                Progress(6600, 50, &[SOUND]),
             ],
-            blocked: &[],
+            blocked: &[CRASHING],
+        },
+        LedgerCase {
+            name: "the earlier one is blocked, too, if it goes on crashing servers",
+            steps: &[
+                Progress(2000, 50, &[SOUND]),
+                Cut(3000, 1, &[RARE, CRASHING]),
+                Cut(3500, 2, &[RARE, CRASHING]),
+                Cut(4000, 3, &[RARE, CRASHING]),
+                Progress(4600, 50, &[SOUND]),
+                Cut(6000, 4, &[RARE, SOUND]),
+                Progress(6600, 50, &[SOUND]),
+                Cut(8000, 5, &[RARE, SOUND]),
+                Progress(8600, 50, &[SOUND]),
+            ],
+            blocked: &[CRASHING, RARE],
+        },
+        LedgerCase {
+            name: "a part that is answered without the blocked one is sound",
+            steps: &[
+                Progress(2000, 50, &[SOUND]),
+                Cut(3000, 1, &[RARE, CRASHING]),
+                Cut(3500, 2, &[RARE, CRASHING]),
+                Cut(4000, 3, &[RARE, CRASHING]),
+                Progress(5000, 50, &[RARE, SOUND]),
+                Cut(6000, 4, &[RARE, SOUND]),
+                Cut(8000, 5, &[RARE, SOUND]),
+                Progress(8600, 50, &[SOUND]),
+            ],
+            blocked: &[CRASHING],
+        },
+        LedgerCase {
+            name: "a part crashes servers with one model and is answered with another",
+            steps: &[
+                ModelCut(3000, 1, &[FIRST, CRASHING], &[FIRST_M1, CRASHING_M1]),
+                Progress(3300, 5, &[FIRST, CRASHING, FIRST_M2, CRASHING_M2]),
+                ModelCut(3500, 2, &[FIRST, CRASHING], &[FIRST_M1, CRASHING_M1]),
+                Progress(3800, 5, &[FIRST, CRASHING, FIRST_M2, CRASHING_M2]),
+                ModelCut(4000, 3, &[FIRST, CRASHING], &[FIRST_M1, CRASHING_M1]),
+                Progress(4300, 5, &[FIRST, CRASHING, FIRST_M2, CRASHING_M2]),
+            ],
+            blocked: &[CRASHING_M1],
+        },
+        LedgerCase {
+            name: "a part crashes servers with every model",
+            steps: &[
+                ModelCut(3000, 1, &[FIRST, CRASHING], &[FIRST_M1, CRASHING_M1]),
+                Progress(3300, 5, &[FIRST, FIRST_M1]),
+                ModelCut(3500, 2, &[FIRST, CRASHING], &[FIRST_M2, CRASHING_M2]),
+                Progress(3800, 5, &[FIRST, FIRST_M2]),
+                ModelCut(4000, 3, &[FIRST, CRASHING], &[FIRST_M1, CRASHING_M1]),
+                Progress(4300, 5, &[FIRST, FIRST_M1]),
+            ],
+            blocked: &[CRASHING],
+        },
+        LedgerCase {
+            name: "a part crashes servers with one model, and then with another",
+            steps: &[
+                ModelCut(3000, 1, &[FIRST, CRASHING], &[FIRST_M1, CRASHING_M1]),
+                ModelCut(3500, 2, &[FIRST, CRASHING], &[FIRST_M1, CRASHING_M1]),
+                ModelCut(4000, 3, &[FIRST, CRASHING], &[FIRST_M1, CRASHING_M1]),
+                Progress(4300, 50, &[FIRST, FIRST_M1, FIRST_M2]),
+                ModelCut(6000, 4, &[FIRST, CRASHING], &[FIRST_M2, CRASHING_M2]),
+                Progress(6300, 50, &[FIRST, FIRST_M1, FIRST_M2]),
+                ModelCut(8000, 5, &[FIRST, CRASHING], &[FIRST_M2, CRASHING_M2]),
+                Progress(8300, 50, &[FIRST, FIRST_M1, FIRST_M2]),
+            ],
+            blocked: &[CRASHING, CRASHING_M1],
         },
         LedgerCase {
             name: "one bad server ends under anything",
--- a/crates/types/src/part_message.rs
+++ b/crates/types/src/part_message.rs
@@ -13,7 +13,8 @@
 pub struct PartReport {
     /// Requests that broke off before their answer was under way, since the coordinator's last answer.
     pub cut: Vec<CutRequest>,
-    /// Shared parts of requests whose answer got under way, since the coordinator's last answer.
+    /// Shared parts of requests whose answer got under way, since the coordinator's last answer, and the same parts combined
+    /// with model and adapter.
     pub progressed: Vec<PartProgress>,
     /// Number of these requests.
     pub progressed_requests: u32,
@@ -38,12 +39,15 @@
     pub age_ms: u64,
     /// Ids of the parts of its prompt that other requests may share, in order.
     pub parts: Vec<u64>,
+    /// Ids of the same parts combined with the request's model and adapter, in the same order; empty without a model.
+    #[serde(default)]
+    pub model_parts: Vec<u64>,
 }
 
 /// A prompt part in a request whose answer got under way.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartProgress {
-    /// Id of the part.
+    /// Id of the part, alone or combined with model and adapter.
     pub part: u64,
     /// Time since the last such request, milliseconds.
     pub age_ms: u64,
@@ -61,7 +65,7 @@
 /// A prompt part whose requests are refused.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BlockedPart {
-    /// Id of the part.
+    /// Id of the part, alone or combined with model and adapter.
     pub part: u64,
     /// Number of trials that failed since it was blocked.
     pub failed_trials: u32,
