Let a request that waited for its body be sent once by a host that stops

Cause: the check before each send is for requests that servers reject again and again, and was made before the first send, too.

Fix: it is made only after a send was tried. planned_stop passes.

--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -143,7 +143,8 @@
             let refusal = Refusal::not_run(RefusalKind::DeadlinePassed);
             return end_with_failure(refusal, history, failed_response);
         }
-        if !history.may_have_run()
+        if history.has_tried()
+            && !history.may_have_run()
             && let Err(refusal) = check_stop(state, context)
         {
             return end_with_failure(refusal, history, failed_response);
--- a/crates/host/src/send_history.rs
+++ b/crates/host/src/send_history.rs
@@ -43,6 +43,11 @@
         self.exclude(backend);
     }
 
+    /// True if the request was to be sent to a server before, even if that could not be reached.
+    pub(crate) fn has_tried(&self) -> bool {
+        !self.sent_to.is_empty()
+    }
+
     /// Excludes a server from the next choices.
     pub(crate) fn exclude(&mut self, backend: &Name) {
         if !self.excluded.contains(backend) {
