Bound the idle time that a server states

Cause: HttpPool::idle_time multiplied the stated seconds by a percentage; the overflow ended the request's task.

A rejected header would have given a 502.

Fix: the time is bounded by ten minutes before it is used.

After: failing_servers passes with all seven values.

--- a/crates/host/tests/failing_servers.rs
+++ b/crates/host/tests/failing_servers.rs
@@ -192,3 +192,33 @@
     assert_that!(bed.runs("cut"), eq(1));
     Ok(())
 }
+
+/// Values of `Keep-Alive` that a server may state, and that no page bounds.
+const KEEP_ALIVE_VALUES: [&str; 7] = [
+    "timeout=9223372036854775807",
+    "timeout=18446744073709551615",
+    "timeout=18446744073709551616",
+    "timeout=0",
+    "timeout=-1",
+    "timeout=",
+    "max=5, timeout=1e9",
+];
+
+/// Guards against an answer that is lost because the server states a time that can't be computed with.
+#[tokio::test]
+async fn any_keep_alive_value_leaves_the_answer_whole() -> Outcome {
+    let bed = TestBed::start().await?;
+    for value in KEEP_ALIVE_VALUES {
+        for server in &bed.plain {
+            server.set_fault(BackendFault::KeepAlive(value));
+        }
+        for path in ["/book/x", "/app/x"] {
+            let id = format!("{value}{path}").replace(['=', '/', ',', ' '], "-");
+            let answer = bed.ask(&CallerRequest::new(&id, path)).await?;
+            assert_that!(answer.status, some(eq(200)), "{id}");
+            assert_that!(answer.body, some(eq(&format!("answer to {id}"))), "{id}");
+            assert_that!(bed.runs(&id), eq(1), "{id}");
+        }
+    }
+    Ok(())
+}
--- a/crates/transport/src/http_pool.rs
+++ b/crates/transport/src/http_pool.rs
@@ -34,6 +34,9 @@
 /// Header in which the other side states for how long it keeps an idle connection open.
 const KEEP_ALIVE: &str = "keep-alive";
 
+/// Longest idle time that is taken from that header. The other side may state any number of seconds.
+const MAX_STATED_IDLE_TIME: Duration = Duration::from_secs(600);
+
 /// Size of the read buffer of a connection. Each line of a response head must fit into it.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -295,7 +298,7 @@
         }
         let stated = field(KEEP_ALIVE).and_then(stated_seconds);
         let kept = stated.map_or(self.settings.idle_time, Duration::from_secs);
-        kept * self.settings.idle_percent / 100
+        kept.min(MAX_STATED_IDLE_TIME) * self.settings.idle_percent / 100
     }
 }
 
