Log models that are asked for and not served, and why a load is held back

Orders and reports in the log showed which orders were sent, not which ones were wanted: whether the planner did not know of the demand, found no engine, or waited for an engine or for the weight store.

The coordinator now logs once a second how many models and adapters were asked for in the last minute and not served, with the oldest (also as gauges), and for the longest waits and the further replicas that would save most the planner's facts and the reason for which no order was sent (LoadHold). Hosts report served requests beside those that arrived. No decision changes.

--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -34,6 +34,7 @@
 use crate::fleet_table::FleetTable;
 use crate::host_state::HostState;
 use crate::host_state::meter_settings;
+use crate::model_watch::ModelWatch;
 use crate::store_relay::reading_since;
 use crate::store_relay::relayed_outage;
 
@@ -61,6 +62,7 @@
     pub(crate) ledger: FleetLedger,
     /// Prompt parts that crash backend servers.
     pub(crate) parts: PartLedger,
+    watch: ModelWatch,
     /// Backend servers that say that they leave while the store lists them as ready, as of `settled_at`.
     leaving: Vec<BackendRun>,
     /// When the prompt parts were last decided on.
@@ -92,6 +94,7 @@
             planners: HashMap::new(),
             ledger,
             parts,
+            watch: ModelWatch::default(),
             leaving: Vec::new(),
             settled_at: now,
         }
@@ -207,6 +210,10 @@
             self.settle_parts(now);
         }
         for used in &report.models {
+            self.watch.record(used, now);
+            if used.count == 0 {
+                continue;
+            }
             if let Some(planner) = self.planners.get_mut(&used.service) {
                 let tokens = (used.prompt_tokens, used.output_tokens);
                 planner.record_use(&used.model, used.adapter.as_ref(), used.count, tokens, now);
@@ -217,6 +224,7 @@
                 planner.record_times(times);
             }
         }
+        self.watch.observe(&self.planners, &self.state, now);
         let mut engines = Vec::new();
         let mut view_version = 0;
         for planner in self.planners.values_mut() {
--- a/crates/host/src/event_relay.rs
+++ b/crates/host/src/event_relay.rs
@@ -27,6 +27,7 @@
 use crate::part_filter::check_parts_before_send;
 use crate::request_context::RequestContext;
 use crate::request_log::RequestLog;
+use crate::request_log::SERVED;
 use crate::run_check::is_run_over;
 use crate::run_check::wait_for_run_end;
 use crate::send_history::SendHistory;
@@ -250,7 +251,7 @@
                         let service = &self.context.service;
                         self.state.timings().record_output(service, tokens, time);
                     }
-                    self.log.finish("served", 200);
+                    self.log.finish(SERVED, 200);
                     return;
                 }
                 StreamStep::Broken(failure) => failure,
--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -27,6 +27,7 @@
 use crate::part_filter::check_parts_before_send;
 use crate::request_context::RequestContext;
 use crate::request_log::RequestLog;
+use crate::request_log::SERVED;
 use crate::request_wait::check_stop;
 use crate::request_wait::stopping_refusal;
 use crate::request_wait::wait_interval;
@@ -422,7 +423,7 @@
     let read = response.read_to_end(deadline).await;
     let buffered = read.map_err(|failure| unusable_response(failure.to_string()))?;
     if status.is_success() {
-        return Ok(CallerResponse::Buffered(buffered.into_response(), "served"));
+        return Ok(CallerResponse::Buffered(buffered.into_response(), SERVED));
     }
     // Callers read these statuses as a promise that the request did not run, but the server's headers don't say so.
     let not_run_statuses = [
--- a/crates/host/src/host_counters.rs
+++ b/crates/host/src/host_counters.rs
@@ -23,6 +23,11 @@
     pub(crate) store_failures: IntCounter,
     /// Orders to engines by outcome.
     pub(crate) orders: IntCounterVec,
+    /// Models and adapters that were asked for in the last minute and not served, as of the last second in which this
+    /// host coordinated.
+    pub(crate) unserved_models: IntGauge,
+    /// Seconds since the first request for the one of these that waits longest.
+    pub(crate) unserved_age: IntGauge,
 }
 
 impl HostCounters {
@@ -59,6 +64,14 @@
                 "Orders to engines by outcome",
                 &["outcome"],
             )?,
+            unserved_models: registry.gauge(
+                "host_unserved_models",
+                "Models and adapters asked for in the last minute and not served, while this host coordinates",
+            )?,
+            unserved_age: registry.gauge(
+                "host_unserved_oldest_seconds",
+                "Time since the first request for the model or adapter that waits longest",
+            )?,
         })
     }
 }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -20,6 +20,7 @@
 mod host_counters;
 mod host_state;
 mod model_uses;
+mod model_watch;
 mod part_filter;
 mod part_watch;
 mod peer_link;
--- a/crates/host/src/model_uses.rs
+++ b/crates/host/src/model_uses.rs
@@ -14,6 +14,7 @@
     count: u32,
     prompt_tokens: u64,
     output_tokens: u64,
+    served: u32,
 }
 
 impl ModelUses {
@@ -33,6 +34,12 @@
         entry.output_tokens += output_tokens;
     }
 
+    /// Counts a request whose caller got a whole answer.
+    pub(crate) fn record_served(&mut self, service: &Name, model: &Name, adapter: Option<&Name>) {
+        let key = (service.clone(), model.clone(), adapter.cloned());
+        self.counts.entry(key).or_default().served += 1;
+    }
+
     /// Returns all counts for a report and resets them.
     pub(crate) fn take(&mut self) -> Vec<ModelUse> {
         let counts = std::mem::take(&mut self.counts);
@@ -45,6 +52,7 @@
                 count: used.count,
                 prompt_tokens: used.prompt_tokens,
                 output_tokens: used.output_tokens,
+                served: used.served,
             });
         uses.collect()
     }
--- a/crates/host/src/request_log.rs
+++ b/crates/host/src/request_log.rs
@@ -9,6 +9,9 @@
 use crate::host_state::HostState;
 use crate::request_context::RequestContext;
 
+/// Outcome of a request whose caller got the whole answer of a server.
+pub(crate) const SERVED: &str = "served";
+
 /// Log line of a request, written exactly once: by [`Self::finish`] or, if the caller disconnected, on drop.
 pub(crate) struct RequestLog {
     state: Arc<HostState>,
@@ -18,6 +21,7 @@
     service: Option<Name>,
     account: Option<Name>,
     model: Option<Name>,
+    adapter: Option<Name>,
     /// Ids of the prompt parts that other requests may share.
     parts: Option<String>,
     /// Version of the configuration.
@@ -50,6 +54,7 @@
             service: None,
             account: None,
             model: None,
+            adapter: None,
             parts: None,
             config: None,
             backend: None,
@@ -69,10 +74,8 @@
         self.service = Some(context.service.clone());
         let account = context.account.as_ref();
         self.account = account.map(|(account, _)| account.name.clone());
-        self.model = match (&context.facts.model, &context.facts.adapter) {
-            (Some(model), Some(adapter)) => Some(format!("{model}/{adapter}").into()),
-            (model, _) => model.clone(),
-        };
+        self.model = context.facts.model.clone();
+        self.adapter = context.facts.adapter.clone();
         self.parts = context.facts.shared_parts_text();
         self.config = Some(context.config.version);
     }
@@ -112,11 +115,21 @@
         let counters = &self.state.counters;
         counters.active.dec();
         counters.requests.with_label_values(&[outcome]).inc();
+        if outcome == SERVED
+            && let (Some(service), Some(model)) = (&self.service, &self.model)
+        {
+            let adapter = self.adapter.as_ref();
+            self.state.uses().record_served(service, model, adapter);
+        }
+        let model = match (&self.model, &self.adapter) {
+            (Some(model), Some(adapter)) => Some(format!("{model}/{adapter}").into()),
+            (model, _) => model.clone(),
+        };
         let millis = |time: Option<Duration>| time.map(|time| time.as_millis() as u64);
         let confirmed = self.state.confirmed.age(self.state.now());
         info!(self.state.logger, "request"; "id" => &*self.id, "outcome" => outcome, "status" => status,
             "route" => self.route.as_deref(), "service" => self.service.as_deref(),
-            "account" => self.account.as_deref(), "model" => self.model.as_deref(),
+            "account" => self.account.as_deref(), "model" => model.as_deref(),
             "parts" => self.parts.as_deref(), "backend" => self.backend.as_deref(),
             "barred" => self.bar.map(SendBar::name), "arrivals" => self.delivered_sends, "events" => self.events,
             "pause_ms" => millis(self.longest_event_gap), "sent_ms" => millis(self.first_send),
--- a/crates/serving/src/residency_background.rs
+++ b/crates/serving/src/residency_background.rs
@@ -9,6 +9,7 @@
 use crate::BackendEntry;
 use crate::EngineOrder;
 use crate::HeldModel;
+use crate::LoadHold;
 use crate::ResidencyPlanner;
 use crate::plan_snapshot::PlanSnapshot;
 use crate::residency_demand::WeightSource;
@@ -89,14 +90,30 @@
             })
             .collect();
         short.sort_by(|one, other| other.0.total_cmp(&one.0).then_with(|| one.1.cmp(&other.1)));
-        short.into_iter().find_map(|(saved, model)| {
-            let target = self.best_target(&model, limit, snapshot, now)?;
-            // The replica saves nothing while it loads.
-            let load_time = self.load_time(&target.backend, &model, now);
-            let cost_s = saved * (horizon_s - load_time.as_secs_f64());
-            let limit = LoadLimit { cost_s, ..limit };
-            self.plan_model(&model, limit, snapshot, now)
-        })
+        let mut holds = Vec::new();
+        let order = short.into_iter().find_map(|(saved, model)| {
+            let order = self.plan_saving(&model, saved, limit, snapshot, now);
+            order.map_err(|hold| holds.push((model, saved, hold))).ok()
+        });
+        self.short_replicas = holds;
+        order
+    }
+
+    /// Returns the next order towards a replica that saves `saved` seconds of waiting each second.
+    fn plan_saving(
+        &mut self,
+        model: &Name,
+        saved: f64,
+        limit: LoadLimit,
+        snapshot: &PlanSnapshot,
+        now: MonotonicTime,
+    ) -> Result<EngineOrder, LoadHold> {
+        let target = self.best_target(model, limit, snapshot, now);
+        let target = target.ok_or_else(|| self.no_target(limit, now))?;
+        // The replica saves nothing while it loads.
+        let load_time = self.load_time(&target.backend, model, now);
+        let cost_s = saved * (self.settings.eviction_horizon_s - load_time.as_secs_f64());
+        self.plan_model(model, LoadLimit { cost_s, ..limit }, snapshot, now)
     }
 
     /// Slowest source for the load of a further replica. While requests wait for models, one load from the weight store
@@ -130,7 +147,7 @@
                 cost_s,
                 ..LoadLimit::NONE
             };
-            self.plan_model(model, limit, snapshot, now)
+            self.plan_model(model, limit, snapshot, now).ok()
         })
     }
 
--- a/crates/serving/src/residency_demand.rs
+++ b/crates/serving/src/residency_demand.rs
@@ -3,6 +3,8 @@
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 
+use crate::LoadHold;
+
 /// Sources of a model's weights, the fastest first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum WeightSource {
@@ -148,4 +150,6 @@
     pub(crate) since: MonotonicTime,
     /// The load request is dropped at this time, unless a host asks again.
     pub(crate) until: MonotonicTime,
+    /// Why the last plan sent no order for it.
+    pub(crate) hold: Option<LoadHold>,
 }
--- a/crates/serving/src/residency_load.rs
+++ b/crates/serving/src/residency_load.rs
@@ -6,6 +6,7 @@
 use zinniahinge_types::Name;
 
 use crate::EngineOrder;
+use crate::LoadHold;
 use crate::ResidencyAction;
 use crate::ResidencyPlanner;
 use crate::engine_record::AdapterRecord;
@@ -17,6 +18,8 @@
 use crate::residency_demand::LoadKey;
 use crate::residency_demand::WeightSource;
 
+type Result<T> = std::result::Result<T, LoadHold>;
+
 /// Pause after a plan found nothing to load in the background, until the next one looks again.
 const BACKGROUND_PLAN_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -80,7 +83,7 @@
         let mut orders = Vec::new();
         let mut snapshot = None;
         for (_, _, key) in keys {
-            let order = match &key.adapter {
+            let planned = match &key.adapter {
                 Some(adapter) if self.is_held(&key.model) => {
                     self.plan_adapter(&key.model, adapter, now)
                 }
@@ -89,7 +92,10 @@
                     self.plan_requested(&key.model, snapshot, now)
                 }
             };
-            if let Some(order) = order {
+            if let Some(request) = self.load_requests.get_mut(&key) {
+                request.hold = planned.as_ref().err().cloned();
+            }
+            if let Ok(order) = planned {
                 orders.push(self.mark_sent(order));
                 snapshot = None;
             }
@@ -170,7 +176,7 @@
         model: &Name,
         snapshot: &PlanSnapshot,
         now: MonotonicTime,
-    ) -> Option<EngineOrder> {
+    ) -> Result<EngineOrder> {
         let limit = match self.time_until_replica(model, now) {
             None => LoadLimit::NONE,
             Some(ready_in) => LoadLimit {
@@ -198,23 +204,35 @@
         limit: LoadLimit,
         snapshot: &PlanSnapshot,
         now: MonotonicTime,
-    ) -> Option<EngineOrder> {
+    ) -> Result<EngineOrder> {
         let claimed = self.engines.values().find(|record| {
             let claim = record.claim.as_ref();
             record.is_accepting && claim.is_some_and(|claim| claim.model == *model)
         });
         let target = match claimed {
-            Some(record) => self.target(record, model, snapshot, now)?,
-            None => self.best_target(model, limit, snapshot, now)?,
+            Some(record) => self.target(record, model, snapshot, now),
+            None => self.best_target(model, limit, snapshot, now),
         };
-        if target.cost_s > limit.cost_s || target.source > limit.source || !target.is_free {
-            return None;
+        let target = target.ok_or_else(|| self.no_target(limit, now))?;
+        if target.cost_s > limit.cost_s {
+            return Err(LoadHold::OverCost {
+                cost_s: target.cost_s,
+                limit_s: limit.cost_s,
+            });
+        }
+        if target.source > limit.source {
+            return Err(self.no_target(limit, now));
+        }
+        let backend = target.backend.clone();
+        if !target.is_free {
+            return Err(LoadHold::EngineBusy { backend });
         }
         let is_from_store = target.source == WeightSource::Store;
         if is_from_store && !self.may_load_from_store(now) {
-            return None;
+            return Err(LoadHold::StoreBusy);
         }
-        let record = self.engines.get_mut(&target.backend)?;
+        let record = self.engines.get_mut(&backend);
+        let record = record.ok_or(LoadHold::NoTarget)?;
         record.claim = Some(MemoryClaim {
             model: model.clone(),
             until: now + CLAIM_TIME,
@@ -223,7 +241,18 @@
             Some(victim) => (ResidencyAction::Unload, victim),
             None => (ResidencyAction::Load, model.clone()),
         };
-        order_for(record, action, model, None)
+        order_for(record, action, model, None).ok_or(LoadHold::EngineBusy { backend })
+    }
+
+    /// Why no engine can load a model within `limit`.
+    pub(crate) fn no_target(&self, limit: LoadLimit, now: MonotonicTime) -> LoadHold {
+        if limit.source == WeightSource::Store {
+            return LoadHold::NoTarget;
+        }
+        LoadHold::NoCopy {
+            store_loads: self.active_store_loads(now),
+            full_speed: self.full_speed_loads,
+        }
     }
 
     /// Returns the engine with the lowest cost for a new replica of the model.
@@ -414,7 +443,7 @@
         model: &Name,
         adapter: &Name,
         now: MonotonicTime,
-    ) -> Option<EngineOrder> {
+    ) -> Result<EngineOrder> {
         let needed = adapter_mb(&self.spec, model);
         let spec = &self.spec;
         let engines = self.engines.values();
@@ -425,14 +454,20 @@
                 || spec.memory_mb - record.used_mb(spec, now) < needed + ROUNDING_MB;
             (is_full, count, record)
         });
-        let (is_full, _, best) = ranked.min_by_key(|(is_full, count, _)| (*is_full, *count))?;
+        let best = ranked.min_by_key(|(is_full, count, _)| (*is_full, *count));
+        let (is_full, _, best) = best.ok_or(LoadHold::NoReadyEngine)?;
+        let backend = best.id.clone();
+        let full = LoadHold::AdaptersFull {
+            backend: backend.clone(),
+        };
         if !is_full {
-            return order_for(
+            let order = order_for(
                 best,
                 ResidencyAction::Load,
                 model.clone(),
                 Some(adapter.clone()),
             );
+            return order.ok_or(LoadHold::EngineBusy { backend });
         }
         let held = best.held.iter().flat_map(|(model, held)| {
             let adapters = held
@@ -444,15 +479,17 @@
         // Only one unload at a time: if it waits for a request to end, further unloads would not free memory sooner.
         let mut all = best.held.values().flat_map(|held| held.adapters.values());
         if all.any(|adapter| adapter.is_unloading) {
-            return None;
+            return Err(full);
         }
-        let (_, victim_model, victim) = held.min_by_key(|(last_used, ..)| *last_used)?;
-        order_for(
+        let victim = held.min_by_key(|(last_used, ..)| *last_used);
+        let (_, victim_model, victim) = victim.ok_or(full)?;
+        let order = order_for(
             best,
             ResidencyAction::Unload,
             victim_model.clone(),
             Some(victim.clone()),
-        )
+        );
+        order.ok_or(LoadHold::EngineBusy { backend })
     }
 }
 
--- a/crates/serving/src/residency_planner.rs
+++ b/crates/serving/src/residency_planner.rs
@@ -9,6 +9,7 @@
 
 use crate::EngineSpec;
 use crate::EngineSpeed;
+use crate::LoadHold;
 use crate::ReadyModel;
 use crate::ResidencySettings;
 use crate::ResidencyView;
@@ -92,6 +93,9 @@
     pub(crate) views_refreshed_at: Option<MonotonicTime>,
     /// Time of the last plan that found nothing to load in the background.
     pub(crate) background_idle_at: Option<MonotonicTime>,
+    /// Models that a further replica is worth loading for, as of the last background plan: the waiting time that it
+    /// saves, seconds each second, and why no order was sent.
+    pub(crate) short_replicas: Vec<(Name, f64, LoadHold)>,
     /// Counter for the rotation over ready engines.
     rotation: usize,
 }
@@ -113,6 +117,7 @@
             view_version: first_version,
             views_refreshed_at: None,
             background_idle_at: None,
+            short_replicas: Vec::new(),
             rotation: 0,
         }
     }
@@ -238,6 +243,7 @@
             urgency,
             since: now,
             until: now,
+            hold: None,
         });
         request.urgency = request.urgency.min(urgency);
         request.until = request.until.max(now + LOAD_REQUEST_TIME.min(time_left));
--- a/crates/types/src/fleet_message.rs
+++ b/crates/types/src/fleet_message.rs
@@ -99,7 +99,7 @@
 }
 
 /// Sums up one host's requests for one model or adapter.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ModelUse {
     /// Service whose configuration defines the model.
     pub service: Name,
@@ -113,6 +113,9 @@
     pub prompt_tokens: u64,
     /// Sum of the largest outputs that they allow, in tokens.
     pub output_tokens: u64,
+    /// Requests whose callers got a whole answer, these or earlier ones. 0 in reports of earlier versions.
+    #[serde(default)]
+    pub served: u32,
 }
 
 /// Sums up the times that the engines of one service took for requests of one host.
