Load a busy model's replica before the rare models that it outweighs

Cause: a further replica of a busy model was considered after all loads that requests wait for, and not from the weight store while any request waits and its bandwidth is used up but for one load. Where rare models are always waited for, their loads followed each other without a gap: for 18 s of the 34 s no replica was loaded, with 20 to 60 s of waiting a second to be saved, against 0.1 to 0.8 for each of the rare models that went first ("load held back": NoCopy, store_loads 4, full_speed 4).

Class of fault: first come, first served on a shared resource, whatever the wait is worth.

Fix: a replica that saves more waiting than loading any model that requests wait for goes first, in each plan, also from the store. While room is being made for a load from the store, its bandwidth is kept for it, so that the load doesn't lose its turn to a smaller one between the unload and the load.

Test: a_busy_model_gets_a_replica_while_rare_models_wait_for_the_weight_store; on the code before: no replica in 12 s.

--- a/crates/serving/src/engine_record.rs
+++ b/crates/serving/src/engine_record.rs
@@ -141,6 +141,8 @@
 pub(crate) struct MemoryClaim {
     pub(crate) model: Name,
     pub(crate) until: MonotonicTime,
+    /// True if the model will be loaded from the weight store, whose bandwidth is kept for it until then.
+    pub(crate) reserves_store: bool,
 }
 
 /// An order without an answer. The engine may carry it out until `until`, provided that its number of accepted orders
--- a/crates/serving/src/residency_background.rs
+++ b/crates/serving/src/residency_background.rs
@@ -73,13 +73,33 @@
         }
     }
 
-    /// Returns the next order towards a further replica that saves more waiting time than its load costs, the one that
-    /// saves most first.
-    fn plan_replica(&mut self, snapshot: &PlanSnapshot, now: MonotonicTime) -> Option<EngineOrder> {
-        let limit = LoadLimit {
-            source: self.slowest_replica_source(now),
-            ..LoadLimit::NONE
-        };
+    /// Returns the next order towards a further replica that saves more waiting time than loading any model that
+    /// requests wait for.
+    ///
+    /// It goes before theirs: where rare models are always waited for, they would otherwise take the weight store's whole
+    /// bandwidth, while many more requests wait for a busy model.
+    pub(crate) fn plan_urgent_replica(
+        &mut self,
+        snapshot: &PlanSnapshot,
+        now: MonotonicTime,
+    ) -> Option<EngineOrder> {
+        let absent = self.load_requests.keys().map(|key| &key.model);
+        let absent = absent.filter(|model| !snapshot.replicas.contains_key(*model));
+        let waiting = absent.map(|model| self.saved_waiting(model, 0, now));
+        let waiting = waiting.fold(0.0, f64::max);
+        let mut short = self.short_of_replicas(snapshot, now);
+        short.retain(|(saved, _)| *saved > waiting);
+        let mut short = short.into_iter();
+        short.find_map(|(saved, model)| {
+            let limit = LoadLimit::NONE;
+            let order = self.plan_saving(&model, saved, limit, snapshot, now);
+            order.ok()
+        })
+    }
+
+    /// Models for which a further replica is considered, with the waiting time that it saves, seconds each second; the one
+    /// that saves most first.
+    fn short_of_replicas(&self, snapshot: &PlanSnapshot, now: MonotonicTime) -> Vec<(f64, Name)> {
         let horizon_s = self.settings.eviction_horizon_s;
         let mut short: Vec<(f64, Name)> = snapshot
             .replicas
@@ -90,7 +110,18 @@
             })
             .collect();
         short.sort_by(|one, other| other.0.total_cmp(&one.0).then_with(|| one.1.cmp(&other.1)));
+        short
+    }
+
+    /// Returns the next order towards a further replica that saves more waiting time than its load costs, the one that
+    /// saves most first.
+    fn plan_replica(&mut self, snapshot: &PlanSnapshot, now: MonotonicTime) -> Option<EngineOrder> {
+        let limit = LoadLimit {
+            source: self.slowest_replica_source(now),
+            ..LoadLimit::NONE
+        };
         let mut holds = Vec::new();
+        let short = self.short_of_replicas(snapshot, now);
         let order = short.into_iter().find_map(|(saved, model)| {
             let order = self.plan_saving(&model, saved, limit, snapshot, now);
             order.map_err(|hold| holds.push((model, saved, hold))).ok()
--- a/crates/serving/src/residency_load.rs
+++ b/crates/serving/src/residency_load.rs
@@ -82,6 +82,13 @@
         keys.sort();
         let mut orders = Vec::new();
         let mut snapshot = None;
+        if keys.iter().any(|(_, _, key)| !self.is_held(&key.model)) {
+            let current = self.snapshot(now);
+            match self.plan_urgent_replica(&current, now) {
+                Some(order) => orders.push(self.mark_sent(order)),
+                None => snapshot = Some(current),
+            }
+        }
         for (_, _, key) in keys {
             let planned = match &key.adapter {
                 Some(adapter) if self.is_held(&key.model) => {
@@ -228,7 +235,7 @@
             return Err(LoadHold::EngineBusy { backend });
         }
         let is_from_store = target.source == WeightSource::Store;
-        if is_from_store && !self.may_load_from_store(now) {
+        if is_from_store && !self.may_load_from_store(model, now) {
             return Err(LoadHold::StoreBusy);
         }
         let record = self.engines.get_mut(&backend);
@@ -236,6 +243,7 @@
         record.claim = Some(MemoryClaim {
             model: model.clone(),
             until: now + CLAIM_TIME,
+            reserves_store: is_from_store,
         });
         let (action, model) = match target.victim {
             Some(victim) => (ResidencyAction::Unload, victim),
@@ -384,18 +392,20 @@
             .count()
     }
 
-    /// True if the bandwidth and rate limit of the weight store allow another load. Orders awaiting an answer count.
-    fn may_load_from_store(&self, now: MonotonicTime) -> bool {
+    /// True if the bandwidth and rate limit of the weight store allow a load of the model. Orders awaiting an answer count,
+    /// and loads of other models that room is being made for.
+    fn may_load_from_store(&self, model: &Name, now: MonotonicTime) -> bool {
         let window = self.settings.rate_window.as_secs_f64();
-        let awaits_answer = self
-            .engines
-            .values()
-            .filter(|record| record.awaits_answer)
-            .count();
+        let coming = self.engines.values().filter(|record| {
+            let claim = record.claim.as_ref();
+            record.awaits_answer
+                || claim.is_some_and(|claim| claim.reserves_store && claim.model != *model)
+        });
+        let coming = coming.count();
         let allowed = (self.spec.store_loads_per_s * window).floor().max(1.0) as usize;
-        self.active_store_loads(now) + awaits_answer
+        self.active_store_loads(now) + coming
             < self.full_speed_loads.max(MIN_CONCURRENT_LOADS) as usize
-            && self.store_starts.len() + awaits_answer < allowed
+            && self.store_starts.len() + coming < allowed
     }
 
     /// Time until an engine that doesn't hold the model could load it from a copy; `None` if there is no such copy.
--- a/crates/serving/tests/residency_replicas.rs
+++ b/crates/serving/tests/residency_replicas.rs
@@ -271,3 +271,40 @@
         assert_that!(replicas.count() > 0, eq(case.gets_replica), "{found}");
     }
 }
+
+/// Guards against a busy model that is starved: rare models that no engine has a copy of took the weight store's whole
+/// bandwidth for 18 s, one after the other, while many more requests waited for its second replica.
+#[test]
+fn a_busy_model_gets_a_replica_while_rare_models_wait_for_the_weight_store() {
+    let rare: Vec<String> = (0..40).map(|number| format!("r{number}")).collect();
+    let rare: Vec<&str> = rare.iter().map(String::as_str).collect();
+    let models: Vec<&str> = ["busy"].into_iter().chain(rare.iter().copied()).collect();
+    let mut planner = ResidencyPlanner::new(engine_spec(&models), ResidencySettings::default(), 0);
+    let ids: Vec<String> = (0..10).map(|number| format!("e{number}")).collect();
+    for (index, id) in ids.iter().enumerate() {
+        let held: &[&str] = if index == 0 { &["busy"] } else { &[] };
+        planner.observe_entry(&entry(id, 1, held), at(0));
+        planner.due_reports(at(0));
+        planner.observe_report(id, Some(&report(5, held, &[])), at(0), at(0));
+    }
+    let mut replica_at = None;
+    for now in (0..12_000).step_by(100) {
+        if now % 500 == 0 {
+            planner.record_use(&name("busy"), None, 4, (36_000, 200), at(now));
+        }
+        // Each second four more rare models are asked for, more than the weight store can bring.
+        let asked = (4 + now as usize / 250).min(rare.len());
+        for (index, model) in rare[..asked].iter().enumerate() {
+            request(&mut planner, model, at(now));
+            if now % 4_000 == index as u64 % 40 * 100 {
+                planner.record_use(&name(model), None, 1, (300, 50), at(now));
+            }
+        }
+        let orders = accept_all(&mut planner, at(now));
+        if count_orders(&orders, ResidencyAction::Load, "busy") > 0 {
+            replica_at.get_or_insert(now);
+        }
+    }
+    // One load of 6 s must end before the weight store is free for the replica.
+    assert_that!(replica_at, some(le(7_000)));
+}
