Load a requested model elsewhere while its engine refuses orders

Cause: the model's load was bound to the engine whose memory it had claimed.

Class of fault: a wait estimated once, and never corrected by what is seen.

Evidence: "order" lines: 40 refused loads of one model at one engine in 10 s; "engine report read" of it: busy, the same number of accepted orders for 6 s; "load held back": EngineBusy, the same engine, 9 s.

Fix: an engine that refuses orders is expected to do so for as long as it has done already, until it accepts one or a report shows that it is free; a refusal ends the claim; and a second of delay costs as much as the requests of a second that wait for it. Then another engine's eviction becomes the cheaper one as the wait grows.

--- a/crates/serving/src/engine_record.rs
+++ b/crates/serving/src/engine_record.rs
@@ -43,6 +43,8 @@
     pub(crate) blocked_until: MonotonicTime,
     /// Number of consecutive orders that were refused because of a conflict.
     pub(crate) conflicts: u32,
+    /// Time of the first of these; `None` if the last order was not refused, or a report showed the engine free since.
+    pub(crate) refusing_since: Option<MonotonicTime>,
     /// Model that memory is being freed for.
     pub(crate) claim: Option<MemoryClaim>,
     /// Orders without an answer, which may still be carried out.
@@ -179,6 +181,7 @@
             unreachable_until: MonotonicTime::ZERO,
             blocked_until: now,
             conflicts: 0,
+            refusing_since: None,
             claim: None,
             unanswered: SmallVec::new(),
             report_due: now,
@@ -240,11 +243,15 @@
             && self.blocked_until <= now
     }
 
-    /// Time until the engine can take the next order.
+    /// Time until the engine can take the next order. One that refuses orders, which happens while an unload waits for
+    /// requests to end, is expected to go on for as long as it has refused them already.
     pub(crate) fn wait(&self, now: MonotonicTime) -> Duration {
         let active_order = self.active_order.as_ref();
         let active_order = active_order.map_or(Duration::ZERO, |order| order.done_at.since(now));
-        active_order.max(self.blocked_until.since(now))
+        let refusing = self.refusing_since.map(|since| now.since(since));
+        active_order
+            .max(self.blocked_until.since(now))
+            .max(refusing.unwrap_or_default())
     }
 
     /// True if the model is loaded or loading, and no unload of it was sent.
--- a/crates/serving/src/residency_load.rs
+++ b/crates/serving/src/residency_load.rs
@@ -63,7 +63,7 @@
     /// First model to evict; `None` if there is enough free memory.
     victim: Option<Name>,
     pub(crate) source: WeightSource,
-    /// Load time, wait for the engine, and delay caused by evictions, seconds.
+    /// Waiting time of requests, seconds: until the model is loaded, and for the models that are evicted.
     cost_s: f64,
     /// True if the engine can take an order now.
     is_free: bool,
@@ -187,7 +187,7 @@
         let limit = match self.time_until_replica(model, now) {
             None => LoadLimit::NONE,
             Some(ready_in) => LoadLimit {
-                cost_s: ready_in.as_secs_f64(),
+                cost_s: ready_in.as_secs_f64() * self.waiting_requests(model, now),
                 source: WeightSource::Disk,
             },
         };
@@ -312,8 +312,8 @@
             free += freed;
         }
         let source = record.source_of(model);
-        cost_s += self.load_time(&record.id, model, now).as_secs_f64();
-        cost_s += record.wait(now).as_secs_f64();
+        let delay = self.load_time(&record.id, model, now) + record.wait(now);
+        cost_s += delay.as_secs_f64() * self.waiting_requests(model, now);
         // Spreads copies over all engines. An engine with many copies would have to swap between their models.
         cost_s += record.disk_copies.len() as f64 * 0.01;
         Some(LoadTarget {
@@ -330,6 +330,15 @@
         self.load_requests.keys().any(|key| key.model == *model)
     }
 
+    /// Requests that a second of delay makes wait: those of a second if the model is requested.
+    fn waiting_requests(&self, model: &Name, now: MonotonicTime) -> f64 {
+        if self.is_requested(model) {
+            self.rate(model, now).max(1.0)
+        } else {
+            1.0
+        }
+    }
+
     /// Waiting time of future requests over the eviction horizon if the model is evicted from the engine, seconds.
     pub(crate) fn eviction_cost(
         &self,
--- a/crates/serving/src/residency_observation.rs
+++ b/crates/serving/src/residency_observation.rs
@@ -127,6 +127,7 @@
         if report.is_busy {
             return;
         }
+        record.refusing_since = None;
         record.finish_active_order();
         record.update_held(&report.held, now);
         for unanswered in &mut record.unanswered {
--- a/crates/serving/src/residency_outcome.rs
+++ b/crates/serving/src/residency_outcome.rs
@@ -71,6 +71,7 @@
         record.unload_sent = None;
         if outcome != OrderOutcome::Conflict {
             record.conflicts = 0;
+            record.refusing_since = None;
         }
         match outcome {
             OrderOutcome::Accepted => {
@@ -102,6 +103,9 @@
                 record.conflicts += 1;
                 let pause = CONFLICT_PAUSE * record.conflicts;
                 record.blocked_until = now + pause.min(MAX_CONFLICT_PAUSE);
+                record.refusing_since.get_or_insert(now);
+                // Another engine may be free before this one is.
+                record.claim = None;
                 record.report_due = now;
             }
             OrderOutcome::Unknown => {
