Ask for a report at intervals while an order has no answer

Cause: while an order awaits its answer, no report counts as settled, and the next one was due at a time in the past, so in each plan.

Fix: the interval is that of a load which is expected to end, 90 ms; the order's answer makes a report due.

--- a/crates/serving/src/residency_observation.rs
+++ b/crates/serving/src/residency_observation.rs
@@ -118,8 +118,11 @@
             let settled_at = record.last_order_at + lag + CONFLICT_PAUSE;
             record.report_due = if is_loading {
                 record.report_due
-            } else {
+            } else if settled_at > now {
                 settled_at
+            } else {
+                // An order is unanswered; its answer, too, makes a report due.
+                now + LOAD_CHECK_INTERVAL
             };
             return;
         }
--- a/crates/serving/tests/residency_refused_orders.rs
+++ b/crates/serving/tests/residency_refused_orders.rs
@@ -73,3 +73,26 @@
     // Callers of short answers leave after 4 s.
     assert_that!(loaded_at, some(le(64_000)));
 }
+
+/// Guards against an engine that is asked for a report in each plan, every few milliseconds, while an order to it has no
+/// answer.
+#[test]
+fn an_unanswered_order_causes_few_reports() {
+    let mut planner = ResidencyPlanner::new(engine_spec(&MODELS), ResidencySettings::default(), 0);
+    planner.observe_entry(&entry("e1", 1, &["r0", "r1"]), at(0));
+    planner.due_reports(at(0));
+    let answer = report(5, &["r0", "r1"], &["absent"]);
+    planner.observe_report("e1", Some(&answer), at(0), at(0));
+    request(&mut planner, "absent", at(60_000));
+    let orders = planner.plan(at(60_000));
+    assert_that!(orders.len(), eq(1));
+    let mut reports = 0;
+    for now in (60_000..61_000).step_by(5) {
+        for (backend, _) in planner.due_reports(at(now)) {
+            reports += 1;
+            planner.observe_report(&backend, Some(&answer), at(now), at(now));
+        }
+    }
+    // One each 90 ms, as while a load is expected to end.
+    assert_that!(reports, le(12));
+}
