Unload idle models before models with requests in flight

Cause: a model counted as in use if it was asked for within the last 0.7 s.

Evidence: "order" lines of accepted unloads, followed by seconds of refused orders at the same engine while "engine report read" says that it is busy.

Fix: hosts report their requests in flight by server, model and adapter, with the output tokens that they allow.

--- a/crates/host/src/backend_send.rs
+++ b/crates/host/src/backend_send.rs
@@ -84,7 +84,7 @@
     if let Some(bar) = SendBar::find(&target.entry, &target.load, state.now()) {
         return Err(BackendSendError::Barred(bar));
     }
-    let guard = LoadGuard::new(target.load.clone(), context.facts.prompt_tokens);
+    let guard = LoadGuard::for_request(target.load.clone(), &context.facts);
     let request =
         build_request(context, target, resume_after).map_err(BackendSendError::NotSent)?;
     let rule = if history.record_send_to(&target.entry.id) {
--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -219,6 +219,9 @@
                 planner.record_use(&used.model, used.adapter.as_ref(), used.count, tokens, now);
             }
         }
+        for planner in self.planners.values_mut() {
+            planner.record_runs(&report.host, &report.backends, now);
+        }
         for times in &report.engine_times {
             if let Some(planner) = self.planners.get_mut(&times.service) {
                 planner.record_times(times);
--- a/crates/host/src/fleet_reporter.rs
+++ b/crates/host/src/fleet_reporter.rs
@@ -193,6 +193,7 @@
                 pending_tokens: slot.load.pending_tokens(),
                 succeeded,
                 failed,
+                runs: slot.load.open_runs(),
             })
         });
         FleetReport {
--- a/crates/serving/src/backend_load.rs
+++ b/crates/serving/src/backend_load.rs
@@ -1,5 +1,7 @@
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
@@ -7,8 +9,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use zinniahinge_types::ModelRuns;
 use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::Name;
 
+use crate::RequestFacts;
 use crate::SentParts;
 
 /// Time for which a server is avoided after it gave this host no answer.
@@ -42,6 +47,17 @@
     failed: AtomicU32,
     sample: Mutex<Option<(LoadSample, MonotonicTime)>>,
     parts: Mutex<SentParts>,
+    /// This host's requests for models, and the output tokens that they allow, by model and adapter.
+    runs: Mutex<HashMap<RunKey, RunSum>>,
+}
+
+/// Model and adapter of a request.
+type RunKey = (Name, Option<Name>);
+
+#[derive(Clone, Copy, Debug, Default)]
+struct RunSum {
+    count: u32,
+    output_tokens: u64,
 }
 
 impl BackendLoad {
@@ -146,6 +162,22 @@
         )
     }
 
+    /// This host's requests for models on the server, by model and adapter.
+    pub fn open_runs(&self) -> Vec<ModelRuns> {
+        let runs = self.lock_runs();
+        let runs = runs.iter().map(|((model, adapter), sum)| ModelRuns {
+            model: model.clone(),
+            adapter: adapter.clone(),
+            count: sum.count,
+            output_tokens: sum.output_tokens,
+        });
+        runs.collect()
+    }
+
+    fn lock_runs(&self) -> MutexGuard<'_, HashMap<RunKey, RunSum>> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Calls `use_parts` with the prompt parts that this host sent to the server. Holds a lock during the call.
     pub fn with_sent_parts<T>(&self, use_parts: impl FnOnce(&mut SentParts) -> T) -> T {
         use_parts(&mut self.parts.lock().unwrap_or_else(PoisonError::into_inner))
@@ -157,6 +189,8 @@
 pub struct LoadGuard {
     load: Arc<BackendLoad>,
     tokens: u64,
+    /// Model, adapter and output tokens; `None` for a request without a model.
+    run: Option<(RunKey, u64)>,
 }
 
 impl LoadGuard {
@@ -164,7 +198,26 @@
     pub fn new(load: Arc<BackendLoad>, tokens: u64) -> Self {
         load.in_flight.fetch_add(1, Ordering::Relaxed);
         load.pending_tokens.fetch_add(tokens, Ordering::Relaxed);
-        Self { load, tokens }
+        Self {
+            load,
+            tokens,
+            run: None,
+        }
+    }
+
+    /// Counts a request, also among those that use its model and adapter.
+    pub fn for_request(load: Arc<BackendLoad>, facts: &RequestFacts) -> Self {
+        let mut guard = Self::new(load, facts.prompt_tokens);
+        if let Some(model) = &facts.model {
+            let key = (model.clone(), facts.adapter.clone());
+            let mut runs = guard.load.lock_runs();
+            let sum = runs.entry(key.clone()).or_default();
+            sum.count += 1;
+            sum.output_tokens = sum.output_tokens.saturating_add(facts.output_tokens);
+            drop(runs);
+            guard.run = Some((key, facts.output_tokens));
+        }
+        guard
     }
 
     /// Load that the request is counted in.
@@ -185,6 +238,16 @@
 impl Drop for LoadGuard {
     fn drop(&mut self) {
         self.finish_prefill();
+        if let Some((key, output_tokens)) = self.run.take() {
+            let mut runs = self.load.lock_runs();
+            if let Some(sum) = runs.get_mut(&key) {
+                sum.count -= 1;
+                sum.output_tokens = sum.output_tokens.saturating_sub(output_tokens);
+                if sum.count == 0 {
+                    runs.remove(&key);
+                }
+            }
+        }
         self.load.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/crates/serving/src/engine_speed.rs
+++ b/crates/serving/src/engine_speed.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use zinniahinge_types::EngineTimes;
 
 /// Time for each prompt token before any was measured, milliseconds.
@@ -46,6 +48,11 @@
         blend(&mut self.output_token_ms, *output_tokens, *output_us);
     }
 
+    /// Time that an answer of `tokens` takes from its first event to its last.
+    pub fn output_time(&self, tokens: u64) -> Duration {
+        Duration::from_secs_f64(tokens as f64 * self.output_token_ms / 1000.0)
+    }
+
     /// Engine time that requests take, milliseconds. An engine produces the tokens of up to `slots` answers together.
     pub fn work_ms(&self, prompt_tokens: u64, output_tokens: u64, slots: u32) -> f64 {
         let output_token_ms = self.output_token_ms / f64::from(slots.max(1));
--- a/crates/serving/src/plan_snapshot.rs
+++ b/crates/serving/src/plan_snapshot.rs
@@ -1,4 +1,5 @@
 use std::collections::HashMap;
+use std::time::Duration;
 
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
@@ -12,8 +13,19 @@
 #[derive(Debug)]
 pub(crate) struct EngineRoom {
     pub(crate) free_mb: f64,
-    /// Models that can be evicted, the cheapest first: cost in seconds, name, memory in megabytes.
-    pub(crate) victims: Vec<(f64, Name, f64)>,
+    /// Models that can be evicted, the cheapest first.
+    pub(crate) victims: Vec<EvictionVictim>,
+}
+
+/// A model that can be evicted from one engine.
+#[derive(Debug)]
+pub(crate) struct EvictionVictim {
+    pub(crate) model: Name,
+    /// Waiting time of future requests, seconds.
+    pub(crate) cost_s: f64,
+    /// Time until the requests that use the model have ended, which its unload waits for.
+    pub(crate) unload_time: Duration,
+    pub(crate) freed_mb: f64,
 }
 
 /// State of all engines that one plan looks up. It is computed once for each change of the engines, so that the cost of
@@ -57,16 +69,20 @@
     ) -> EngineRoom {
         let held = record.held.iter();
         let held = held.filter(|(model, held)| !held.is_unloading && !self.is_requested(model));
-        let mut victims: Vec<(f64, Name, f64)> = held
+        let mut victims: Vec<EvictionVictim> = held
             .map(|(model, held)| {
-                let freed = model_mb(&self.spec, model)
+                let freed_mb = model_mb(&self.spec, model)
                     + adapter_mb(&self.spec, model) * held.adapters.len() as f64;
                 let replicas = replicas.get(model).copied().unwrap_or_default();
-                let cost = self.eviction_cost(record, model, replicas, now);
-                (cost, model.clone(), freed)
+                EvictionVictim {
+                    model: model.clone(),
+                    cost_s: self.eviction_cost(record, model, replicas, now),
+                    unload_time: self.unload_time(record, model),
+                    freed_mb,
+                }
             })
             .collect();
-        victims.sort_by(|one, other| one.0.total_cmp(&other.0));
+        victims.sort_by(|one, other| one.cost_s.total_cmp(&other.cost_s));
         EngineRoom {
             free_mb: self.spec.memory_mb - record.used_mb(&self.spec, now),
             victims,
--- a/crates/serving/src/residency_load.rs
+++ b/crates/serving/src/residency_load.rs
@@ -12,13 +12,12 @@
 use crate::engine_record::AdapterRecord;
 use crate::engine_record::EngineRecord;
 use crate::engine_record::MemoryClaim;
-use crate::engine_record::adapter_mb;
 use crate::engine_record::model_mb;
 use crate::plan_snapshot::PlanSnapshot;
 use crate::residency_demand::LoadKey;
 use crate::residency_demand::WeightSource;
 
-type Result<T> = std::result::Result<T, LoadHold>;
+pub(crate) type Result<T> = std::result::Result<T, LoadHold>;
 
 /// Pause after a plan found nothing to load in the background, until the next one looks again.
 const BACKGROUND_PLAN_INTERVAL: Duration = Duration::from_millis(250);
@@ -31,9 +30,10 @@
 const CLAIM_TIME: Duration = Duration::from_secs(3);
 
 /// Memory left free to absorb rounding errors, megabytes.
-const ROUNDING_MB: f64 = 1.0;
+pub(crate) const ROUNDING_MB: f64 = 1.0;
 
-/// Added cost of evicting a model that was used a moment ago: its unload waits for its requests and blocks the engine.
+/// Added cost of evicting a model that requests use, or that was asked for a moment ago: its unload waits for them and
+/// blocks the engine.
 const IN_USE_COST_S: f64 = 20.0;
 
 /// A load with more time left is slow: loading from a copy on another engine may be faster.
@@ -304,15 +304,17 @@
         let mut free = room.free_mb;
         let mut cost_s = 0.0;
         let mut first = None;
+        let mut unload_time = Duration::ZERO;
         let mut victims = room.victims.iter();
         while free < needed {
-            let (cost, victim, freed) = victims.next()?;
-            first.get_or_insert(victim);
-            cost_s += cost;
-            free += freed;
+            let victim = victims.next()?;
+            first.get_or_insert(&victim.model);
+            cost_s += victim.cost_s;
+            unload_time += victim.unload_time;
+            free += victim.freed_mb;
         }
         let source = record.source_of(model);
-        let delay = self.load_time(&record.id, model, now) + record.wait(now);
+        let delay = self.load_time(&record.id, model, now) + record.wait(now) + unload_time;
         cost_s += delay.as_secs_f64() * self.waiting_requests(model, now);
         // Spreads copies over all engines. An engine with many copies would have to swap between their models.
         cost_s += record.disk_copies.len() as f64 * 0.01;
@@ -353,12 +355,21 @@
             return 0.0;
         };
         let idle = now.since(held.last_used);
-        let in_use = held.last_used != MonotonicTime::ZERO && idle < self.settings.recent_use;
-        let in_use = if in_use { IN_USE_COST_S } else { 0.0 };
+        let is_recent = held.last_used != MonotonicTime::ZERO && idle < self.settings.recent_use;
+        let is_in_use = is_recent || self.runs.on(&record.id, model).is_some();
+        let in_use = if is_in_use { IN_USE_COST_S } else { 0.0 };
         // The last term evicts the least recently used model where costs are otherwise equal.
         lost * horizon + in_use + 0.02 / (1.0 + idle.as_secs_f64())
     }
 
+    /// Expected time until the requests in flight for the model on the engine have ended.
+    pub(crate) fn unload_time(&self, record: &EngineRecord, model: &Name) -> Duration {
+        let total = self.runs.on(&record.id, model);
+        total.map_or(Duration::ZERO, |total| {
+            self.speed.output_time(total.mean_output_tokens())
+        })
+    }
+
     /// Demand for the model, requests a second.
     pub(crate) fn rate(&self, model: &Name, now: MonotonicTime) -> f64 {
         let half_life = self.settings.demand_half_life;
@@ -451,69 +462,10 @@
         let fits = model_mb(&self.spec, model) <= self.spec.memory_mb;
         fits.then_some(time)
     }
-
-    // ---------------------------------------------------------------------------------------------
-    // Adapters
-
-    /// Returns the next order towards the adapter: its load on the ready engine with the fewest adapters, or the unload
-    /// of the least recently used adapter there.
-    fn plan_adapter(
-        &mut self,
-        model: &Name,
-        adapter: &Name,
-        now: MonotonicTime,
-    ) -> Result<EngineOrder> {
-        let needed = adapter_mb(&self.spec, model);
-        let spec = &self.spec;
-        let engines = self.engines.values();
-        let able = engines.filter(|record| record.is_free(now) && record.is_ready(model, now));
-        let ranked = able.map(|record| {
-            let count = record.adapter_count(now);
-            let is_full = count >= spec.max_adapters
-                || spec.memory_mb - record.used_mb(spec, now) < needed + ROUNDING_MB;
-            (is_full, count, record)
-        });
-        let best = ranked.min_by_key(|(is_full, count, _)| (*is_full, *count));
-        let (is_full, _, best) = best.ok_or(LoadHold::NoReadyEngine)?;
-        let backend = best.id.clone();
-        let full = LoadHold::AdaptersFull {
-            backend: backend.clone(),
-        };
-        if !is_full {
-            let order = order_for(
-                best,
-                ResidencyAction::Load,
-                model.clone(),
-                Some(adapter.clone()),
-            );
-            return order.ok_or(LoadHold::EngineBusy { backend });
-        }
-        let held = best.held.iter().flat_map(|(model, held)| {
-            let adapters = held
-                .adapters
-                .iter()
-                .filter(|(_, record)| !record.is_unloading);
-            adapters.map(move |(name, record)| (record.last_used, model, name))
-        });
-        // Only one unload at a time: if it waits for a request to end, further unloads would not free memory sooner.
-        let mut all = best.held.values().flat_map(|held| held.adapters.values());
-        if all.any(|adapter| adapter.is_unloading) {
-            return Err(full);
-        }
-        let victim = held.min_by_key(|(last_used, ..)| *last_used);
-        let (_, victim_model, victim) = victim.ok_or(full)?;
-        let order = order_for(
-            best,
-            ResidencyAction::Unload,
-            victim_model.clone(),
-            Some(victim.clone()),
-        );
-        order.ok_or(LoadHold::EngineBusy { backend })
-    }
 }
 
 /// Creates an order; `None` if the engine's number of accepted orders is unknown.
-fn order_for(
+pub(crate) fn order_for(
     record: &EngineRecord,
     action: ResidencyAction,
     model: Name,
--- a/crates/serving/src/residency_planner.rs
+++ b/crates/serving/src/residency_planner.rs
@@ -3,7 +3,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use zinniahinge_types::BackendUse;
 use zinniahinge_types::EngineTimes;
+use zinniahinge_types::HostId;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 
@@ -14,6 +16,7 @@
 use crate::ResidencySettings;
 use crate::ResidencyView;
 use crate::engine_record::EngineRecord;
+use crate::open_runs::OpenRuns;
 use crate::residency_demand::LoadKey;
 use crate::residency_demand::LoadRequest;
 use crate::residency_demand::ModelDemand;
@@ -79,7 +82,8 @@
     pub(crate) spec: EngineSpec,
     pub(crate) engines: BTreeMap<Name, EngineRecord>,
     pub(crate) demand: HashMap<Name, ModelDemand>,
-    speed: EngineSpeed,
+    pub(crate) speed: EngineSpeed,
+    pub(crate) runs: OpenRuns,
     /// Models and adapters that requests wait for.
     pub(crate) load_requests: BTreeMap<LoadKey, LoadRequest>,
     /// Estimated number of concurrent loads from the weight store that run at full speed.
@@ -111,6 +115,7 @@
             engines: BTreeMap::new(),
             demand: HashMap::new(),
             speed: EngineSpeed::default(),
+            runs: OpenRuns::default(),
             load_requests: BTreeMap::new(),
             store_starts: VecDeque::new(),
             views: BTreeMap::new(),
@@ -137,6 +142,11 @@
         self.speed.record(times);
     }
 
+    /// Replaces the requests that a host has in flight on engines.
+    pub fn record_runs(&mut self, host: &HostId, usage: &[BackendUse], now: MonotonicTime) {
+        self.runs.replace(host, usage, now);
+    }
+
     /// Records `count` requests for a model that hosts have forwarded, for its demand and the time of its last use. The
     /// last pair holds the prompt and output tokens of all these requests together.
     pub fn record_use(
--- a/crates/types/src/fleet_message.rs
+++ b/crates/types/src/fleet_message.rs
@@ -87,6 +87,22 @@
     pub succeeded: u32,
     /// Requests that failed on the backend server since the last report.
     pub failed: u32,
+    /// The requests in flight for models. Empty in reports of earlier versions.
+    #[serde(default)]
+    pub runs: Vec<ModelRuns>,
+}
+
+/// Counts one host's requests in flight for one model or adapter on one backend server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ModelRuns {
+    /// Base model.
+    pub model: Name,
+    /// Adapter; `None` for requests to the base model alone.
+    pub adapter: Option<Name>,
+    /// Number of requests.
+    pub count: u32,
+    /// Sum of the largest outputs that they allow, in tokens.
+    pub output_tokens: u64,
 }
 
 /// Names one run of a backend server.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -41,6 +41,7 @@
 pub use fleet_message::FleetReport;
 pub use fleet_message::FleetView;
 pub use fleet_message::HostPower;
+pub use fleet_message::ModelRuns;
 pub use fleet_message::ModelUse;
 pub use fleet_message::PlacementReply;
 pub use fleet_message::PlacementRequest;
