Give adapters without a place a further replica, and unload idle adapters first

Cause, three parts. The least recently asked for adapter was unloaded although its requests were running, so that its place was free only when they had ended. Until then no other adapter of the engine was unloaded, idle or not. And only requests that wait in front of crowded engines counted for a further replica, never those that wait for an adapter's place.

Class of fault: demand that is measured only by what is served looks like none where it is starved.

Evidence: "order" lines: an unload of an adapter in use at 24.50 s, the next order for an adapter at that engine at 28.74 s; "load held back" for up to 8 s: AdaptersFull, NoReadyEngine.

Fix: an adapter is unloaded if no request uses it and none asked for it a moment ago; one in use only after another has waited for a second, and one at a time. Each adapter that has waited for a second counts as one waiting request for a further replica of its model, at most as many as one replica has places for.

Tests: an_adapter_with_requests_in_flight_is_not_unloaded_before_an_idle_one, no second order on the code before; adapters_without_a_place_get_a_further_replica, none within 4 s on the code before.

--- a/crates/serving/src/open_runs.rs
+++ b/crates/serving/src/open_runs.rs
@@ -63,6 +63,12 @@
         self.totals.get(backend)?.get(model)
     }
 
+    /// True if requests for the adapter are in flight on the engine.
+    pub(crate) fn uses_adapter(&self, backend: &str, model: &str, adapter: &str) -> bool {
+        self.on(backend, model)
+            .is_some_and(|total| total.adapters.contains_key(adapter))
+    }
+
     fn drop_silent_hosts(&mut self, now: MonotonicTime) {
         let hosts = std::mem::take(&mut self.hosts);
         for (host, runs) in hosts {
--- a/crates/serving/src/residency_adapters.rs
+++ b/crates/serving/src/residency_adapters.rs
@@ -7,20 +7,30 @@
 use crate::LoadHold;
 use crate::ResidencyAction;
 use crate::ResidencyPlanner;
+use crate::engine_record::EngineRecord;
 use crate::engine_record::adapter_mb;
+use crate::residency_demand::LoadKey;
+use crate::residency_demand::LoadRequest;
 use crate::residency_load::ROUNDING_MB;
 use crate::residency_load::Result;
 use crate::residency_load::order_for;
+use crate::residency_waiting::RELOAD_DELAY_S;
 
 impl ResidencyPlanner {
     /// Returns the next order towards the adapter: its load on the ready engine with the fewest adapters, or the unload
-    /// of the least recently used adapter there.
+    /// of another adapter there.
     pub(crate) fn plan_adapter(
         &mut self,
         model: &Name,
         adapter: &Name,
         now: MonotonicTime,
     ) -> Result<EngineOrder> {
+        let key = LoadKey {
+            model: model.clone(),
+            adapter: Some(adapter.clone()),
+        };
+        let request = self.load_requests.get(&key);
+        let is_starving = request.is_some_and(|request| is_starving(request, now));
         let needed = adapter_mb(&self.spec, model);
         let spec = &self.spec;
         let engines = self.engines.values();
@@ -46,26 +56,51 @@
             );
             return order.ok_or(LoadHold::EngineBusy { backend });
         }
-        let held = best.held.iter().flat_map(|(model, held)| {
-            let adapters = held
-                .adapters
-                .iter()
-                .filter(|(_, record)| !record.is_unloading);
-            adapters.map(move |(name, record)| (record.last_used, model, name))
+        let (victim_model, victim) = self.adapter_victim(best, is_starving, now).ok_or(full)?;
+        let order = order_for(best, ResidencyAction::Unload, victim_model, Some(victim));
+        order.ok_or(LoadHold::EngineBusy { backend })
+    }
+
+    /// Returns the adapter of the engine to unload for another one: the least recently used one that no request uses and
+    /// that was not asked for a moment ago. If all are in use and `may_wait` is set, the least recently used one, whose
+    /// unload waits until its requests have ended; one such unload at a time.
+    fn adapter_victim(
+        &self,
+        record: &EngineRecord,
+        may_wait: bool,
+        now: MonotonicTime,
+    ) -> Option<(Name, Name)> {
+        let adapters = || {
+            let held = record.held.iter();
+            held.flat_map(|(model, held)| {
+                let adapters = held.adapters.iter();
+                adapters.map(move |(name, adapter)| (model, name, adapter))
+            })
+        };
+        let kept = || adapters().filter(|(.., adapter)| !adapter.is_unloading);
+        let idle = kept().filter(|(model, name, adapter)| {
+            now.since(adapter.last_used) >= self.settings.recent_use
+                && !self.runs.uses_adapter(&record.id, model, name)
         });
-        // Only one unload at a time: if it waits for a request to end, further unloads would not free memory sooner.
-        let mut all = best.held.values().flat_map(|held| held.adapters.values());
-        if all.any(|adapter| adapter.is_unloading) {
-            return Err(full);
+        let mut victim = idle.min_by_key(|(.., adapter)| adapter.last_used);
+        if victim.is_none() && may_wait && !adapters().any(|(.., adapter)| adapter.is_unloading) {
+            victim = kept().min_by_key(|(.., adapter)| adapter.last_used);
         }
-        let victim = held.min_by_key(|(last_used, ..)| *last_used);
-        let (_, victim_model, victim) = victim.ok_or(full)?;
-        let order = order_for(
-            best,
-            ResidencyAction::Unload,
-            victim_model.clone(),
-            Some(victim.clone()),
-        );
-        order.ok_or(LoadHold::EngineBusy { backend })
+        victim.map(|(model, name, _)| (model.clone(), name.clone()))
+    }
+
+    /// Number of adapters of the model that requests have waited for longer than a load from a copy takes: those that
+    /// its replicas have no places for.
+    pub(crate) fn starving_adapters(&self, model: &Name, now: MonotonicTime) -> usize {
+        let requests = self.load_requests.iter();
+        let starving = requests.filter(|(key, request)| {
+            key.model == *model && key.adapter.is_some() && is_starving(request, now)
+        });
+        starving.count()
     }
 }
+
+/// True if requests have waited for the load for longer than a load from a copy takes.
+fn is_starving(request: &LoadRequest, now: MonotonicTime) -> bool {
+    now.since(request.since).as_secs_f64() >= RELOAD_DELAY_S
+}
--- a/crates/serving/src/residency_background.rs
+++ b/crates/serving/src/residency_background.rs
@@ -105,7 +105,7 @@
             .replicas
             .iter()
             .filter_map(|(model, replicas)| {
-                let saved = self.saved_waiting(model, *replicas, now);
+                let saved = self.replica_value(model, *replicas, now);
                 (saved * horizon_s >= MIN_SAVED_S).then(|| (saved, model.clone()))
             })
             .collect();
@@ -113,6 +113,14 @@
         short
     }
 
+    /// Waiting time that one replica more saves, seconds each second: requests in front of crowded engines, and at least
+    /// one for each adapter without a place.
+    fn replica_value(&self, model: &Name, replicas: usize, now: MonotonicTime) -> f64 {
+        let adapters = self.starving_adapters(model, now);
+        let adapters = adapters.min(self.spec.max_adapters) as f64;
+        self.saved_waiting(model, replicas, now) + adapters
+    }
+
     /// Returns the next order towards a further replica that saves more waiting time than its load costs, the one that
     /// saves most first.
     fn plan_replica(&mut self, snapshot: &PlanSnapshot, now: MonotonicTime) -> Option<EngineOrder> {
