--- a/crates/serving/tests/residency_refused_orders.rs
+++ b/crates/serving/tests/residency_refused_orders.rs
@@ -19,7 +19,7 @@
 const MODELS: [&str; 5] = ["r0", "r1", "r2", "r3", "absent"];
 
 /// Guards against a busy model that no engine holds and that waits for one engine: while that unloaded a model in use, its
-/// load was ordered there 40 times in ten seconds and refused each time.
+/// load was ordered there 34 times in eleven seconds, without effect.
 #[test]
 fn a_requested_model_is_loaded_elsewhere_while_an_engine_refuses_orders() {
     let mut planner = ResidencyPlanner::new(engine_spec(&MODELS), ResidencySettings::default(), 0);
