Don't count requests for adapters as waiting for a further replica of their model

Found in the last reading of the change: since a second of delay costs as much as the requests of a second that wait, also for a further replica of a model of which only adapters were requested. Then a replica from the weight store (6 s) seemed to cost more the busier the model was, and was not loaded just where its adapters lack places.

Fix: the weight holds for models that no engine has.

Test: a_requested_adapter_does_not_make_a_replica_of_its_model_dearer; on the code before: no order for the replica once an adapter is requested.

--- a/crates/serving/src/residency_load.rs
+++ b/crates/serving/src/residency_load.rs
@@ -187,7 +187,7 @@
         let limit = match self.time_until_replica(model, now) {
             None => LoadLimit::NONE,
             Some(ready_in) => LoadLimit {
-                cost_s: ready_in.as_secs_f64() * self.waiting_requests(model, now),
+                cost_s: ready_in.as_secs_f64(),
                 source: WeightSource::Disk,
             },
         };
@@ -315,7 +315,8 @@
         }
         let source = record.source_of(model);
         let delay = self.load_time(&record.id, model, now) + record.wait(now) + unload_time;
-        cost_s += delay.as_secs_f64() * self.waiting_requests(model, now);
+        let is_absent = !snapshot.replicas.contains_key(model);
+        cost_s += delay.as_secs_f64() * self.waiting_requests(model, is_absent, now);
         // Spreads copies over all engines. An engine with many copies would have to swap between their models.
         cost_s += record.disk_copies.len() as f64 * 0.01;
         Some(LoadTarget {
@@ -332,9 +333,10 @@
         self.load_requests.keys().any(|key| key.model == *model)
     }
 
-    /// Requests that a second of delay makes wait: those of a second if the model is requested.
-    fn waiting_requests(&self, model: &Name, now: MonotonicTime) -> f64 {
-        if self.is_requested(model) {
+    /// Requests that a second of delay makes wait: those of a second if the model is requested and absent. Requests for the
+    /// adapters of a model with a replica don't wait for a further one alone.
+    fn waiting_requests(&self, model: &Name, is_absent: bool, now: MonotonicTime) -> f64 {
+        if is_absent && self.is_requested(model) {
             self.rate(model, now).max(1.0)
         } else {
             1.0
--- a/crates/serving/tests/residency_replicas.rs
+++ b/crates/serving/tests/residency_replicas.rs
@@ -308,3 +308,31 @@
     // One load of 6 s must end before the weight store is free for the replica.
     assert_that!(replica_at, some(le(7_000)));
 }
+
+/// Guards against a replica that seems to cost more the more requests there are, because requests wait for an adapter of
+/// the model.
+#[test]
+fn a_requested_adapter_does_not_make_a_replica_of_its_model_dearer() {
+    for adapter in [None, Some(name("a1"))] {
+        let mut planner = planner(&[("e1", &["busy"], &[]), ("e2", &["r0"], &[])]);
+        let now = at(60_000);
+        // Engine time of 1.6 s each second; the weight store needs 6 s.
+        for _ in 0..30 {
+            planner.record_use(&name("busy"), None, 15, (23_000, 1_000), now);
+        }
+        let urgency = 1;
+        let placed = planner.place(
+            &name("busy"),
+            adapter.as_ref(),
+            urgency,
+            Duration::from_secs(10),
+            None,
+            now,
+        );
+        let orders = planner.plan(now);
+        let replicas = count_orders(&orders, ResidencyAction::Load, "busy");
+        assert_that!(replicas, ge(1), "{adapter:?}: {placed:?}, {orders:?}");
+        let is_replica = orders.iter().any(|order| &*order.backend == "e2");
+        assert_that!(is_replica, eq(true), "{adapter:?}: {orders:?}");
+    }
+}
