Log what a look-up of a run shows, and sends that may be second runs

The line of each look-up now has the age of the send, the counts and the list's length of the report, and why there is none; a send that may be a second run has a line of its own, and host_run_lookups_total counts look-ups by evidence and permission. No decision changes.

--- a/crates/host/src/backend_send.rs
+++ b/crates/host/src/backend_send.rs
@@ -95,6 +95,11 @@
         ReuseRule::IdleLessThan(MAX_NON_REPEATABLE_IDLE)
     };
     target.record_sent_parts(&context.facts);
+    history.last_sent_at = Some(state.now());
+    if !history.is_first_run() {
+        info!(state.logger, "request goes on at another backend server"; "id" => &*context.facts.attempt_id,
+            "backend" => &*target.entry.id, "earlier" => history.possible_runs_text(), "after" => resume_after);
+    }
     let sent = state
         .pool
         .send(target.entry.address, request, rule, deadline)
--- a/crates/host/src/event_relay.rs
+++ b/crates/host/src/event_relay.rs
@@ -312,8 +312,8 @@
                 return next_step;
             }
             if may_send_again(&self.state, &self.context, &self.history) {
-                let target = stream.target.clone();
-                let check = is_run_over(&self.state, &self.context, &target, false);
+                let (target, sent_at) = (stream.target.clone(), self.history.last_sent_at);
+                let check = is_run_over(&self.state, &self.context, &target, sent_at, false);
                 tokio::select! {
                     next_step = stream.next() => return next_step,
                     is_over = check => {
@@ -344,7 +344,8 @@
                 return None;
             }
             let (state, context) = (&self.state, &self.context);
-            if !is_over && !wait_for_run_end(state, context, &last).await {
+            if !is_over && !wait_for_run_end(state, context, &last, self.history.last_sent_at).await
+            {
                 return None;
             }
             let target = choose_target(state, context, &mut self.history)
--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -228,7 +228,9 @@
                     };
                     return end_with_failure(Refusal::not_run(kind), history, failed_response);
                 }
-                if context.facts.model.is_some() && !wait_for_run_end(state, context, &target).await
+                let sent_at = history.last_sent_at;
+                if context.facts.model.is_some()
+                    && !wait_for_run_end(state, context, &target, sent_at).await
                 {
                     let refusal = Refusal::not_run(RefusalKind::BackendFailed);
                     return end_with_failure(refusal, history, failed_response);
--- a/crates/host/src/host_counters.rs
+++ b/crates/host/src/host_counters.rs
@@ -13,6 +13,9 @@
     pub(crate) requests: IntCounterVec,
     /// Sends to backend servers by outcome.
     pub(crate) sends: IntCounterVec,
+    /// Questions to engines whether they still work on a request, by what the answer shows and whether the request may go
+    /// on at another server.
+    pub(crate) run_lookups: IntCounterVec,
     /// Requests in progress.
     pub(crate) active: IntGauge,
     /// Time in seconds from the arrival of a request to its answer, or the first event of a streamed one.
@@ -44,6 +47,11 @@
                 "Sends to backend servers by outcome",
                 &["outcome"],
             )?,
+            run_lookups: registry.counter_vec(
+                "host_run_lookups_total",
+                "Runs looked up at engines by evidence and permission to go on elsewhere",
+                &["evidence", "may_go_on"],
+            )?,
             active: registry.gauge("host_active_requests", "Requests under way")?,
             first_answer: registry.histogram(
                 "host_first_answer_seconds",
--- a/crates/host/src/send_history.rs
+++ b/crates/host/src/send_history.rs
@@ -1,5 +1,6 @@
 use smallvec::SmallVec;
 use zinniahinge_serving::SendBar;
+use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 
 /// Sends of one request to backend servers so far, and how they ended.
@@ -19,6 +20,8 @@
     pub(crate) unreported_unreachable: Option<Name>,
     /// Backend server that the request is being sent to, or that has not answered it yet.
     pub(crate) sending_to: Option<Name>,
+    /// When the last send began.
+    pub(crate) last_sent_at: Option<MonotonicTime>,
     /// Why a backend server was last left out, although it could have run the request.
     pub(crate) bar: Option<SendBar>,
     /// Sends that reached a backend server.
@@ -88,6 +91,16 @@
         self.possible_runs.len() as u32
     }
 
+    /// True if no server may have run the request so far; the one that it is being sent to doesn't count.
+    pub(crate) fn is_first_run(&self) -> bool {
+        self.possible_runs.is_empty()
+    }
+
+    /// Backend servers that may have run the request, for log lines.
+    pub(crate) fn possible_runs_text(&self) -> String {
+        self.possible_runs.join(",")
+    }
+
     /// True if any server may have run the request.
     pub(crate) fn may_have_run(&self) -> bool {
         !self.possible_runs.is_empty() || self.sending_to.is_some()
--- a/crates/serving/src/engine_runs.rs
+++ b/crates/serving/src/engine_runs.rs
@@ -6,8 +6,10 @@
 pub struct EngineRuns {
     /// Start of the reporting run of the engine, milliseconds since the Unix epoch; 0 if it is not stated.
     pub born_ms: u64,
-    /// Number of requests that run or wait; `None` if it is not stated.
-    pub count: Option<u64>,
+    /// Number of requests that run; `None` if it is not stated.
+    pub running: Option<u64>,
+    /// Number of requests that wait; `None` if it is not stated.
+    pub waiting: Option<u64>,
     /// Attempt ids of the running requests; `None` if they are not stated.
     pub attempts: Option<SmallVec<[Name; 8]>>,
 }
@@ -24,10 +26,15 @@
 }
 
 impl EngineRuns {
+    /// Number of requests that run or wait; `None` if it is not stated.
+    pub fn count(&self) -> Option<u64> {
+        self.running?.checked_add(self.waiting?)
+    }
+
     /// Decides whether the engine, which started at `born_ms` when it got the request, still works on `attempt`.
     pub fn evidence(&self, attempt: &str, born_ms: u64) -> RunEvidence {
         let is_other_start = self.born_ms != 0 && born_ms != 0 && self.born_ms != born_ms;
-        if is_other_start || self.count == Some(0) {
+        if is_other_start || self.count() == Some(0) {
             return RunEvidence::Over;
         }
         match &self.attempts {
--- a/crates/serving/tests/engine_runs.rs
+++ b/crates/serving/tests/engine_runs.rs
@@ -79,7 +79,8 @@
     for case in &CASES {
         let runs = EngineRuns {
             born_ms: case.born_ms,
-            count: case.count,
+            running: case.count,
+            waiting: case.count.map(|_| 0),
             attempts: case
                 .attempts
                 .map(|attempts| attempts.iter().map(|id| (*id).into()).collect()),
