Don't take a run for over that is younger than the report

Cause: reports describe the state of some hundred milliseconds ago, and a run that they don't list counted as over, also one that had begun after that time: its connection broke early, or a late answer to another request came first. Now a report counts only if the server was asked a second or more after the request had arrived, which is known from the head of the answer or the end of the connection; a server that started again counts at once, and one that answered an error to its end needs no question. The case without a list of runs moves to the test of servers that don't say.

--- a/crates/host/src/backend_send.rs
+++ b/crates/host/src/backend_send.rs
@@ -95,7 +95,6 @@
         ReuseRule::IdleLessThan(MAX_NON_REPEATABLE_IDLE)
     };
     target.record_sent_parts(&context.facts);
-    history.last_sent_at = Some(state.now());
     if !history.is_first_run() {
         info!(state.logger, "request goes on at another backend server"; "id" => &*context.facts.attempt_id,
             "backend" => &*target.entry.id, "earlier" => history.possible_runs_text(), "after" => resume_after);
@@ -104,6 +103,7 @@
         .pool
         .send(target.entry.address, request, rule, deadline)
         .await;
+    history.arrived_by = state.now();
     let exchange = match sent {
         Ok(exchange) => exchange,
         Err(failure) => return Err(record_failure(state, target, failure)),
--- a/crates/host/src/event_relay.rs
+++ b/crates/host/src/event_relay.rs
@@ -312,8 +312,8 @@
                 return next_step;
             }
             if may_send_again(&self.state, &self.context, &self.history) {
-                let (target, sent_at) = (stream.target.clone(), self.history.last_sent_at);
-                let check = is_run_over(&self.state, &self.context, &target, sent_at, false);
+                let (target, arrived_by) = (stream.target.clone(), self.history.arrived_by);
+                let check = is_run_over(&self.state, &self.context, &target, arrived_by, false);
                 tokio::select! {
                     next_step = stream.next() => return next_step,
                     is_over = check => {
@@ -344,8 +344,7 @@
                 return None;
             }
             let (state, context) = (&self.state, &self.context);
-            if !is_over && !wait_for_run_end(state, context, &last, self.history.last_sent_at).await
-            {
+            if !is_over && !wait_for_run_end(state, context, &last, self.history.arrived_by).await {
                 return None;
             }
             let target = choose_target(state, context, &mut self.history)
--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -219,6 +219,8 @@
                     state.parts().record_cut(&context.facts, &target, now);
                 }
                 history.record_possible_run(&backend);
+                // A server that answered to the end has ended its run.
+                let is_over = response.is_some() || context.facts.model.is_none();
                 failed_response = response.or(failed_response);
                 if !may_send_again(state, context, history) {
                     let kind = if context.time_left() < MIN_SEND_TIME {
@@ -228,9 +230,7 @@
                     };
                     return end_with_failure(Refusal::not_run(kind), history, failed_response);
                 }
-                let sent_at = history.last_sent_at;
-                if context.facts.model.is_some()
-                    && !wait_for_run_end(state, context, &target, sent_at).await
+                if !is_over && !wait_for_run_end(state, context, &target, history.arrived_by).await
                 {
                     let refusal = Refusal::not_run(RefusalKind::BackendFailed);
                     return end_with_failure(refusal, history, failed_response);
--- a/crates/host/src/run_check.rs
+++ b/crates/host/src/run_check.rs
@@ -5,8 +5,7 @@
 use slog::info;
 use tokio::time::Instant;
 use zinniahinge_serving::BackendCandidate;
-use zinniahinge_serving::RunEvidence;
-use zinniahinge_serving::RunLookup;
+use zinniahinge_serving::SentRun;
 use zinniahinge_types::MonotonicTime;
 
 use crate::host_state::HostState;
@@ -22,12 +21,12 @@
     state: &HostState,
     context: &RequestContext,
     target: &BackendCandidate,
-    sent_at: Option<MonotonicTime>,
+    arrived_by: MonotonicTime,
 ) -> bool {
     let gap = context.rule.first_event_timeout().unwrap_or_default();
     let until = (Instant::now() + gap).min(context.deadline);
     loop {
-        if is_run_over(state, context, target, sent_at, true).await {
+        if is_run_over(state, context, target, arrived_by, true).await {
             return true;
         }
         let next = Instant::now() + CHECK_INTERVAL;
@@ -38,27 +37,29 @@
     }
 }
 
-/// Asks `target` whether it still works on the request; true if the request may go on at another server.
+/// Asks `target` whether it still works on the request, which had arrived there at `arrived_by` if at all; true if the
+/// request may go on at another server.
 ///
-/// Only servers that hold models say what they work on. `sent_at` is when the request was sent to it.
+/// Only servers that hold models say what they work on.
 pub(crate) async fn is_run_over(
     state: &HostState,
     context: &RequestContext,
     target: &BackendCandidate,
-    sent_at: Option<MonotonicTime>,
+    arrived_by: MonotonicTime,
     is_connection_lost: bool,
 ) -> bool {
     if context.facts.model.is_none() {
         return is_connection_lost;
     }
-    let (attempt, entry) = (&context.facts.attempt_id, &target.entry);
+    let entry = &target.entry;
+    let run = SentRun {
+        attempt: context.facts.attempt_id.clone(),
+        born_ms: entry.born_ms,
+        arrived_by,
+    };
     let asked_at = state.now();
     let lookup = state.engines.look_up_runs(entry.address, &entry.id).await;
-    let evidence = match &lookup {
-        RunLookup::Report(runs) => runs.evidence(attempt, entry.born_ms),
-        RunLookup::OtherServer | RunLookup::NoConnection(_) => RunEvidence::Over,
-        RunLookup::NoAnswer(_) => RunEvidence::Unknown,
-    };
+    let evidence = run.evidence(&lookup, asked_at);
     let is_over = evidence.allows_another_server(is_connection_lost);
     state
         .counters
@@ -66,9 +67,9 @@
         .with_label_values(&[evidence.name(), if is_over { "yes" } else { "no" }])
         .inc();
     let report = lookup.report();
-    info!(state.logger, "run looked up at backend server"; "id" => &**attempt, "backend" => &*entry.id,
+    info!(state.logger, "run looked up at backend server"; "id" => &*run.attempt, "backend" => &*entry.id,
         "evidence" => evidence.name(), "failure" => lookup.failure(),
-        "sent_ago_ms" => sent_at.map(|sent_at| asked_at.since(sent_at).as_millis() as u64),
+        "arrived_ago_ms" => asked_at.since(arrived_by).as_millis() as u64,
         "took_ms" => state.now().since(asked_at).as_millis() as u64,
         "running" => report.and_then(|runs| runs.running), "waiting" => report.and_then(|runs| runs.waiting),
         "listed" => report.and_then(|runs| runs.attempts.as_ref().map(|attempts| attempts.len())),
--- a/crates/host/src/send_history.rs
+++ b/crates/host/src/send_history.rs
@@ -20,8 +20,8 @@
     pub(crate) unreported_unreachable: Option<Name>,
     /// Backend server that the request is being sent to, or that has not answered it yet.
     pub(crate) sending_to: Option<Name>,
-    /// When the last send began.
-    pub(crate) last_sent_at: Option<MonotonicTime>,
+    /// When the request had arrived at the backend server of the last send, if it arrives at all.
+    pub(crate) arrived_by: MonotonicTime,
     /// Why a backend server was last left out, although it could have run the request.
     pub(crate) bar: Option<SendBar>,
     /// Sends that reached a backend server.
--- a/crates/host/tests/single_runs.rs
+++ b/crates/host/tests/single_runs.rs
@@ -105,34 +105,26 @@
 ];
 
 /// Servers whose report describes a time before the request arrived.
-const OLD_REPORT_CASES: [RunCase; 4] = [
+const OLD_REPORT_CASES: [RunCase; 3] = [
     RunCase {
         name: "old-300",
-        fault: BackendFault::WorkOn(1, Duration::from_millis(1500)),
+        fault: BackendFault::WorkOn(1, Duration::from_secs(1)),
         report: old_report(300),
         ..BASE
     },
     RunCase {
         name: "old-500",
-        fault: BackendFault::WorkOn(1, Duration::from_millis(1500)),
+        fault: BackendFault::WorkOn(1, Duration::from_secs(1)),
         report: old_report(500),
         ..BASE
     },
     RunCase {
         name: "old-before-head",
-        fault: BackendFault::WorkOn(0, Duration::from_millis(1500)),
+        fault: BackendFault::WorkOn(0, Duration::from_secs(1)),
         report: old_report(500),
         is_whole: false,
         ..BASE
     },
-    RunCase {
-        name: "old-before-head-unlisted",
-        fault: BackendFault::WorkOn(0, Duration::from_millis(1500)),
-        report: old_report(500),
-        lists_runs: false,
-        is_whole: false,
-        ..BASE
-    },
 ];
 
 /// Servers in whose queue the request waits.
@@ -151,7 +143,15 @@
 ];
 
 /// Servers that don't say what they work on, or that can't be asked.
-const UNANSWERED_CASES: [RunCase; 4] = [
+const UNANSWERED_CASES: [RunCase; 5] = [
+    RunCase {
+        name: "old-before-head-unlisted",
+        fault: BackendFault::WorkOn(0, Duration::from_secs(1)),
+        report: old_report(500),
+        lists_runs: false,
+        is_whole: false,
+        ..BASE
+    },
     RunCase {
         name: "report-late",
         fault: WORKS_ON,
--- a/crates/serving/src/engine_runs.rs
+++ b/crates/serving/src/engine_runs.rs
@@ -14,54 +14,15 @@
     pub attempts: Option<SmallVec<[Name; 8]>>,
 }
 
-/// Whether an engine still works on a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RunEvidence {
-    /// It doesn't: the engine says so, has started again, or can't be reached.
-    Over,
-    /// It does.
-    AtWork,
-    /// The engine doesn't say.
-    Unknown,
-}
-
 impl EngineRuns {
     /// Number of requests that run or wait; `None` if it is not stated.
     pub fn count(&self) -> Option<u64> {
         self.running?.checked_add(self.waiting?)
     }
 
-    /// Decides whether the engine, which started at `born_ms` when it got the request, still works on `attempt`.
-    pub fn evidence(&self, attempt: &str, born_ms: u64) -> RunEvidence {
-        let is_other_start = self.born_ms != 0 && born_ms != 0 && self.born_ms != born_ms;
-        if is_other_start || self.count() == Some(0) {
-            return RunEvidence::Over;
-        }
-        match &self.attempts {
-            Some(attempts) if attempts.iter().any(|id| **id == *attempt) => RunEvidence::AtWork,
-            Some(_) => RunEvidence::Over,
-            None => RunEvidence::Unknown,
-        }
-    }
-}
-
-impl RunEvidence {
-    /// True if the request may go on at another server. `is_connection_lost` is true if the connection to the first one
-    /// ended, after which servers drop a request unless they say otherwise; silence alone shows nothing.
-    pub fn allows_another_server(self, is_connection_lost: bool) -> bool {
-        match self {
-            Self::Over => true,
-            Self::AtWork => false,
-            Self::Unknown => is_connection_lost,
-        }
-    }
-
-    /// Name for log lines.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Over => "over",
-            Self::AtWork => "at-work",
-            Self::Unknown => "unknown",
-        }
+    /// True if the engine lists the attempt among the running requests.
+    pub fn lists(&self, attempt: &str) -> bool {
+        let attempts = self.attempts.as_ref();
+        attempts.is_some_and(|attempts| attempts.iter().any(|id| **id == *attempt))
     }
 }
--- /dev/null
+++ b/crates/serving/src/sent_run.rs
@@ -0,0 +1,51 @@
+use std::time::Duration;
+
+use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::Name;
+
+use crate::EngineRuns;
+use crate::RunEvidence;
+use crate::RunLookup;
+
+/// Greatest age of the state that a report describes. The platform's protocol promises some hundred milliseconds.
+pub const MAX_REPORT_AGE: Duration = Duration::from_secs(1);
+
+/// A request that was sent to a backend server and may run there.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SentRun {
+    /// Id of the attempt.
+    pub attempt: Name,
+    /// Start of the server when the request was sent, milliseconds since the Unix epoch; 0 if it is not known.
+    pub born_ms: u64,
+    /// When the request had arrived, if it arrives at all.
+    pub arrived_by: MonotonicTime,
+}
+
+impl SentRun {
+    /// Decides what `lookup` shows, for which the server was asked at `asked_at`.
+    pub fn evidence(&self, lookup: &RunLookup, asked_at: MonotonicTime) -> RunEvidence {
+        match lookup {
+            RunLookup::Report(runs) => self.evidence_of_report(runs, asked_at),
+            RunLookup::OtherServer => RunEvidence::OtherServer,
+            RunLookup::NoConnection(_) => RunEvidence::NoConnection,
+            RunLookup::NoAnswer(_) => RunEvidence::NoAnswer,
+        }
+    }
+
+    fn evidence_of_report(&self, runs: &EngineRuns, asked_at: MonotonicTime) -> RunEvidence {
+        if runs.lists(&self.attempt) {
+            return RunEvidence::AtWork;
+        }
+        if runs.born_ms != 0 && self.born_ms != 0 && runs.born_ms != self.born_ms {
+            return RunEvidence::StartedAgain;
+        }
+        if asked_at.since(self.arrived_by) < MAX_REPORT_AGE {
+            return RunEvidence::OldReport;
+        }
+        if runs.count() == Some(0) || runs.attempts.is_some() {
+            RunEvidence::NotListed
+        } else {
+            RunEvidence::NotStated
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/tests/run_evidence.rs
@@ -0,0 +1,146 @@
+//! Whether a request may go on at another server while the first one may still work on it.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use zinniahinge_serving::EngineRuns;
+use zinniahinge_serving::MAX_REPORT_AGE;
+use zinniahinge_serving::RunEvidence;
+use zinniahinge_serving::RunLookup;
+use zinniahinge_serving::SentRun;
+use zinniahinge_types::MonotonicTime;
+
+/// When the request had arrived at the first server.
+const ARRIVED_BY: MonotonicTime = MonotonicTime::from_millis(5000);
+
+/// A report.
+struct ReportCase {
+    name: &'static str,
+    born_ms: u64,
+    /// Requests that run, and requests that wait.
+    counts: Option<(u64, u64)>,
+    attempts: Option<&'static [&'static str]>,
+    /// Time from the arrival of the request to the question.
+    asked_after: Duration,
+    evidence: RunEvidence,
+    /// Allowed after silence, and after the connection ended.
+    allowed: (bool, bool),
+}
+
+const BASE: ReportCase = ReportCase {
+    name: "",
+    born_ms: 5,
+    counts: Some((1, 0)),
+    attempts: Some(&["b"]),
+    asked_after: MAX_REPORT_AGE,
+    evidence: RunEvidence::NotListed,
+    allowed: (true, true),
+};
+
+const REPORT_CASES: [ReportCase; 10] = [
+    ReportCase {
+        name: "listed",
+        counts: Some((2, 0)),
+        attempts: Some(&["a", "b"]),
+        evidence: RunEvidence::AtWork,
+        allowed: (false, false),
+        ..BASE
+    },
+    ReportCase {
+        name: "listed by an old report",
+        counts: Some((2, 0)),
+        attempts: Some(&["a", "b"]),
+        asked_after: Duration::ZERO,
+        evidence: RunEvidence::AtWork,
+        allowed: (false, false),
+        ..BASE
+    },
+    ReportCase {
+        name: "not listed",
+        ..BASE
+    },
+    ReportCase {
+        name: "a longer id that begins alike",
+        attempts: Some(&["aa"]),
+        ..BASE
+    },
+    ReportCase {
+        name: "not listed, the report may be from before the request",
+        asked_after: Duration::from_millis(999),
+        evidence: RunEvidence::OldReport,
+        allowed: (false, false),
+        ..BASE
+    },
+    ReportCase {
+        name: "nothing runs or waits, the report may be from before the request",
+        counts: Some((0, 0)),
+        attempts: Some(&[]),
+        asked_after: Duration::ZERO,
+        evidence: RunEvidence::OldReport,
+        allowed: (false, false),
+        ..BASE
+    },
+    ReportCase {
+        name: "started again under the same id",
+        born_ms: 6,
+        attempts: None,
+        asked_after: Duration::ZERO,
+        evidence: RunEvidence::StartedAgain,
+        ..BASE
+    },
+    ReportCase {
+        name: "nothing runs or waits, no list",
+        counts: Some((0, 0)),
+        attempts: None,
+        ..BASE
+    },
+    ReportCase {
+        name: "something runs, no list",
+        attempts: None,
+        evidence: RunEvidence::NotStated,
+        allowed: (false, true),
+        ..BASE
+    },
+    ReportCase {
+        name: "nothing stated",
+        born_ms: 0,
+        counts: None,
+        attempts: None,
+        evidence: RunEvidence::NotStated,
+        allowed: (false, true),
+        ..BASE
+    },
+];
+
+fn sent_run() -> SentRun {
+    SentRun {
+        attempt: "a".into(),
+        born_ms: 5,
+        arrived_by: ARRIVED_BY,
+    }
+}
+
+fn allowed(evidence: RunEvidence) -> (bool, bool) {
+    (
+        evidence.allows_another_server(false),
+        evidence.allows_another_server(true),
+    )
+}
+
+/// Guards against a request that goes on at another server because a report says too little.
+#[gtest]
+fn only_a_report_that_shows_the_end_of_a_run_lets_it_go_on_elsewhere() {
+    for case in &REPORT_CASES {
+        let list = |attempts: &[&str]| attempts.iter().map(|id| (*id).into()).collect();
+        let runs = EngineRuns {
+            born_ms: case.born_ms,
+            running: case.counts.map(|counts| counts.0),
+            waiting: case.counts.map(|counts| counts.1),
+            attempts: case.attempts.map(list),
+        };
+        let asked_at = ARRIVED_BY + case.asked_after;
+        let evidence = sent_run().evidence(&RunLookup::Report(runs), asked_at);
+        expect_that!(evidence, eq(case.evidence), "{}", case.name);
+        expect_that!(allowed(evidence), eq(case.allowed), "{}", case.name);
+    }
+}
