Don't take a request for over that waits in its server's queue

Cause: reports list what runs and only count what waits; a request in the queue, or one that was preempted, was not listed and so over. After twice the latency goal the host closed the connection, which need not take the request out of the queue. Now a report is proof only if it lists as many requests as it counts, and a request with a model keeps its connection while its server may have it: the server is asked after twice the goal and then each second.

--- a/crates/host/src/backend_send.rs
+++ b/crates/host/src/backend_send.rs
@@ -49,6 +49,9 @@
     /// The connection ended before the answer was under way, as when the server crashes; the request may have run.
     #[error("request may have run, the connection ended: {0}")]
     ConnectionLost(String),
+    /// The server was silent and no longer works on the request.
+    #[error("the server no longer works on the request")]
+    RunOver,
     /// No response came before the deadline; the request may have run or may still be running.
     #[error("no response before the deadline")]
     TimedOut,
@@ -63,6 +66,7 @@
             Self::NotRun(_) => "not-run",
             Self::MayHaveRun(_) => "may-have-run",
             Self::ConnectionLost(_) => "connection-lost",
+            Self::RunOver => "run-over",
             Self::TimedOut => "timed-out",
         }
     }
--- a/crates/host/src/event_relay.rs
+++ b/crates/host/src/event_relay.rs
@@ -28,6 +28,7 @@
 use crate::request_context::RequestContext;
 use crate::request_log::RequestLog;
 use crate::request_log::SERVED;
+use crate::run_check::SILENCE_CHECK_INTERVAL;
 use crate::run_check::is_run_over;
 use crate::run_check::wait_for_run_end;
 use crate::send_history::SendHistory;
@@ -44,9 +45,6 @@
 /// a server preempts are silent for a second or two, at times for longer.
 const RUN_CHECK_SILENCE: Duration = Duration::from_secs(4);
 
-/// Interval of further questions while the silence lasts.
-const RUN_CHECK_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Number of events after which an answer is under way. A request that crashes its server does so when the answer
 /// begins; the first event may still arrive.
 const UNDER_WAY_EVENTS: u64 = 2;
@@ -323,7 +321,7 @@
                     }
                 }
             }
-            check_at = Instant::now() + RUN_CHECK_INTERVAL;
+            check_at = Instant::now() + SILENCE_CHECK_INTERVAL;
         }
     }
 
--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -5,34 +5,30 @@
 use http::StatusCode;
 use slog::info;
 use tokio::time::Instant;
-use zinniahinge_event_stream::EventReader;
-use zinniahinge_platform::ResponseMetadata;
 use zinniahinge_serving::BackendCandidate;
-use zinniahinge_serving::RouteKind;
 use zinniahinge_serving::SendBar;
 
-use crate::backend_response::BackendResponse;
+use crate::backend_exchange::CallerResponse;
+use crate::backend_exchange::FailedSend;
+use crate::backend_exchange::exchange;
 use crate::backend_response::BufferedResponse;
 use crate::backend_send::BackendSendError;
-use crate::backend_send::send;
 use crate::caller_response::Refusal;
 use crate::caller_response::RefusalKind;
 use crate::caller_response::ResponseBody;
 use crate::caller_response::Result;
 use crate::event_relay::EventRelay;
-use crate::event_relay::OpenStream;
-use crate::event_relay::StreamFailure;
 use crate::filters::recheck_key;
 use crate::host_state::HostState;
 use crate::part_filter::check_parts_before_send;
 use crate::request_context::RequestContext;
 use crate::request_log::RequestLog;
-use crate::request_log::SERVED;
 use crate::request_wait::check_stop;
 use crate::request_wait::stopping_refusal;
 use crate::request_wait::wait_interval;
 use crate::request_wait::wait_until;
 use crate::run_check::wait_for_run_end;
+use crate::run_check::wait_for_silent_run_end;
 use crate::send_history::SendHistory;
 use crate::stream_head::StreamHead;
 use crate::target_choice::choose_target;
@@ -60,14 +56,6 @@
 /// Share of a request's total time, in percent from its arrival, until which it may wait for the retry budget.
 const RETRY_WAIT_PERCENT: u32 = 40;
 
-/// Response that is passed on to the caller.
-enum CallerResponse {
-    /// A response that was read to its end, and the outcome for the request log.
-    Buffered(Response<ResponseBody>, &'static str),
-    /// Status and headers of an event stream whose first events have arrived.
-    Stream(Response<()>, Box<OpenStream>),
-}
-
 /// Result of taking a retry from the budget.
 enum RetryGrant {
     /// A retry was available at once.
@@ -78,13 +66,6 @@
     Denied,
 }
 
-/// A send to a backend server that failed, or whose response reports that the server failed.
-struct FailedSend {
-    error: BackendSendError,
-    /// Error response of a server that ran the request; the caller gets it if no other server does better.
-    response: Option<BufferedResponse>,
-}
-
 /// Sends a request to backend servers, again if its route and the retry budget allow it, and returns the response.
 ///
 /// A request that surely has not run is refunded to its client account.
@@ -213,6 +194,7 @@
             }
             BackendSendError::MayHaveRun(_)
             | BackendSendError::ConnectionLost(_)
+            | BackendSendError::RunOver
             | BackendSendError::TimedOut => {
                 if matches!(error, BackendSendError::ConnectionLost(_)) {
                     let now = state.now();
@@ -220,7 +202,9 @@
                 }
                 history.record_possible_run(&backend);
                 // A server that answered to the end has ended its run.
-                let is_over = response.is_some() || context.facts.model.is_none();
+                let is_over = response.is_some()
+                    || error == BackendSendError::RunOver
+                    || context.facts.model.is_none();
                 failed_response = response.or(failed_response);
                 if !may_send_again(state, context, history) {
                     let kind = if context.time_left() < MIN_SEND_TIME {
@@ -346,7 +330,8 @@
 
 /// Sends the request to `target` and reads the response: to its end, or to the first event of a stream.
 ///
-/// A repeatable request gets less than its remaining time, so that another server can still answer in time.
+/// A repeatable request for which no response comes in time is given up while another server can still answer in time. One
+/// with a model is given up only when `target` no longer works on it.
 async fn send_and_read(
     state: &Arc<HostState>,
     context: &RequestContext,
@@ -354,122 +339,21 @@
     target: &BackendCandidate,
 ) -> Result<CallerResponse, FailedSend> {
     let failover_timeout = (context.rule.goal * FAILOVER_GOAL_FACTOR).max(MIN_FAILOVER_TIMEOUT);
-    let deadline = if context.rule.kind.is_repeatable() {
-        context.deadline.min(Instant::now() + failover_timeout)
-    } else {
-        context.deadline
-    };
-    let sent_at = Instant::now();
-    let is_alone = target.load.fleet_pending_tokens() == 0;
-    let response = send(state, context, history, target, None, deadline).await?;
-    let delivered = match context.rule.kind {
-        RouteKind::Streaming { .. } if response.metadata.status.is_success() => {
-            let opened = open_stream(response, target, deadline).await;
-            if is_alone && opened.is_ok() {
-                let (tokens, time) = (context.facts.prompt_tokens, sent_at.elapsed());
-                state
-                    .timings()
-                    .record_prompt(&context.service, tokens, time);
-            }
-            opened
-        }
-        _ => read_response(context, response, deadline).await,
-    };
-    if let Ok(CallerResponse::Buffered(response, _)) = &delivered
-        && response.status().is_success()
-    {
-        state.parts().record_progress(&context.facts, state.now());
+    let failover_at = Instant::now() + failover_timeout;
+    if context.rule.kind.is_repeatable() && context.facts.model.is_none() {
+        let deadline = context.deadline.min(failover_at);
+        return exchange(state, context, history, target, deadline).await;
     }
-    match &delivered {
-        Err(_) => target.load.count_failure(),
-        Ok(CallerResponse::Buffered(..)) => target.load.count_success(),
-        // The relay counts a stream when it ends.
-        Ok(CallerResponse::Stream(..)) => {}
+    if !may_send_again(state, context, history) {
+        return exchange(state, context, history, target, context.deadline).await;
     }
-    delivered
-}
-
-/// Checks the head of an event stream and waits for its first events.
-async fn open_stream(
-    response: BackendResponse,
-    target: &BackendCandidate,
-    deadline: Instant,
-) -> Result<CallerResponse, FailedSend> {
-    if !response.metadata.has_original_body() {
-        return Err(unusable_response(
-            "response headers lack the server's signature",
-        ));
-    }
-    let mut head = Response::new(());
-    *head.status_mut() = response.metadata.status;
-    *head.headers_mut() = ResponseMetadata::forwardable_headers(&response.headers);
-    let opened = OpenStream::start(response, target, EventReader::default(), deadline).await;
-    let stream = opened.map_err(|failure| match failure {
-        StreamFailure::ConnectionLost(reason) => BackendSendError::ConnectionLost(reason).into(),
-        failure => unusable_response(failure.to_string()),
-    })?;
-    Ok(CallerResponse::Stream(head, Box::new(stream)))
-}
-
-/// Reads a response to its end and decides whether the caller may get it.
-async fn read_response(
-    context: &RequestContext,
-    response: BackendResponse,
-    deadline: Instant,
-) -> Result<CallerResponse, FailedSend> {
-    let status = response.metadata.status;
-    if !response.metadata.has_original_body() {
-        let reason = format!("response with status {status} lacks the server's signature");
-        return Err(unusable_response(reason));
-    }
-    let read = response.read_to_end(deadline).await;
-    let buffered = read.map_err(|failure| unusable_response(failure.to_string()))?;
-    if status.is_success() {
-        return Ok(CallerResponse::Buffered(buffered.into_response(), SERVED));
-    }
-    // Callers read these statuses as a promise that the request did not run, but the server's headers don't say so.
-    let not_run_statuses = [
-        StatusCode::SERVICE_UNAVAILABLE,
-        StatusCode::TOO_MANY_REQUESTS,
-        StatusCode::REQUEST_TIMEOUT,
-    ];
-    if not_run_statuses.contains(&status) && !context.rule.kind.is_repeatable() {
-        let reason =
-            format!("status {status} without the server's statement that the request did not run");
-        return Err(unusable_response(reason));
-    }
-    if status.is_server_error() {
-        return Err(FailedSend {
-            error: BackendSendError::MayHaveRun(status.to_string()),
-            response: Some(buffered),
-        });
-    }
-    Ok(CallerResponse::Buffered(
-        buffered.into_response(),
-        "server-refused",
-    ))
-}
-
-/// A send whose response can't be used, so that the request may have run.
-fn unusable_response(reason: impl Into<String>) -> FailedSend {
-    BackendSendError::MayHaveRun(reason.into()).into()
-}
-
-impl FailedSend {
-    /// True if no byte of the request was written.
-    fn is_unsent(&self) -> bool {
-        matches!(
-            self.error,
-            BackendSendError::NotSent(_) | BackendSendError::Barred(_)
-        )
-    }
-}
-
-impl From<BackendSendError> for FailedSend {
-    fn from(error: BackendSendError) -> Self {
-        Self {
-            error,
-            response: None,
+    tokio::select! {
+        biased;
+        delivered = exchange(state, context, history, target, context.deadline) => delivered,
+        () = wait_for_silent_run_end(state, context, target, failover_at) => {
+            target.load.count_failure();
+            target.load.avoid(state.now());
+            Err(BackendSendError::RunOver.into())
         }
     }
 }
--- a/crates/host/src/host_process.rs
+++ b/crates/host/src/host_process.rs
@@ -76,7 +76,7 @@
 const LEASE_RELEASE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Settings of the connection pool to backend servers.
-const BACKEND_POOL: PoolSettings = PoolSettings {
+pub(crate) const BACKEND_POOL: PoolSettings = PoolSettings {
     // Long enough for one retransmission of a lost packet, short enough to try another server afterwards.
     connect_timeout: Duration::from_millis(600),
     unacknowledged_timeout: Duration::from_millis(2000),
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -2,6 +2,7 @@
 //! the fleet: it decides which models are loaded where, and shares out the client accounts' rates.
 
 mod account_charge;
+mod backend_exchange;
 mod backend_response;
 mod backend_send;
 mod body_reader;
--- a/crates/host/src/run_check.rs
+++ b/crates/host/src/run_check.rs
@@ -8,6 +8,7 @@
 use zinniahinge_serving::SentRun;
 use zinniahinge_types::MonotonicTime;
 
+use crate::host_process::BACKEND_POOL;
 use crate::host_state::HostState;
 use crate::request_context::RequestContext;
 
@@ -15,6 +16,30 @@
 /// of some hundred milliseconds ago.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Interval at which a silent server is asked whether it still works on a request.
+pub(crate) const SILENCE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Waits until `target`, which is silent until `check_at`, no longer works on the request, whose send begins now. Never
+/// ends while the retry budget is empty.
+///
+/// The connection stays open meanwhile: closing it would not surely take the request out of the server's queue.
+pub(crate) async fn wait_for_silent_run_end(
+    state: &HostState,
+    context: &RequestContext,
+    target: &BackendCandidate,
+    mut check_at: Instant,
+) {
+    let arrived_by = state.now() + BACKEND_POOL.connect_timeout;
+    let retries = state.retries.for_service(&context.service);
+    loop {
+        tokio::time::sleep_until(check_at).await;
+        if retries.balance() > 0 && is_run_over(state, context, target, arrived_by, false).await {
+            return;
+        }
+        check_at = Instant::now() + SILENCE_CHECK_INTERVAL;
+    }
+}
+
 /// Waits until the request may go on at another server than `target`, whose connection ended. False if `target` still
 /// works on it when callers give a stream up.
 pub(crate) async fn wait_for_run_end(
--- a/crates/host/tests/single_runs.rs
+++ b/crates/host/tests/single_runs.rs
@@ -99,7 +99,6 @@
     RunCase {
         name: "slow-start",
         fault: BackendFault::SlowStart(Duration::from_millis(1500)),
-        is_whole: false,
         ..BASE
     },
 ];
--- a/crates/serving/src/run_evidence.rs
+++ b/crates/serving/src/run_evidence.rs
@@ -11,6 +11,8 @@
     OtherServer,
     /// The report may describe a time before the request arrived.
     OldReport,
+    /// Requests wait at the server, and the run may be one of them.
+    MayWait,
     /// The server doesn't say what it works on.
     NotStated,
     /// No connection to the server could be set up.
@@ -25,7 +27,7 @@
     pub fn allows_another_server(self, is_connection_lost: bool) -> bool {
         match self {
             Self::NotListed | Self::StartedAgain | Self::OtherServer | Self::NoConnection => true,
-            Self::AtWork | Self::OldReport => false,
+            Self::AtWork | Self::OldReport | Self::MayWait => false,
             Self::NotStated | Self::NoAnswer => is_connection_lost,
         }
     }
@@ -38,6 +40,7 @@
             Self::StartedAgain => "started-again",
             Self::OtherServer => "other-server",
             Self::OldReport => "old-report",
+            Self::MayWait => "may-wait",
             Self::NotStated => "not-stated",
             Self::NoConnection => "no-connection",
             Self::NoAnswer => "no-answer",
--- a/crates/serving/src/sent_run.rs
+++ b/crates/serving/src/sent_run.rs
@@ -42,10 +42,16 @@
         if asked_at.since(self.arrived_by) < MAX_REPORT_AGE {
             return RunEvidence::OldReport;
         }
-        if runs.count() == Some(0) || runs.attempts.is_some() {
-            RunEvidence::NotListed
-        } else {
-            RunEvidence::NotStated
+        let Some(count) = runs.count() else {
+            return RunEvidence::NotStated;
+        };
+        let listed = runs.attempts.as_ref().map(|attempts| attempts.len() as u64);
+        match listed {
+            _ if count == 0 => RunEvidence::NotListed,
+            None => RunEvidence::NotStated,
+            // Only running requests are listed.
+            Some(listed) if count > listed => RunEvidence::MayWait,
+            Some(_) => RunEvidence::NotListed,
         }
     }
 }
--- a/crates/serving/tests/run_evidence.rs
+++ b/crates/serving/tests/run_evidence.rs
@@ -37,7 +37,7 @@
     allowed: (true, true),
 };
 
-const REPORT_CASES: [ReportCase; 10] = [
+const REPORT_CASES: [ReportCase; 13] = [
     ReportCase {
         name: "listed",
         counts: Some((2, 0)),
@@ -80,6 +80,27 @@
         allowed: (false, false),
         ..BASE
     },
+    ReportCase {
+        name: "not listed, another request waits",
+        counts: Some((1, 1)),
+        evidence: RunEvidence::MayWait,
+        allowed: (false, false),
+        ..BASE
+    },
+    ReportCase {
+        name: "not listed, a running request is not listed either",
+        counts: Some((2, 0)),
+        evidence: RunEvidence::MayWait,
+        allowed: (false, false),
+        ..BASE
+    },
+    ReportCase {
+        name: "not listed, the number of requests is not stated",
+        counts: None,
+        evidence: RunEvidence::NotStated,
+        allowed: (false, true),
+        ..BASE
+    },
     ReportCase {
         name: "started again under the same id",
         born_ms: 6,
