Let a stream return to the server that lost its connection

Only a second server is ruled out while a run may go on at the first one. A stream whose connection was lost now returns to its own server at once, once for each server, with the resume point; the prompt is still there. A rejected resumption no longer counts as a run. The choice is in one place, next_target, which forward and the relay share, so that no path reaches a second server past the check.

--- a/crates/host/src/backend_send.rs
+++ b/crates/host/src/backend_send.rs
@@ -58,6 +58,11 @@
 }
 
 impl BackendSendError {
+    /// True if the server surely did not run the request.
+    pub(crate) fn is_not_run(&self) -> bool {
+        matches!(self, Self::Barred(_) | Self::NotSent(_) | Self::NotRun(_))
+    }
+
     /// Value of the metric label.
     pub(crate) fn label(&self) -> &'static str {
         match self {
@@ -100,7 +105,7 @@
     };
     target.record_sent_parts(&context.facts);
     if !history.is_first_run() {
-        info!(state.logger, "request goes on at another backend server"; "id" => &*context.facts.attempt_id,
+        info!(state.logger, "request sent again after a run may have begun"; "id" => &*context.facts.attempt_id,
             "backend" => &*target.entry.id, "earlier" => history.possible_runs_text(), "after" => resume_after);
     }
     let sent = state
--- a/crates/host/src/event_relay.rs
+++ b/crates/host/src/event_relay.rs
@@ -24,16 +24,15 @@
 use crate::caller_response::StreamAborted;
 use crate::forward::may_send_again;
 use crate::host_state::HostState;
+use crate::next_target::next_target;
 use crate::part_filter::check_parts_before_send;
 use crate::request_context::RequestContext;
 use crate::request_log::RequestLog;
 use crate::request_log::SERVED;
 use crate::run_check::SILENCE_CHECK_INTERVAL;
 use crate::run_check::is_run_over;
-use crate::run_check::wait_for_run_end;
 use crate::send_history::SendHistory;
 use crate::stream_head::StreamHead;
-use crate::target_choice::choose_target;
 
 /// Chunks that are buffered for a slow caller before the relay stops reading from the backend server.
 const CALLER_BUFFER_CHUNKS: usize = 16;
@@ -267,11 +266,15 @@
                 "reason" => %failure);
             self.history.record_possible_run(&stream.target.entry.id);
             let reader = stream.reader.resumed();
-            let target = stream.target.clone();
-            // Ends the run at this server before another server continues it.
+            if failure == StreamFailure::RunOver {
+                self.history.open_run = None;
+            } else {
+                let is_lost = matches!(failure, StreamFailure::ConnectionLost(_));
+                self.history.record_open_run(&stream.target, is_lost);
+            }
+            // Ends the run at this server before the stream goes on.
             drop(stream);
-            let is_over = failure == StreamFailure::RunOver;
-            match self.resume(reader, &target, is_over).await {
+            match self.resume(reader).await {
                 Some(next) => {
                     stream = next;
                     is_resumed = true;
@@ -325,29 +328,17 @@
         }
     }
 
-    /// Resumes the stream at another backend server than `last`, at the resume point of `reader`; `None` if that is not
-    /// possible or not allowed. `is_over` is true if the run at `last` is known to be over.
-    async fn resume(
-        &mut self,
-        reader: Option<EventReader>,
-        last: &BackendCandidate,
-        is_over: bool,
-    ) -> Option<OpenStream> {
+    /// Resumes the stream at the resume point of `reader`; `None` if that is not possible or not allowed.
+    async fn resume(&mut self, reader: Option<EventReader>) -> Option<OpenStream> {
         let reader = reader?;
         let last_event = reader.resume_point()?;
-        let (mut last, mut is_over) = (last.clone(), is_over);
         loop {
             let is_allowed = may_send_again(&self.state, &self.context, &self.history);
             if !is_allowed || self.context.time_left() < MIN_RESUME_TIME {
                 return None;
             }
             let (state, context) = (&self.state, &self.context);
-            if !is_over && !wait_for_run_end(state, context, &last, self.history.arrived_by).await {
-                return None;
-            }
-            let target = choose_target(state, context, &mut self.history)
-                .await
-                .ok()?;
+            let target = next_target(state, context, &mut self.history).await.ok()?;
             if !state.retries.for_service(&context.service).try_retry() {
                 return None;
             }
@@ -373,11 +364,17 @@
                 Err(BackendSendError::ConnectionLost(reason)) => {
                     Err(StreamFailure::ConnectionLost(reason))
                 }
+                Err(end) if end.is_not_run() => {
+                    info!(state.logger, "event stream not resumed at backend server";
+                        "id" => &*context.facts.attempt_id, "backend" => &*backend, "reason" => %end);
+                    self.history.exclude(&backend);
+                    continue;
+                }
                 Err(end) => Err(StreamFailure::Unusable(end.to_string())),
             };
             match opened {
                 Ok(stream) => {
-                    info!(state.logger, "event stream resumed at another backend server";
+                    info!(state.logger, "event stream resumed";
                         "id" => &*context.facts.attempt_id, "backend" => &*backend, "after" => last_event);
                     return Some(stream);
                 }
@@ -389,7 +386,8 @@
                     info!(state.logger, "event stream not resumed at backend server";
                         "id" => &*context.facts.attempt_id, "backend" => &*backend, "reason" => %failure);
                     self.history.record_possible_run(&backend);
-                    (last, is_over) = (target, false);
+                    let is_lost = matches!(failure, StreamFailure::ConnectionLost(_));
+                    self.history.record_open_run(&target, is_lost);
                 }
             }
         }
--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -20,6 +20,7 @@
 use crate::event_relay::EventRelay;
 use crate::filters::recheck_key;
 use crate::host_state::HostState;
+use crate::next_target::next_target;
 use crate::part_filter::check_parts_before_send;
 use crate::request_context::RequestContext;
 use crate::request_log::RequestLog;
@@ -27,11 +28,9 @@
 use crate::request_wait::stopping_refusal;
 use crate::request_wait::wait_interval;
 use crate::request_wait::wait_until;
-use crate::run_check::wait_for_run_end;
 use crate::run_check::wait_for_silent_run_end;
 use crate::send_history::SendHistory;
 use crate::stream_head::StreamHead;
-use crate::target_choice::choose_target;
 
 /// Shortest time before the deadline at which a request is still sent to a backend server.
 const MIN_SEND_TIME: Duration = Duration::from_millis(15);
@@ -131,7 +130,7 @@
         {
             return end_with_failure(refusal, history, failed_response);
         }
-        let target = match choose_target(state, context, history).await {
+        let target = match next_target(state, context, history).await {
             Ok(target) => target,
             Err(refusal) => return end_with_failure(refusal, history, failed_response),
         };
@@ -202,9 +201,13 @@
                 }
                 history.record_possible_run(&backend);
                 // A server that answered to the end has ended its run.
-                let is_over = response.is_some()
-                    || error == BackendSendError::RunOver
-                    || context.facts.model.is_none();
+                let is_over = response.is_some() && history.open_run.is_none();
+                if error == BackendSendError::RunOver {
+                    history.open_run = None;
+                } else if !is_over && context.facts.model.is_some() {
+                    let is_lost = matches!(error, BackendSendError::ConnectionLost(_));
+                    history.record_open_run(&target, is_lost);
+                }
                 failed_response = response.or(failed_response);
                 if !may_send_again(state, context, history) {
                     let kind = if context.time_left() < MIN_SEND_TIME {
@@ -214,11 +217,6 @@
                     };
                     return end_with_failure(Refusal::not_run(kind), history, failed_response);
                 }
-                if !is_over && !wait_for_run_end(state, context, &target, history.arrived_by).await
-                {
-                    let refusal = Refusal::not_run(RefusalKind::BackendFailed);
-                    return end_with_failure(refusal, history, failed_response);
-                }
             }
         }
     }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -22,6 +22,7 @@
 mod host_state;
 mod model_uses;
 mod model_watch;
+mod next_target;
 mod part_filter;
 mod part_watch;
 mod peer_link;
--- a/crates/host/src/send_history.rs
+++ b/crates/host/src/send_history.rs
@@ -1,4 +1,5 @@
 use smallvec::SmallVec;
+use zinniahinge_serving::BackendCandidate;
 use zinniahinge_serving::SendBar;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
@@ -22,6 +23,13 @@
     pub(crate) sending_to: Option<Name>,
     /// When the request had arrived at the backend server of the last send, if it arrives at all.
     pub(crate) arrived_by: MonotonicTime,
+    /// Backend server at which a run may go on although its connection ended. The request is sent to no other one before the
+    /// run is known to be over.
+    pub(crate) open_run: Option<BackendCandidate>,
+    /// True if the request may be sent to the server of the open run again.
+    may_return: bool,
+    /// Backend servers that the request returned to.
+    returned_to: SmallVec<[Name; 2]>,
     /// Why a backend server was last left out, although it could have run the request.
     pub(crate) bar: Option<SendBar>,
     /// Sends that reached a backend server.
@@ -46,6 +54,22 @@
         self.exclude(backend);
     }
 
+    /// Records that a run at a server of models may go on although its connection ended, by itself if `is_lost`.
+    pub(crate) fn record_open_run(&mut self, target: &BackendCandidate, is_lost: bool) {
+        self.may_return = is_lost && !self.returned_to.contains(&target.entry.id);
+        self.open_run = Some(target.clone());
+    }
+
+    /// Returns the server of the open run if the request may be sent to it again, once for each server.
+    pub(crate) fn take_return(&mut self) -> Option<BackendCandidate> {
+        if !std::mem::take(&mut self.may_return) {
+            return None;
+        }
+        let target = self.open_run.clone()?;
+        self.returned_to.push(target.entry.id.clone());
+        Some(target)
+    }
+
     /// True if the request was to be sent to a server before, even if that could not be reached.
     pub(crate) fn has_tried(&self) -> bool {
         !self.sent_to.is_empty()
