Don't take a run for over whose server doesn't say

Cause: if a server gave no usable answer in 600 ms or listed no runs, a lost connection, also one that the host had closed itself, counted as the end of the run; a connection that was refused or not set up in time counted as the end of the server. A server with little processor time, at its limit of connections or about to leave does all of that while it works. Now each of these proves nothing; a server without a connection counts as gone once the platform doesn't list it, or lists a later start. The request asks until callers give it up (at most every 400 ms), and then breaks off without the promise that it didn't run.

--- a/crates/host/src/event_relay.rs
+++ b/crates/host/src/event_relay.rs
@@ -314,7 +314,7 @@
             }
             if may_send_again(&self.state, &self.context, &self.history) {
                 let (target, arrived_by) = (stream.target.clone(), self.history.arrived_by);
-                let check = is_run_over(&self.state, &self.context, &target, arrived_by, false);
+                let check = is_run_over(&self.state, &self.context, &target, arrived_by);
                 tokio::select! {
                     next_step = stream.next() => return next_step,
                     is_over = check => {
--- a/crates/host/src/run_check.rs
+++ b/crates/host/src/run_check.rs
@@ -12,9 +12,10 @@
 use crate::host_state::HostState;
 use crate::request_context::RequestContext;
 
-/// Interval at which a server is asked whether it has dropped a request whose connection ended. Servers report the state
-/// of some hundred milliseconds ago.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// First interval at which a server is asked whether it has dropped a request whose connection ended; each further one is
+/// twice as long, up to the longest.
+const FIRST_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const MAX_CHECK_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Interval at which a silent server is asked whether it still works on a request.
 pub(crate) const SILENCE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -33,28 +34,35 @@
     let retries = state.retries.for_service(&context.service);
     loop {
         tokio::time::sleep_until(check_at).await;
-        if retries.balance() > 0 && is_run_over(state, context, target, arrived_by, false).await {
+        if retries.balance() > 0 && is_run_over(state, context, target, arrived_by).await {
             return;
         }
         check_at = Instant::now() + SILENCE_CHECK_INTERVAL;
     }
 }
 
-/// Waits until the request may go on at another server than `target`, whose connection ended. False if `target` still
-/// works on it when callers give a stream up.
+/// Waits until the request may go on at another server than `target`, whose connection ended. False if `target` may still
+/// work on it when callers give a stream up. Plain servers don't say what they work on; their requests may run at two.
 pub(crate) async fn wait_for_run_end(
     state: &HostState,
     context: &RequestContext,
     target: &BackendCandidate,
     arrived_by: MonotonicTime,
 ) -> bool {
-    let gap = context.rule.first_event_timeout().unwrap_or_default();
-    let until = (Instant::now() + gap).min(context.deadline);
+    if context.facts.model.is_none() {
+        return true;
+    }
+    let gap = context.rule.first_event_timeout();
+    let until = gap.map_or(context.deadline, |gap| {
+        context.deadline.min(Instant::now() + gap)
+    });
+    let mut interval = FIRST_CHECK_INTERVAL;
     loop {
-        if is_run_over(state, context, target, arrived_by, true).await {
+        if is_run_over(state, context, target, arrived_by).await {
             return true;
         }
-        let next = Instant::now() + CHECK_INTERVAL;
+        let next = Instant::now() + interval;
+        interval = (interval * 2).min(MAX_CHECK_INTERVAL);
         if next >= until {
             return false;
         }
@@ -71,10 +79,9 @@
     context: &RequestContext,
     target: &BackendCandidate,
     arrived_by: MonotonicTime,
-    is_connection_lost: bool,
 ) -> bool {
     if context.facts.model.is_none() {
-        return is_connection_lost;
+        return false;
     }
     let entry = &target.entry;
     let run = SentRun {
@@ -84,8 +91,11 @@
     };
     let asked_at = state.now();
     let lookup = state.engines.look_up_runs(entry.address, &entry.id).await;
-    let evidence = run.evidence(&lookup, asked_at);
-    let is_over = evidence.allows_another_server(is_connection_lost);
+    let table = state.table.load();
+    let slot = table.backend(&context.service, &entry.id);
+    let is_listed = slot.is_some_and(|slot| slot.entry.born_ms == entry.born_ms);
+    let evidence = run.evidence(&lookup, asked_at, is_listed);
+    let is_over = evidence.proves_end();
     state
         .counters
         .run_lookups
@@ -98,6 +108,6 @@
         "took_ms" => state.now().since(asked_at).as_millis() as u64,
         "running" => report.and_then(|runs| runs.running), "waiting" => report.and_then(|runs| runs.waiting),
         "listed" => report.and_then(|runs| runs.attempts.as_ref().map(|attempts| attempts.len())),
-        "connection_lost" => is_connection_lost, "may_go_on" => is_over);
+        "platform_lists_it" => is_listed, "may_go_on" => is_over);
     is_over
 }
--- a/crates/serving/src/run_evidence.rs
+++ b/crates/serving/src/run_evidence.rs
@@ -15,6 +15,8 @@
     MayWait,
     /// The server doesn't say what it works on.
     NotStated,
+    /// No connection to the server could be set up, and the platform no longer lists it.
+    Gone,
     /// No connection to the server could be set up.
     NoConnection,
     /// The server gave no usable answer.
@@ -22,13 +24,17 @@
 }
 
 impl RunEvidence {
-    /// True if the request may go on at another server. `is_connection_lost` is true if the connection to the first one
-    /// ended, after which servers drop a request unless they say otherwise; silence alone shows nothing.
-    pub fn allows_another_server(self, is_connection_lost: bool) -> bool {
+    /// True if the run is surely over, so that the request may go on at another server. A server that is slow, full or about
+    /// to leave may work on while it answers no question, and one that closed its listener while it takes no connection.
+    pub fn proves_end(self) -> bool {
         match self {
-            Self::NotListed | Self::StartedAgain | Self::OtherServer | Self::NoConnection => true,
-            Self::AtWork | Self::OldReport | Self::MayWait => false,
-            Self::NotStated | Self::NoAnswer => is_connection_lost,
+            Self::NotListed | Self::StartedAgain | Self::OtherServer | Self::Gone => true,
+            Self::AtWork
+            | Self::OldReport
+            | Self::MayWait
+            | Self::NotStated
+            | Self::NoConnection
+            | Self::NoAnswer => false,
         }
     }
 
@@ -42,6 +48,7 @@
             Self::OldReport => "old-report",
             Self::MayWait => "may-wait",
             Self::NotStated => "not-stated",
+            Self::Gone => "gone",
             Self::NoConnection => "no-connection",
             Self::NoAnswer => "no-answer",
         }
--- a/crates/serving/src/sent_run.rs
+++ b/crates/serving/src/sent_run.rs
@@ -22,11 +22,18 @@
 }
 
 impl SentRun {
-    /// Decides what `lookup` shows, for which the server was asked at `asked_at`.
-    pub fn evidence(&self, lookup: &RunLookup, asked_at: MonotonicTime) -> RunEvidence {
+    /// Decides what `lookup` shows, for which the server was asked at `asked_at`. `is_listed` is true if the platform still
+    /// lists the server with the same start.
+    pub fn evidence(
+        &self,
+        lookup: &RunLookup,
+        asked_at: MonotonicTime,
+        is_listed: bool,
+    ) -> RunEvidence {
         match lookup {
             RunLookup::Report(runs) => self.evidence_of_report(runs, asked_at),
             RunLookup::OtherServer => RunEvidence::OtherServer,
+            RunLookup::NoConnection(_) if !is_listed => RunEvidence::Gone,
             RunLookup::NoConnection(_) => RunEvidence::NoConnection,
             RunLookup::NoAnswer(_) => RunEvidence::NoAnswer,
         }
