Soak: engines whose runs are hard to see, and streams at two servers

The check that the users did: runs counted at the servers. Engines lose connections and work on, keep requests in their queue, report late or an earlier state, and take no connections while they work; one loses each stream that returns.

--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -3,7 +3,9 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use zinniahinge_platform_standins::Admission;
 use zinniahinge_platform_standins::BackendFault;
+use zinniahinge_platform_standins::ReportDelay;
 use zinniahinge_platform_standins::StoreFault;
 
 use crate::LinkMode;
@@ -14,6 +16,12 @@
 /// Servers that ask something of hosts, a second.
 const SERVER_REQUESTS_PER_S: f64 = 0.3;
 
+/// Faults a second that make it hard to know whether an engine still works on a request.
+const HIDDEN_RUNS_PER_S: f64 = 0.5;
+
+/// Makes the draws of these faults differ from the others'.
+const HIDDEN_RUNS_SALT: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// Quiet time at the start, in which hosts start and the first one gets the duty.
 const LEAD: Duration = Duration::from_secs(1);
 
@@ -38,6 +46,10 @@
     BackendLink(usize, LinkMode),
     /// A backend server misbehaves.
     Backend(usize, BackendFault),
+    /// An engine's reports come late, or describe an earlier time.
+    ReportDelay(usize, ReportDelay),
+    /// An engine takes no new connections while it works on a request.
+    Admission(usize, Admission),
     /// A plain backend server leaves, and another one comes.
     ReplaceBackend(usize),
     /// A plain backend server says in its answers that it leaves, a while before the store does, and another one comes.
@@ -94,6 +106,7 @@
     });
     let mut faults: Vec<PlannedFault> = faults.collect();
     faults.extend(plan_server_requests(seed, time, (plain, backends)));
+    faults.extend(plan_hidden_runs(seed, time, (plain, backends)));
     faults.sort_by_key(|fault| fault.at);
     faults
 }
@@ -121,6 +134,39 @@
     faults.collect()
 }
 
+/// Draws faults after which an engine works on a request although its connection ended or its reports don't show it. Drawn
+/// apart, so that the other faults of a seed stay as they are.
+fn plan_hidden_runs(
+    seed: u64,
+    time: Duration,
+    (plain, backends): (usize, usize),
+) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed ^ HIDDEN_RUNS_SALT);
+    let count = (time.as_secs_f64() * HIDDEN_RUNS_PER_S).ceil() as usize;
+    let faults = (0..count).map(|_| {
+        let at = LEAD + time.saturating_sub(LEAD).mul_f64(random.random::<f64>());
+        let lasts = Duration::from_millis(random.random_range(500..4_000));
+        let engine = random.random_range(plain..backends);
+        let work = Duration::from_millis(random.random_range(500..2_000));
+        let kind = match random.random_range(0..7) {
+            0..2 => {
+                let fault = BackendFault::WorkOn(random.random_range(0..4), work);
+                FaultKind::Backend(engine, fault)
+            }
+            2 => FaultKind::Backend(engine, BackendFault::Queue(work)),
+            3 => FaultKind::Backend(engine, BackendFault::Stall(work)),
+            4 => {
+                let (answer, age) = (Duration::from_secs(1), Duration::from_millis(200));
+                FaultKind::ReportDelay(engine, ReportDelay { answer, age })
+            }
+            5 => FaultKind::Admission(engine, Admission::Close),
+            _ => FaultKind::Admission(engine, Admission::Refuse),
+        };
+        PlannedFault { at, lasts, kind }
+    });
+    faults.collect()
+}
+
 fn store_fault(random: &mut StdRng) -> StoreFault {
     match random.random_range(0..3) {
         0 => StoreFault::Busy,
--- a/crates/soak/src/fault_task.rs
+++ b/crates/soak/src/fault_task.rs
@@ -2,6 +2,7 @@
 use std::time::Instant;
 
 use nix::sys::signal::Signal;
+use zinniahinge_platform_standins::Admission;
 use zinniahinge_platform_standins::BackendFault;
 use zinniahinge_platform_standins::HostProcess;
 use zinniahinge_platform_standins::RouteText;
@@ -13,6 +14,7 @@
 use crate::Result;
 use crate::SoakError;
 use crate::soak_world::KEPT_KEY;
+use crate::soak_world::REPORT_DELAY;
 use crate::soak_world::SoakWorld;
 use crate::soak_world::TURNED_KEY;
 use crate::soak_world::locked;
@@ -78,6 +80,20 @@
             backends[backend].server.set_fault(BackendFault::None);
             Ok(())
         }
+        FaultKind::ReportDelay(engine, delay) => {
+            let server = locked(&world.backends)[engine].server.clone();
+            server.set_report_delay(delay);
+            tokio::time::sleep(lasts).await;
+            server.set_report_delay(REPORT_DELAY);
+            Ok(())
+        }
+        FaultKind::Admission(engine, admission) => {
+            let server = locked(&world.backends)[engine].server.clone();
+            server.set_admission(admission);
+            tokio::time::sleep(lasts).await;
+            server.set_admission(Admission::Open);
+            Ok(())
+        }
         FaultKind::ReplaceBackend(backend) => replace_backend(world, backend).await,
         FaultKind::LeaveByAnswer(backend) => {
             let server = locked(&world.backends)[backend].server.clone();
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,6 +6,7 @@
 mod fault_task;
 mod ignored_requests;
 mod link_proxy;
+mod overlapping_runs;
 mod promise_check;
 mod soak_error;
 mod soak_run;
--- a/crates/soak/src/promise_check.rs
+++ b/crates/soak/src/promise_check.rs
@@ -6,9 +6,11 @@
 use zinniahinge_platform_standins::CallerAnswer;
 use zinniahinge_platform_standins::SeenOrder;
 use zinniahinge_platform_standins::SeenRequest;
+use zinniahinge_platform_standins::WorkSpan;
 
 use crate::CallerRecord;
 use crate::ignored_requests::ignored_requests;
+use crate::overlapping_runs::overlapping_runs;
 
 /// A withdrawn key runs nothing after this time, on any host; from the hosts' settings.
 const REVOKE_DEADLINE: Duration = Duration::from_secs(5);
@@ -45,6 +47,8 @@
     pub requests: Vec<SeenRequest>,
     /// Orders by engine.
     pub orders: Vec<Vec<SeenOrder>>,
+    /// What each backend server worked on.
+    pub work: Vec<Vec<WorkSpan>>,
     /// Most memory that each engine used, megabytes.
     pub peaks_mb: Vec<f64>,
     /// The key that is turned, with when it was withdrawn (false) or given again (true).
@@ -82,6 +86,7 @@
         }
     }
     broken.extend(ignored_requests(records));
+    broken.extend(overlapping_runs(records));
     for (engine, orders) in records.orders.iter().enumerate() {
         check_orders(engine, orders, &records.disturbances, &mut broken);
     }
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use tokio::task::JoinSet;
+use zinniahinge_platform_standins::Admission;
 use zinniahinge_platform_standins::BackendFault;
 use zinniahinge_platform_standins::Caller;
 use zinniahinge_platform_standins::CallerRequest;
@@ -112,6 +113,7 @@
     let backends = locked(&world.backends);
     for backend in backends.iter() {
         backend.server.set_fault(BackendFault::None);
+        backend.server.set_admission(Admission::Open);
         backend.link.set_mode(LinkMode::Open);
     }
 }
@@ -157,6 +159,7 @@
         calls,
         requests: requests.collect(),
         orders,
+        work: servers().map(|server| server.work()).collect(),
         peaks_mb: servers().map(|server| server.peak_mb()).collect(),
         turned_key: TURNED_KEY,
         key_turns: locked(&world.key_turns).clone(),
--- a/crates/soak/src/soak_world.rs
+++ b/crates/soak/src/soak_world.rs
@@ -2,6 +2,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 use std::time::Instant;
 
 use zinniahinge_platform_standins::BackendServer;
@@ -9,6 +10,7 @@
 use zinniahinge_platform_standins::HostFleet;
 use zinniahinge_platform_standins::HostProcess;
 use zinniahinge_platform_standins::PlatformStore;
+use zinniahinge_platform_standins::ReportDelay;
 use zinniahinge_platform_standins::RouteText;
 
 use crate::LinkProxy;
@@ -23,6 +25,18 @@
 /// Models of each engine at the start. A third model is on none.
 const ENGINES: [&[&str]; 3] = [&["m1", "m2"], &["m1"], &["m2"]];
 
+/// Age of the engines' reports; the platform's protocol promises some hundred milliseconds.
+pub(crate) const REPORT_DELAY: ReportDelay = ReportDelay {
+    answer: Duration::ZERO,
+    age: Duration::from_millis(200),
+};
+
+/// Pause between two events of a stream, so that a run lasts longer than two servers may work on one request.
+const EVENT_PAUSE: Duration = Duration::from_millis(120);
+
+/// The engine that closes the connections of streams that return to it.
+const LOSING_ENGINE: usize = 1;
+
 /// Key that is never withdrawn.
 pub(crate) const KEPT_KEY: &str = "key-1";
 
@@ -71,7 +85,13 @@
             backends.push(start_backend(&store, &format!("app-{number}"), &[]).await?);
         }
         for (number, models) in ENGINES.into_iter().enumerate() {
-            backends.push(start_backend(&store, &format!("llm-{number}"), models).await?);
+            let engine = start_backend(&store, &format!("llm-{number}"), models).await?;
+            engine.server.set_report_delay(REPORT_DELAY);
+            engine.server.set_event_pause(EVENT_PAUSE);
+            if number == LOSING_ENGINE {
+                engine.server.lose_repeats();
+            }
+            backends.push(engine);
         }
         let mut fleet = HostFleet::new(&settings.program, &store)
             .map_err(SoakError::of("make a folder for the hosts"))?;
--- a/crates/soak/tests/promise_check.rs
+++ b/crates/soak/tests/promise_check.rs
@@ -8,6 +8,7 @@
 use zinniahinge_platform_standins::CallerAnswer;
 use zinniahinge_platform_standins::SeenOrder;
 use zinniahinge_platform_standins::SeenRequest;
+use zinniahinge_platform_standins::WorkSpan;
 use zinniahinge_soak::CallerRecord;
 use zinniahinge_soak::Disturbance;
 use zinniahinge_soak::RequestKind;
@@ -123,6 +124,22 @@
         from: at(from),
         until: at(until),
     };
+    // One run at each of two servers, from and until these seconds.
+    let with_work = |runs: [(u64, u64); 2]| {
+        let work = runs.map(|(from, until)| {
+            vec![WorkSpan {
+                id: ID.to_owned(),
+                begin: at(from),
+                end: Some(at(until)),
+            }]
+        });
+        let mut call = call(RequestKind::ResumableStream, start, served());
+        call.answer = None;
+        SoakRecords {
+            work: work.into(),
+            ..with_call(call, Vec::new())
+        }
+    };
     let cases = [
         RecordCase {
             name: "all kept",
@@ -249,6 +266,21 @@
             },
             broken: Some("engine 1 was ordered to hold"),
         },
+        RecordCase {
+            name: "stream at two servers",
+            records: with_work([(0, 2), (1, 3)]),
+            broken: Some("ran at servers 0 and 1 for 1s"),
+        },
+        RecordCase {
+            name: "stream at one server after the other",
+            records: with_work([(0, 1), (1, 3)]),
+            broken: None,
+        },
+        RecordCase {
+            name: "stream at one server for all the time of the other",
+            records: with_work([(0, 9), (1, 3)]),
+            broken: Some("ran at servers 0 and 1 for 2s"),
+        },
     ];
     for RecordCase {
         name,
