Tests: one overlap of work spans, one drawing of faults

Cause: the soak and single_runs computed the overlap of two runs each for itself, and the soak drew time and length of faults in three places. WorkSpan::overlap and draw_faults now serve all. Found while reading: read_marked looked for a request's last byte among bytes of earlier reads, so that a large body that was sent on a second connection got no answer; it now looks at the last read only.

--- a/crates/host/tests/single_runs.rs
+++ b/crates/host/tests/single_runs.rs
@@ -272,16 +272,11 @@
         spans.collect::<Vec<WorkSpan>>()
     };
     let spans: Vec<_> = engines.iter().map(spans_at).collect();
-    let end = |span: &WorkSpan| span.end.unwrap_or(now);
     let pairs = spans.iter().enumerate().flat_map(|(index, at_one)| {
         let at_others = spans[index + 1..].iter().flatten();
         at_others.flat_map(move |other| at_one.iter().map(move |span| (span, other)))
     });
-    let overlaps = pairs.map(|(one, other)| {
-        let begin = one.begin.max(other.begin);
-        end(one).min(end(other)).saturating_duration_since(begin)
-    });
-    overlaps.max()
+    pairs.map(|(one, other)| one.overlap(other, now)).max()
 }
 
 /// Plays all cases at once and checks that nothing is wrong.
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -1,3 +1,4 @@
+use std::ops::Range;
 use std::time::Duration;
 
 use rand::Rng;
@@ -78,33 +79,23 @@
     hosts: usize,
     (plain, backends): (usize, usize),
 ) -> Vec<PlannedFault> {
-    let mut random = StdRng::seed_from_u64(seed);
-    let count = (time.as_secs_f64() * FAULTS_PER_S).ceil() as usize;
-    let faults = (0..count).map(|_| {
-        let at = LEAD + time.saturating_sub(LEAD).mul_f64(random.random::<f64>());
-        let lasts = Duration::from_millis(random.random_range(200..4_000));
+    let mut faults = draw_faults(seed, FAULTS_PER_S, time, 200..4_000, |random| {
         let host = random.random_range(0..hosts);
-        let kind = match random.random_range(0..20) {
+        match random.random_range(0..20) {
             0..3 => FaultKind::PauseHost(host),
             3..5 => FaultKind::KillHost(host),
             5..7 => FaultKind::StopHost(host),
             7 => FaultKind::KillAllHosts,
-            8..10 => FaultKind::Store(store_fault(&mut random)),
+            8..10 => FaultKind::Store(store_fault(random)),
             10 => FaultKind::DropHistory,
-            11..13 => FaultKind::StoreLink(host, link_mode(&mut random)),
-            13..15 => {
-                FaultKind::BackendLink(random.random_range(0..backends), link_mode(&mut random))
-            }
-            15..17 => {
-                FaultKind::Backend(random.random_range(0..backends), backend_fault(&mut random))
-            }
+            11..13 => FaultKind::StoreLink(host, link_mode(random)),
+            13..15 => FaultKind::BackendLink(random.random_range(0..backends), link_mode(random)),
+            15..17 => FaultKind::Backend(random.random_range(0..backends), backend_fault(random)),
             17 => FaultKind::ReplaceBackend(random.random_range(0..plain)),
             18 => FaultKind::ChangeConfig,
             _ => FaultKind::TurnKey,
-        };
-        PlannedFault { at, lasts, kind }
+        }
     });
-    let mut faults: Vec<PlannedFault> = faults.collect();
     faults.extend(plan_server_requests(seed, time, (plain, backends)));
     faults.extend(plan_hidden_runs(seed, time, (plain, backends)));
     faults.sort_by_key(|fault| fault.at);
@@ -117,21 +108,15 @@
     time: Duration,
     (plain, backends): (usize, usize),
 ) -> Vec<PlannedFault> {
-    let mut random = StdRng::seed_from_u64(!seed);
-    let count = (time.as_secs_f64() * SERVER_REQUESTS_PER_S).ceil() as usize;
-    let faults = (0..count).map(|_| {
-        let at = LEAD + time.saturating_sub(LEAD).mul_f64(random.random::<f64>());
-        let lasts = Duration::from_millis(random.random_range(500..3_000));
+    draw_faults(!seed, SERVER_REQUESTS_PER_S, time, 500..3_000, |random| {
         let backend = random.random_range(0..backends);
-        let kind = match random.random_range(0..4) {
+        match random.random_range(0..4) {
             0 => FaultKind::LeaveByAnswer(backend % plain),
             1 => FaultKind::Backend(backend, BackendFault::Pause("1.5")),
             2 => FaultKind::Backend(backend, BackendFault::Pause("3")),
             _ => FaultKind::Backend(backend, BackendFault::LateBareRefusal),
-        };
-        PlannedFault { at, lasts, kind }
-    });
-    faults.collect()
+        }
+    })
 }
 
 /// Draws faults after which an engine works on a request although its connection ended or its reports don't show it. Drawn
@@ -141,14 +126,11 @@
     time: Duration,
     (plain, backends): (usize, usize),
 ) -> Vec<PlannedFault> {
-    let mut random = StdRng::seed_from_u64(seed ^ HIDDEN_RUNS_SALT);
-    let count = (time.as_secs_f64() * HIDDEN_RUNS_PER_S).ceil() as usize;
-    let faults = (0..count).map(|_| {
-        let at = LEAD + time.saturating_sub(LEAD).mul_f64(random.random::<f64>());
-        let lasts = Duration::from_millis(random.random_range(500..4_000));
+    let seed = seed ^ HIDDEN_RUNS_SALT;
+    draw_faults(seed, HIDDEN_RUNS_PER_S, time, 500..4_000, |random| {
         let engine = random.random_range(plain..backends);
         let work = Duration::from_millis(random.random_range(500..2_000));
-        let kind = match random.random_range(0..7) {
+        match random.random_range(0..7) {
             0..2 => {
                 let fault = BackendFault::WorkOn(random.random_range(0..4), work);
                 FaultKind::Backend(engine, fault)
@@ -161,8 +143,24 @@
             }
             5 => FaultKind::Admission(engine, Admission::Close),
             _ => FaultKind::Admission(engine, Admission::Refuse),
-        };
-        PlannedFault { at, lasts, kind }
+        }
+    })
+}
+
+/// Draws `per_s` faults a second, each with its time, its length from `lasts_ms` and then its kind.
+fn draw_faults(
+    seed: u64,
+    per_s: f64,
+    time: Duration,
+    lasts_ms: Range<u64>,
+    mut draw_kind: impl FnMut(&mut StdRng) -> FaultKind,
+) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let count = (time.as_secs_f64() * per_s).ceil() as usize;
+    let faults = (0..count).map(|_| PlannedFault {
+        at: LEAD + time.saturating_sub(LEAD).mul_f64(random.random::<f64>()),
+        lasts: Duration::from_millis(random.random_range(lasts_ms.clone())),
+        kind: draw_kind(&mut random),
     });
     faults.collect()
 }
--- a/crates/soak/src/overlapping_runs.rs
+++ b/crates/soak/src/overlapping_runs.rs
@@ -23,13 +23,11 @@
         }
     }
     let now = Instant::now();
-    let end = |span: &WorkSpan| span.end.unwrap_or(now);
     let mut broken = Vec::new();
     for (id, runs) in &runs {
         for (index, (server, span)) in runs.iter().enumerate() {
             for (other_server, other) in &runs[index + 1..] {
-                let begin = span.begin.max(other.begin);
-                let overlap = end(span).min(end(other)).saturating_duration_since(begin);
+                let overlap = span.overlap(other, now);
                 if server != other_server && overlap > ALLOWED_OVERLAP {
                     broken.push(format!(
                         "request {id} ran at servers {server} and {other_server} for {overlap:?}"
--- a/crates/transport/tests/unsent_requests.rs
+++ b/crates/transport/tests/unsent_requests.rs
@@ -124,11 +124,10 @@
     let mut count = 0;
     while count < limit {
         let most = buffer.len().min(limit - count);
-        match stream.read(&mut buffer[..most]).await {
-            Ok(0) | Err(_) => break,
-            Ok(bytes) => count += bytes,
-        }
-        if end.is_none() && buffer[..count.min(most)].ends_with(b"!") {
+        let bytes = stream.read(&mut buffer[..most]).await.unwrap_or(0);
+        count += bytes;
+        let is_last = end.is_none() && buffer[..bytes].ends_with(b"!");
+        if bytes == 0 || is_last {
             break;
         }
     }
