Host: one branch for streams that are not resumed

Cause: a rejected resumption had a log line and a branch of its own beside the same ones of other failures, and is_first_run said again what possible_run_count says. Before and after: the same line and the same records.

--- a/crates/host/src/backend_send.rs
+++ b/crates/host/src/backend_send.rs
@@ -104,7 +104,7 @@
         ReuseRule::IdleLessThan(MAX_NON_REPEATABLE_IDLE)
     };
     target.record_sent_parts(&context.facts);
-    if !history.is_first_run() {
+    if history.possible_run_count() > 0 {
         info!(state.logger, "request sent again after a run may have begun"; "id" => &*context.facts.attempt_id,
             "backend" => &*target.entry.id, "earlier" => history.possible_runs_text(), "after" => resume_after);
     }
--- a/crates/host/src/event_relay.rs
+++ b/crates/host/src/event_relay.rs
@@ -348,6 +348,7 @@
             self.log.backend = Some(backend.clone());
             let (history, deadline) = (&mut self.history, context.deadline);
             let sent = send(state, context, history, &target, Some(last_event), deadline).await;
+            let is_not_run = matches!(&sent, Err(end) if end.is_not_run());
             let opened = match sent {
                 Ok(response)
                     if response.metadata.has_original_body()
@@ -364,12 +365,6 @@
                 Err(BackendSendError::ConnectionLost(reason)) => {
                     Err(StreamFailure::ConnectionLost(reason))
                 }
-                Err(end) if end.is_not_run() => {
-                    info!(state.logger, "event stream not resumed at backend server";
-                        "id" => &*context.facts.attempt_id, "backend" => &*backend, "reason" => %end);
-                    self.history.exclude(&backend);
-                    continue;
-                }
                 Err(end) => Err(StreamFailure::Unusable(end.to_string())),
             };
             match opened {
@@ -385,9 +380,13 @@
                     }
                     info!(state.logger, "event stream not resumed at backend server";
                         "id" => &*context.facts.attempt_id, "backend" => &*backend, "reason" => %failure);
-                    self.history.record_possible_run(&backend);
-                    let is_lost = matches!(failure, StreamFailure::ConnectionLost(_));
-                    self.history.record_open_run(&target, is_lost);
+                    if is_not_run {
+                        self.history.exclude(&backend);
+                    } else {
+                        self.history.record_possible_run(&backend);
+                        let is_lost = matches!(failure, StreamFailure::ConnectionLost(_));
+                        self.history.record_open_run(&target, is_lost);
+                    }
                 }
             }
         }
--- a/crates/host/src/send_history.rs
+++ b/crates/host/src/send_history.rs
@@ -115,11 +115,6 @@
         self.possible_runs.len() as u32
     }
 
-    /// True if no server may have run the request so far; the one that it is being sent to doesn't count.
-    pub(crate) fn is_first_run(&self) -> bool {
-        self.possible_runs.is_empty()
-    }
-
     /// Backend servers that may have run the request, for log lines.
     pub(crate) fn possible_runs_text(&self) -> String {
         self.possible_runs.join(",")
