Log on which connection a rejection came

Whether a rejection may be a copy of an earlier one depends on what its connection carried before, and neither log lines nor metrics told. The line 'backend server rejected the request' and the counter host_rejections_total tell new connections, reused ones and those that carried the same request before. Which connection a request uses is unchanged.

--- a/crates/host/src/backend_send.rs
+++ b/crates/host/src/backend_send.rs
@@ -15,6 +15,7 @@
 use zinniahinge_serving::LoadGuard;
 use zinniahinge_serving::SendBar;
 use zinniahinge_transport::PooledExchange;
+use zinniahinge_transport::RequestKey;
 use zinniahinge_transport::ReuseRule;
 use zinniahinge_transport::SendFailure;
 
@@ -108,9 +109,10 @@
         info!(state.logger, "request sent again after a run may have begun"; "id" => &*context.facts.attempt_id,
             "backend" => &*target.entry.id, "earlier" => history.possible_runs_text(), "after" => resume_after);
     }
+    let key = RequestKey::new(&context.facts.attempt_id);
     let sent = state
         .pool
-        .send(target.entry.address, request, rule, deadline)
+        .send(target.entry.address, request, rule, Some(key), deadline)
         .await;
     history.arrived_by = state.now();
     let exchange = match sent {
@@ -121,6 +123,7 @@
         response,
         lease,
         is_reused,
+        has_carried,
     } = exchange;
     let (head, body) = response.into_parts();
     let metadata = ResponseMetadata::read(head.status, &head.headers, &context.facts.attempt_id);
@@ -149,6 +152,18 @@
     };
     if response.metadata.states_not_executed {
         let status = response.metadata.status;
+        let connection = match (is_reused, has_carried) {
+            (_, true) => "carried-request",
+            (true, false) => "reused",
+            (false, false) => "new",
+        };
+        info!(state.logger, "backend server rejected the request"; "id" => &*context.facts.attempt_id,
+            "backend" => &*target.entry.id, "status" => status.as_u16(), "connection" => connection);
+        state
+            .counters
+            .rejections
+            .with_label_values(&[connection])
+            .inc();
         response.discard();
         return Err(BackendSendError::NotRun(status));
     }
--- a/crates/host/src/host_counters.rs
+++ b/crates/host/src/host_counters.rs
@@ -13,6 +13,9 @@
     pub(crate) requests: IntCounterVec,
     /// Sends to backend servers by outcome.
     pub(crate) sends: IntCounterVec,
+    /// Rejections by backend servers that counted as "not run", by connection: new, reused, or one that had carried the same
+    /// request.
+    pub(crate) rejections: IntCounterVec,
     /// Questions to engines whether they still work on a request, by what the answer shows and whether the request may go
     /// on at another server.
     pub(crate) run_lookups: IntCounterVec,
@@ -47,6 +50,11 @@
                 "Sends to backend servers by outcome",
                 &["outcome"],
             )?,
+            rejections: registry.counter_vec(
+                "host_rejections_total",
+                "Rejections by backend servers by the connection they came on",
+                &["connection"],
+            )?,
             run_lookups: registry.counter_vec(
                 "host_run_lookups_total",
                 "Runs looked up at engines by evidence and permission to go on elsewhere",
--- a/crates/transport/src/http_pool.rs
+++ b/crates/transport/src/http_pool.rs
@@ -26,8 +26,10 @@
 use crate::ConnectionLease;
 use crate::PoolSettings;
 use crate::PooledExchange;
+use crate::RequestKey;
 use crate::Result;
 use crate::SendFailure;
+use crate::carried_keys::CarriedKeys;
 use crate::metered_stream::HeadBudget;
 use crate::metered_stream::MeteredStream;
 
@@ -72,10 +74,11 @@
     until: Instant,
 }
 
-/// Holds the sending side of a connection and the byte budget of its response heads.
+/// Holds the sending side of a connection, the byte budget of its response heads and the keys of its requests.
 pub(crate) struct PooledConnection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
     budget: HeadBudget,
+    pub(crate) carried: CarriedKeys,
 }
 
 /// Keeps idle connections by address, in the order in which they became idle.
@@ -180,16 +183,22 @@
     ///
     /// If a reused connection fails before a byte of the request was written, the request is sent on another
     /// connection. A new connection is tried once. The error says whether the request may have been received.
+    ///
+    /// `key` identifies the request if it may be sent more than once.
     pub async fn send(
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         rule: ReuseRule,
+        key: Option<RequestKey>,
         deadline: Instant,
     ) -> Result<PooledExchange> {
         let mut request = request;
         while let Some(connection) = self.idle.take(address, rule) {
-            match self.exchange(connection, address, request, deadline).await {
+            match self
+                .exchange(connection, address, request, key, deadline)
+                .await
+            {
                 Ok(exchange) => {
                     return Ok(PooledExchange {
                         is_reused: true,
@@ -201,7 +210,9 @@
             }
         }
         let connection = self.connect(address, deadline).await?;
-        let sent = self.exchange(connection, address, request, deadline).await;
+        let sent = self
+            .exchange(connection, address, request, key, deadline)
+            .await;
         sent.map_err(|(failure, _)| failure)
     }
 
@@ -211,8 +222,13 @@
         mut connection: PooledConnection,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
+        key: Option<RequestKey>,
         deadline: Instant,
     ) -> Result<PooledExchange, (SendFailure, Option<Request<Full<Bytes>>>)> {
+        let has_carried = key.is_some_and(|key| connection.carried.contains(key));
+        if let Some(key) = key {
+            connection.carried.insert(key);
+        }
         connection.budget.start_head();
         let answer = connection.sender.try_send_request(request);
         let answer = tokio::time::timeout_at(deadline, answer).await;
@@ -239,6 +255,7 @@
             response,
             lease,
             is_reused: false,
+            has_carried,
         })
     }
 
@@ -263,7 +280,11 @@
         self.opened.fetch_add(1, Ordering::Relaxed);
         // The task ends when the sender is dropped. Its errors also reach the request that is on the connection.
         tokio::spawn(connection);
-        Ok(PooledConnection { sender, budget })
+        Ok(PooledConnection {
+            sender,
+            budget,
+            carried: CarriedKeys::default(),
+        })
     }
 
     /// Makes the kernel end the connection if the other side is silent. A host that lost power or is cut off by a
--- a/crates/transport/src/pooled_exchange.rs
+++ b/crates/transport/src/pooled_exchange.rs
@@ -32,6 +32,8 @@
     pub lease: ConnectionLease,
     /// True if the connection had an exchange before. Late bytes of that one may have come first.
     pub is_reused: bool,
+    /// True if the connection carried the same request before. The response may be a copy of the earlier one.
+    pub has_carried: bool,
 }
 
 /// Holds a pooled connection while it is in use. Dropping it closes the connection.
@@ -88,7 +90,7 @@
             idle_time,
             idle,
         } = self;
-        if idle_time.is_zero() {
+        if idle_time.is_zero() || connection.carried.is_full() {
             return;
         }
         tokio::spawn(async move {
--- a/crates/transport/tests/unsent_requests.rs
+++ b/crates/transport/tests/unsent_requests.rs
@@ -149,7 +149,7 @@
     if case.is_reused {
         let warm_up = request("/warm-up", Vec::new())?;
         let exchange = pool
-            .send(counter.address, warm_up, ReuseRule::Any, deadline)
+            .send(counter.address, warm_up, ReuseRule::Any, None, deadline)
             .await?;
         let body = exchange.response.into_body();
         exchange.lease.read_body(body, 10, deadline).await?;
@@ -165,7 +165,7 @@
     body.push(b'!');
     let marked = request("/marked", body)?;
     let sent = pool
-        .send(counter.address, marked, ReuseRule::Any, deadline)
+        .send(counter.address, marked, ReuseRule::Any, None, deadline)
         .await;
     let is_unsent = sent
         .as_ref()
