Test that a repeated request isn't refused or run twice by a copied rejection

REFUSED and TWICE, reproduced with a real host: a server refuses a request, the caller sends it again under the same id to the same host, and a copy of the first refusal stands where the answer is due. The host takes it for 'not run' and sends the request on, while the server runs it.

--- a/crates/host/tests/late_answers.rs
+++ b/crates/host/tests/late_answers.rs
@@ -80,6 +80,69 @@
     Ok(())
 }
 
+/// Guards against a second copy of a rejection that is mistaken for the response to the same request, which its caller
+/// sends again after the first one.
+#[tokio::test]
+async fn a_duplicate_rejection_is_not_taken_for_the_response_to_a_repeated_request() -> Outcome {
+    struct RepeatCase {
+        fault: BackendFault,
+        path: &'static str,
+        asks: usize,
+    }
+    let cases = [
+        RepeatCase {
+            fault: BackendFault::LateRefusal,
+            path: "/book/x",
+            asks: 2,
+        },
+        RepeatCase {
+            fault: BackendFault::LateRefusal,
+            path: "/book/x",
+            asks: 6,
+        },
+        RepeatCase {
+            fault: BackendFault::LateRefusal,
+            path: "/app/x",
+            asks: 6,
+        },
+        RepeatCase {
+            fault: BackendFault::LateBareRefusal,
+            path: "/book/x",
+            asks: 6,
+        },
+    ];
+    let mut failures = Vec::new();
+    for (index, case) in cases.iter().enumerate() {
+        let bed = TestBed::start().await?;
+        for server in &bed.plain {
+            server.set_fault(case.fault);
+        }
+        for round in 0..10 {
+            let id = format!("repeat-{index}-{round}");
+            let request = CallerRequest {
+                deadline_ms: 1000,
+                ..CallerRequest::new(&id, case.path)
+            };
+            for ask in 0..case.asks {
+                let answer = bed.ask(&request).await?;
+                let runs = bed.runs(&id);
+                if answer.promises_not_run() && runs > 0 {
+                    failures.push(format!("{id}, ask {ask}: refused after {runs} runs"));
+                }
+                if !answer.promises_not_run() {
+                    break;
+                }
+            }
+            let runs = bed.runs(&id);
+            if case.path == "/book/x" && runs > 1 {
+                failures.push(format!("{id}: {runs} runs"));
+            }
+        }
+    }
+    assert_that!(failures, is_empty());
+    Ok(())
+}
+
 /// Guards against a response that breaks off at any byte and reaches the caller as a complete one.
 #[tokio::test]
 async fn a_response_truncated_at_any_byte_never_looks_complete() -> Outcome {
