Never send a request twice over one connection

Callers of requests that run once got 'not run' for requests that ran, and their requests ran at several servers. Cause: a server may send its refusal twice, and the copy has the id of the refused request. What kept a request from meeting the copy was the request's own list of servers, by id. It ends with the request, and connections are pooled by address, so the copy was believed when the caller sent the same id again, or when the server had started again at its address under another id. Now the connection remembers what it carried and is passed over for the same request, whoever sends it and under whatever server's name; what may hold the copy and what remembers it end together.

--- a/crates/host/src/backend_send.rs
+++ b/crates/host/src/backend_send.rs
@@ -81,8 +81,7 @@
 /// Sends a request to a backend server and reads the head of the response, until `deadline`.
 ///
 /// `resume_after` is the id of the event after which a stream continues. A request that goes to the same server again
-/// uses a new connection: a server may send its first response twice, and the second copy has the same id, so that it
-/// would be mistaken for the response to this send.
+/// uses a new connection, on which no late answer is due.
 pub(crate) async fn send(
     state: &HostState,
     context: &RequestContext,
--- a/crates/transport/src/http_pool.rs
+++ b/crates/transport/src/http_pool.rs
@@ -116,29 +116,44 @@
         }
     }
 
-    /// Takes the most recently used connection that `rule` allows. The others then reach the end of their idle time, so
-    /// that the pool shrinks when the load falls.
-    fn take(&self, address: SocketAddr, rule: ReuseRule) -> Option<PooledConnection> {
+    /// Takes the most recently used connection that `rule` allows and that has not carried the request `key`. The others
+    /// then reach the end of their idle time, so that the pool shrinks when the load falls.
+    fn take(
+        &self,
+        address: SocketAddr,
+        rule: ReuseRule,
+        key: Option<RequestKey>,
+    ) -> Option<PooledConnection> {
         let now = Instant::now();
         let mut connections = self.lock();
         let list = connections.get_mut(&address)?;
-        while let Some(idle) = list.pop() {
+        for index in (0..list.len()).rev() {
+            let IdleConnection {
+                connection,
+                since,
+                until,
+            } = &list[index];
+            let sender = &connection.sender;
+            if *until <= now || sender.is_closed() || !sender.is_ready() {
+                list.remove(index);
+                continue;
+            }
             let is_allowed = match rule {
                 ReuseRule::Any => true,
-                ReuseRule::IdleLessThan(limit) => now.duration_since(idle.since) < limit,
+                ReuseRule::IdleLessThan(limit) => now.duration_since(*since) < limit,
                 ReuseRule::Never => false,
             };
-            let sender = &idle.connection.sender;
-            if idle.until <= now || sender.is_closed() || !sender.is_ready() {
-                continue;
-            }
             if !is_allowed {
-                list.push(idle);
                 return None;
             }
-            return Some(idle.connection);
+            // The other side may send its answer twice, and the second copy would pass for the answer to this send.
+            if key.is_none_or(|key| !connection.carried.contains(key)) {
+                return Some(list.remove(index).connection);
+            }
+        }
+        if list.is_empty() {
+            connections.remove(&address);
         }
-        connections.remove(&address);
         None
     }
 }
@@ -184,7 +199,7 @@
     /// If a reused connection fails before a byte of the request was written, the request is sent on another
     /// connection. A new connection is tried once. The error says whether the request may have been received.
     ///
-    /// `key` identifies the request if it may be sent more than once.
+    /// `key` identifies the request if it may be sent more than once. No connection carries it twice.
     pub async fn send(
         &self,
         address: SocketAddr,
@@ -194,7 +209,7 @@
         deadline: Instant,
     ) -> Result<PooledExchange> {
         let mut request = request;
-        while let Some(connection) = self.idle.take(address, rule) {
+        while let Some(connection) = self.idle.take(address, rule, key) {
             match self
                 .exchange(connection, address, request, key, deadline)
                 .await
