Take a server's state only from answers to the request that was sent

What callers saw: a booking was refused with 'servers-paused' although its servers wanted no pause. Part of REFUSED's trace: any answer on a kept connection may be a copy of an earlier one, and pause, leaving and load were read from it before its id was compared. Now they are read from answers that name the request, or that come on a new connection. Test: a_duplicate_rejection_does_not_pause_its_server_again failed before with 503 servers-paused and passes; late_answers and server_requests pass.

--- a/crates/host/src/backend_send.rs
+++ b/crates/host/src/backend_send.rs
@@ -126,7 +126,6 @@
     } = exchange;
     let (head, body) = response.into_parts();
     let metadata = ResponseMetadata::read(head.status, &head.headers, &context.facts.attempt_id);
-    apply_server_notices(state, context, target, &metadata);
     if metadata.is_for_other_attempt {
         target.load.count_failure();
         return Err(BackendSendError::MayHaveRun(
@@ -139,8 +138,9 @@
             "the rejection names no request, it may be an earlier one".to_owned(),
         ));
     }
-    if let Some(sample) = metadata.load {
-        target.load.record_sample(sample, state.now());
+    // A late answer to an earlier request may say what no longer holds.
+    if metadata.names_attempt || !is_reused {
+        apply_server_notices(state, context, target, &metadata);
     }
     let response = BackendResponse {
         metadata,
@@ -169,7 +169,7 @@
     Ok(response)
 }
 
-/// Notes that the server leaves or wants a pause. Hosts come back from a pause at different times, so that the server isn't
+/// Notes the server's load, that it leaves or that it wants a pause. Hosts come back from a pause at different times, so that the server isn't
 /// met by all of them at once.
 fn apply_server_notices(
     state: &HostState,
@@ -178,6 +178,9 @@
     metadata: &ResponseMetadata,
 ) {
     let (id, backend) = (&*context.facts.attempt_id, &*target.entry.id);
+    if let Some(sample) = metadata.load {
+        target.load.record_sample(sample, state.now());
+    }
     if metadata.is_leaving && target.load.mark_leaving() {
         info!(state.logger, "backend server says that it leaves"; "id" => id, "backend" => backend,
             "phase" => ?target.entry.phase);
--- a/crates/host/tests/late_answers.rs
+++ b/crates/host/tests/late_answers.rs
@@ -143,6 +143,33 @@
     Ok(())
 }
 
+/// Guards against a server that gets no requests because a second copy of a rejection, which asked for a pause, is taken for a
+/// new wish for one.
+#[tokio::test]
+async fn a_duplicate_rejection_does_not_pause_its_server_again() -> Outcome {
+    let bed = TestBed::start().await?;
+    for server in &bed.plain {
+        server.set_fault(BackendFault::LatePause("0.5"));
+    }
+    let request = |id: &str| CallerRequest {
+        deadline_ms: 400,
+        ..CallerRequest::new(id, "/book/x")
+    };
+    let refused = bed.ask(&request("refused")).await?;
+    assert_that!(refused.status, some(eq(503)));
+    for server in &bed.plain {
+        server.set_fault(BackendFault::None);
+    }
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    // Each server's connection brings its second copy with one of these.
+    for id in ["copy-1", "copy-2"] {
+        bed.ask(&request(id)).await?;
+    }
+    let answer = bed.ask(&request("served")).await?;
+    assert_that!(answer.status, some(eq(200)), "{answer:?}");
+    Ok(())
+}
+
 /// Guards against a response that breaks off at any byte and reaches the caller as a complete one.
 #[tokio::test]
 async fn a_response_truncated_at_any_byte_never_looks_complete() -> Outcome {
