Skip answers to earlier requests that come before the one that is due

What callers saw: after a copied refusal, the next request on its connection got 502, though its server ran it and its own answer followed on the same connection. A connection knows the ids that it carried, so an answer that names an earlier one and states its length is taken out before the HTTP library reads it; all else, as answers without an id or of unknown length, is left as it was. Skipped answers are logged and counted (host_late_answers_total).

--- a/crates/host/src/backend_send.rs
+++ b/crates/host/src/backend_send.rs
@@ -123,9 +123,15 @@
         lease,
         is_reused,
         has_carried,
+        late_answers,
     } = exchange;
     let (head, body) = response.into_parts();
     let metadata = ResponseMetadata::read(head.status, &head.headers, &context.facts.attempt_id);
+    if late_answers > 0 {
+        info!(state.logger, "late answers to earlier requests skipped"; "id" => &*context.facts.attempt_id,
+            "backend" => &*target.entry.id, "count" => late_answers);
+        state.counters.late_answers.inc_by(late_answers);
+    }
     if metadata.is_for_other_attempt {
         target.load.count_failure();
         return Err(BackendSendError::MayHaveRun(
--- a/crates/host/src/host_counters.rs
+++ b/crates/host/src/host_counters.rs
@@ -16,6 +16,8 @@
     /// Rejections by backend servers that counted as "not run", by connection: new, reused, or one that had carried the same
     /// request.
     pub(crate) rejections: IntCounterVec,
+    /// Answers of backend servers to earlier requests of a connection that came once more and were skipped.
+    pub(crate) late_answers: IntCounter,
     /// Questions to engines whether they still work on a request, by what the answer shows and whether the request may go
     /// on at another server.
     pub(crate) run_lookups: IntCounterVec,
@@ -55,6 +57,10 @@
                 "Rejections by backend servers by the connection they came on",
                 &["connection"],
             )?,
+            late_answers: registry.counter(
+                "host_late_answers_total",
+                "Answers to earlier requests that came again and were skipped",
+            )?,
             run_lookups: registry.counter_vec(
                 "host_run_lookups_total",
                 "Runs looked up at engines by evidence and permission to go on elsewhere",
--- a/crates/host/src/host_process.rs
+++ b/crates/host/src/host_process.rs
@@ -24,6 +24,7 @@
 use zinniahinge_peer::PeerError;
 use zinniahinge_peer::PeerReceiver;
 use zinniahinge_peer::SharedKeyRing;
+use zinniahinge_platform::ATTEMPT_ID;
 use zinniahinge_platform::EngineClient;
 use zinniahinge_platform::PlatformError;
 use zinniahinge_platform::StartupSettings;
@@ -84,6 +85,7 @@
     idle_time: Duration::from_secs(4),
     idle_percent: 70,
     max_idle: 16,
+    id_header: Some(ATTEMPT_ID),
 };
 
 /// Error that prevents the host process from starting or running.
--- a/crates/host/tests/late_answers.rs
+++ b/crates/host/tests/late_answers.rs
@@ -170,6 +170,41 @@
     Ok(())
 }
 
+/// Guards against a request that is given up, and that its server ran, because a second copy of an earlier response came
+/// first.
+#[tokio::test]
+async fn a_duplicate_response_costs_no_other_request() -> Outcome {
+    for fault in [
+        BackendFault::LateRefusal,
+        BackendFault::LatePause("0.1"),
+        BackendFault::LateCopy(0),
+    ] {
+        let bed = TestBed::start().await?;
+        for round in 0..10 {
+            for server in &bed.plain {
+                server.set_fault(fault);
+            }
+            let first = CallerRequest {
+                deadline_ms: 600,
+                ..CallerRequest::new(&format!("first-{round}"), "/book/x")
+            };
+            bed.ask(&first).await?;
+            for server in &bed.plain {
+                server.set_fault(BackendFault::None);
+            }
+            tokio::time::sleep(Duration::from_millis(150)).await;
+            for ask in 0..3 {
+                let id = format!("next-{round}-{ask}");
+                let answer = bed.ask(&CallerRequest::new(&id, "/book/x")).await?;
+                assert_that!(answer.status, some(eq(200)), "{fault:?}, {id}: {answer:?}");
+                assert_that!(answer.body, some(eq(&format!("answer to {id}"))));
+                assert_that!(bed.runs(&id), eq(1), "{fault:?}, {id}");
+            }
+        }
+    }
+    Ok(())
+}
+
 /// Guards against a response that breaks off at any byte and reaches the caller as a complete one.
 #[tokio::test]
 async fn a_response_truncated_at_any_byte_never_looks_complete() -> Outcome {
--- a/crates/transport/src/http_pool.rs
+++ b/crates/transport/src/http_pool.rs
@@ -12,6 +12,7 @@
 
 use bytes::Bytes;
 use http::HeaderMap;
+use http::Method;
 use http::Request;
 use http::header::CONNECTION;
 use http_body_util::Full;
@@ -30,6 +31,7 @@
 use crate::Result;
 use crate::SendFailure;
 use crate::carried_keys::CarriedKeys;
+use crate::late_answers::LateAnswers;
 use crate::metered_stream::HeadBudget;
 use crate::metered_stream::MeteredStream;
 
@@ -79,6 +81,8 @@
     pub(crate) sender: SendRequest<Full<Bytes>>,
     budget: HeadBudget,
     pub(crate) carried: CarriedKeys,
+    /// Number of answers to earlier requests that were skipped.
+    late_answers: Arc<AtomicU64>,
 }
 
 /// Keeps idle connections by address, in the order in which they became idle.
@@ -242,8 +246,10 @@
     ) -> Result<PooledExchange, (SendFailure, Option<Request<Full<Bytes>>>)> {
         let has_carried = key.is_some_and(|key| connection.carried.contains(key));
         if let Some(key) = key {
-            connection.carried.insert(key);
+            let has_body = request.method() != Method::HEAD;
+            connection.carried.insert(key, has_body);
         }
+        let skipped_before = connection.late_answers.load(Ordering::Relaxed);
         connection.budget.start_head();
         let answer = connection.sender.try_send_request(request);
         let answer = tokio::time::timeout_at(deadline, answer).await;
@@ -260,6 +266,7 @@
             Ok(Ok(response)) => response,
         };
         connection.budget.finish_head();
+        let late_answers = connection.late_answers.load(Ordering::Relaxed) - skipped_before;
         let lease = ConnectionLease {
             connection,
             address,
@@ -271,6 +278,7 @@
             lease,
             is_reused: false,
             has_carried,
+            late_answers,
         })
     }
 
@@ -286,7 +294,11 @@
         self.detect_dead_peer(&stream)
             .map_err(SendFailure::not_sent)?;
         let budget = HeadBudget::new();
-        let stream = MeteredStream::new(stream, budget.clone());
+        let carried = CarriedKeys::default();
+        let late = self.settings.id_header.clone();
+        let late_answers = Arc::<AtomicU64>::default();
+        let late = late.map(|name| LateAnswers::new(name, carried.clone(), late_answers.clone()));
+        let stream = MeteredStream::new(stream, budget.clone(), late);
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream));
@@ -298,7 +310,8 @@
         Ok(PooledConnection {
             sender,
             budget,
-            carried: CarriedKeys::default(),
+            carried,
+            late_answers,
         })
     }
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -3,6 +3,7 @@
 mod carried_keys;
 mod connection_server;
 mod http_pool;
+mod late_answers;
 mod metered_stream;
 mod pool_settings;
 mod pooled_exchange;
--- a/crates/transport/src/metered_stream.rs
+++ b/crates/transport/src/metered_stream.rs
@@ -11,6 +11,8 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use crate::late_answers::LateAnswers;
+
 /// Largest number of bytes that a connection may deliver before the head of the next response is complete, interim
 /// responses included. Heads from backend servers take a few hundred bytes.
 const MAX_HEAD_BYTES: usize = 256 * 1024;
@@ -50,29 +52,69 @@
     }
 }
 
-/// Wraps a connection and fails it if the other side sends endless bytes instead of a response head.
+/// Size of the buffer for bytes that are held back while a response is awaited.
+const READ_CHUNK_BYTES: usize = 2 * 1024;
+
+/// Wraps a connection, fails it if the other side sends endless bytes instead of a response head, and takes late answers to
+/// earlier requests out.
 #[derive(Debug)]
 pub(crate) struct MeteredStream {
     stream: TcpStream,
     budget: HeadBudget,
+    late: Option<LateAnswers>,
     /// Bytes read since this task last yielded.
     read_since_yield: usize,
 }
 
 impl MeteredStream {
-    /// Wraps `stream`. The caller keeps a clone of `budget` to mark where response heads start and end.
-    pub(crate) fn new(stream: TcpStream, budget: HeadBudget) -> Self {
+    /// Wraps `stream`. The caller keeps a clone of `budget` to mark where response heads start and end. Without `late`,
+    /// all bytes are passed on.
+    pub(crate) fn new(stream: TcpStream, budget: HeadBudget, late: Option<LateAnswers>) -> Self {
         Self {
             stream,
             budget,
+            late,
             read_since_yield: 0,
         }
     }
-}
 
-impl AsyncRead for MeteredStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
+    /// Reads while a response is awaited, and passes on what is not part of a late answer.
+    fn poll_awaited(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            if self
+                .late
+                .as_mut()
+                .is_some_and(|late| late.take_into(buffer))
+            {
+                return Poll::Ready(Ok(()));
+            }
+            let mut chunk = [0; READ_CHUNK_BYTES];
+            let mut chunk = ReadBuf::new(&mut chunk);
+            let polled = self.poll_metered(context, &mut chunk);
+            let Some(late) = &mut self.late else {
+                return polled;
+            };
+            match polled {
+                Poll::Ready(Ok(())) if !chunk.filled().is_empty() => late.push(chunk.filled()),
+                // The connection ends; what was held back comes first.
+                Poll::Ready(ended) => {
+                    late.release();
+                    if !late.take_into(buffer) {
+                        return Poll::Ready(ended);
+                    }
+                    return Poll::Ready(Ok(()));
+                }
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+    }
+
+    fn poll_metered(
+        &mut self,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
@@ -99,6 +141,26 @@
     }
 }
 
+impl AsyncRead for MeteredStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = &mut *self;
+        let Some(late) = &mut this.late else {
+            return this.poll_metered(context, buffer);
+        };
+        if late.is_awaiting() {
+            return this.poll_awaited(context, buffer);
+        }
+        if late.take_into(buffer) {
+            return Poll::Ready(Ok(()));
+        }
+        this.poll_metered(context, buffer)
+    }
+}
+
 impl AsyncWrite for MeteredStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
--- a/crates/transport/src/pool_settings.rs
+++ b/crates/transport/src/pool_settings.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use http::HeaderName;
+
 /// Sets the time-outs and the size of an [`crate::HttpPool`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PoolSettings {
@@ -18,6 +20,10 @@
     pub idle_percent: u32,
     /// Largest number of idle connections per address.
     pub max_idle: usize,
+    /// Header in which the other side repeats the id of the request that it answers, the one that
+    /// [`crate::RequestKey::new`] gets. Late answers to earlier requests of a connection are then skipped; `None` if
+    /// answers name no request.
+    pub id_header: Option<HeaderName>,
 }
 
 impl Default for PoolSettings {
@@ -30,6 +36,7 @@
             idle_time: Duration::from_secs(4),
             idle_percent: 70,
             max_idle: 32,
+            id_header: None,
         }
     }
 }
--- a/crates/transport/src/pooled_exchange.rs
+++ b/crates/transport/src/pooled_exchange.rs
@@ -34,6 +34,8 @@
     pub is_reused: bool,
     /// True if the connection carried the same request before. The response may be a copy of the earlier one.
     pub has_carried: bool,
+    /// Number of answers to earlier requests of the connection that came before the response and were skipped.
+    pub late_answers: u64,
 }
 
 /// Holds a pooled connection while it is in use. Dropping it closes the connection.
