Soak: refusals that come twice, and requests sent again under their id

Cause: the users counted requests at the servers that were answered "not run" and ran, or ran twice; their servers send copies of refusals. The soak had neither such copies on kept connections nor callers that repeat a refused request under its id.

The checks count runs over all requests under an id, and a refusal is judged by the runs until the next request under its id was sent. The draws of the other faults are as before.

Evidence: tests of zinniahinge-soak pass with five new cases, three of which must be found.

--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -6,6 +6,7 @@
 use rand::rngs::StdRng;
 use zinniahinge_platform_standins::Admission;
 use zinniahinge_platform_standins::BackendFault;
+use zinniahinge_platform_standins::RefusalCopies;
 use zinniahinge_platform_standins::ReportDelay;
 use zinniahinge_platform_standins::StoreFault;
 
@@ -20,6 +21,12 @@
 /// Faults a second that make it hard to know whether an engine still works on a request.
 const HIDDEN_RUNS_PER_S: f64 = 0.5;
 
+/// Faults a second after which a server sends its refusals once more.
+const REFUSAL_COPIES_PER_S: f64 = 0.5;
+
+/// Makes the draws of these faults differ from the others'.
+const REFUSAL_COPIES_SALT: u64 = 0xd1b5_4a32_d192_ed03;
+
 /// Makes the draws of these faults differ from the others'.
 const HIDDEN_RUNS_SALT: u64 = 0x9e37_79b9_7f4a_7c15;
 
@@ -27,7 +34,7 @@
 const LEAD: Duration = Duration::from_secs(1);
 
 /// What strikes.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum FaultKind {
     /// A host's process is stopped by a signal and goes on later.
     PauseHost(usize),
@@ -51,6 +58,10 @@
     ReportDelay(usize, ReportDelay),
     /// An engine takes no new connections while it works on a request.
     Admission(usize, Admission),
+    /// Backend servers misbehave together.
+    Service(Range<usize>, BackendFault),
+    /// Plain backend servers end, and others start at their addresses. The entries in the store follow later.
+    SucceedBackends(Range<usize>),
     /// A plain backend server leaves, and another one comes.
     ReplaceBackend(usize),
     /// A plain backend server says in its answers that it leaves, a while before the store does, and another one comes.
@@ -62,7 +73,7 @@
 }
 
 /// A fault and its time.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct PlannedFault {
     /// Time from the start.
     pub at: Duration,
@@ -98,6 +109,7 @@
     });
     faults.extend(plan_server_requests(seed, time, (plain, backends)));
     faults.extend(plan_hidden_runs(seed, time, (plain, backends)));
+    faults.extend(plan_refusal_copies(seed, time, (plain, backends)));
     faults.sort_by_key(|fault| fault.at);
     faults
 }
@@ -147,6 +159,39 @@
     })
 }
 
+/// Draws servers that refuse requests and send each refusal once more. Drawn apart, so that the other faults of a seed stay
+/// as they are.
+pub fn plan_refusal_copies(
+    seed: u64,
+    time: Duration,
+    (plain, backends): (usize, usize),
+) -> Vec<PlannedFault> {
+    let seed = seed ^ REFUSAL_COPIES_SALT;
+    draw_faults(seed, REFUSAL_COPIES_PER_S, time, 1_000..5_000, |random| {
+        let services = [0..plain, plain..backends];
+        let service = services[random.random_range(0..2)].clone();
+        let backend = random.random_range(service.clone());
+        let servers = if random.random_bool(0.6) {
+            service
+        } else {
+            backend..backend + 1
+        };
+        if servers.end <= plain && random.random_bool(0.4) {
+            return FaultKind::SucceedBackends(servers);
+        }
+        let copies = RefusalCopies {
+            percent: random.random_range(20..80),
+            seed: random.random(),
+            at_most: u64::MAX,
+            status: [503, 503, 429][random.random_range(0..3)],
+            names_request: random.random_bool(0.8),
+            early: [0, 0, 0, 1, 40][random.random_range(0..5)],
+            work_delay: Duration::from_millis(random.random_range(0..40)),
+        };
+        FaultKind::Service(servers, BackendFault::RefusalCopies(copies))
+    })
+}
+
 /// Draws `per_s` faults a second, each with its time, its length from `lasts_ms` and then its kind.
 fn draw_faults(
     seed: u64,
--- a/crates/soak/src/fault_task.rs
+++ b/crates/soak/src/fault_task.rs
@@ -4,16 +4,21 @@
 use nix::sys::signal::Signal;
 use zinniahinge_platform_standins::Admission;
 use zinniahinge_platform_standins::BackendFault;
+use zinniahinge_platform_standins::BackendServer;
 use zinniahinge_platform_standins::HostProcess;
+use zinniahinge_platform_standins::RefusalCopies;
 use zinniahinge_platform_standins::RouteText;
 use zinniahinge_platform_standins::StoreFault;
+use zinniahinge_platform_standins::start_successor;
 
 use crate::FaultKind;
 use crate::LinkMode;
+use crate::LinkProxy;
 use crate::PlannedFault;
 use crate::Result;
 use crate::SoakError;
 use crate::soak_world::KEPT_KEY;
+use crate::soak_world::LinkedBackend;
 use crate::soak_world::REPORT_DELAY;
 use crate::soak_world::SoakWorld;
 use crate::soak_world::TURNED_KEY;
@@ -29,6 +34,20 @@
 /// Time for which a backend server serves on after it said that it leaves: the platform's two seconds and a little more.
 const LEAVE_TIME: Duration = Duration::from_millis(2300);
 
+/// Time from the start of a server at the address of a former one until the store names it.
+const ENTRY_DELAY: Duration = Duration::from_millis(300);
+
+/// A server that refuses what is meant for another one, and sends these refusals twice.
+const MISDIRECTED_COPIES: RefusalCopies = RefusalCopies {
+    percent: 0,
+    seed: 0,
+    at_most: 0,
+    status: 503,
+    names_request: true,
+    early: 0,
+    work_delay: Duration::ZERO,
+};
+
 /// Prefixes of routes that are added.
 const ADDED_PREFIXES: [&str; 4] = ["/v1/", "/v2/", "/v3/", "/v4/"];
 
@@ -94,6 +113,26 @@
             server.set_admission(Admission::Open);
             Ok(())
         }
+        FaultKind::Service(servers, kind) => {
+            let servers: Vec<BackendServer> = {
+                let backends = locked(&world.backends);
+                let servers = backends[servers].iter();
+                servers.map(|backend| backend.server.clone()).collect()
+            };
+            for server in &servers {
+                server.set_fault(kind);
+            }
+            tokio::time::sleep(lasts).await;
+            for server in &servers {
+                server.set_fault(BackendFault::None);
+            }
+            Ok(())
+        }
+        FaultKind::SucceedBackends(servers) => {
+            let successions = servers.map(|server| succeed_backend(world, server, lasts));
+            let succeeded = futures::future::join_all(successions).await;
+            succeeded.into_iter().collect()
+        }
         FaultKind::ReplaceBackend(backend) => replace_backend(world, backend).await,
         FaultKind::LeaveByAnswer(backend) => {
             let server = locked(&world.backends)[backend].server.clone();
@@ -190,6 +229,42 @@
     Ok(())
 }
 
+/// Ends a plain backend server and starts another one at its address, which sends its refusals twice for `lasts`.
+async fn succeed_backend(world: &SoakWorld, backend: usize, lasts: Duration) -> Result<()> {
+    let successions = world.successions.lock().await;
+    let former = locked(&world.backends)[backend].server.clone();
+    let id = format!("{}-next", former.id());
+    let started = start_successor(&former, &id, &[]).await;
+    let next = started.map_err(SoakError::of("start a backend server"))?;
+    next.set_fault(BackendFault::RefusalCopies(MISDIRECTED_COPIES));
+    // The former one's requests are judged to the end, so it stays in the list, behind a link that nobody uses.
+    let unused = LinkProxy::start(former.address()).await;
+    let link = unused.map_err(SoakError::of("start a proxy"))?;
+    let address = {
+        let mut backends = locked(&world.backends);
+        let mut present = backends.iter_mut();
+        let slot = present.find(|one| one.server.id() == former.id());
+        let address = slot.map(|slot| {
+            slot.server = next.clone();
+            slot.link.address()
+        });
+        backends.push(LinkedBackend {
+            server: former.clone(),
+            link,
+        });
+        address
+    };
+    drop(successions);
+    tokio::time::sleep(ENTRY_DELAY).await;
+    if let Some(address) = address {
+        next.advertise(address);
+    }
+    former.vanish();
+    tokio::time::sleep(lasts).await;
+    next.set_fault(BackendFault::None);
+    Ok(())
+}
+
 async fn replace_backend(world: &SoakWorld, backend: usize) -> Result<()> {
     let id = format!("app-{}", locked(&world.backends).len());
     let next = start_backend(&world.store, &id, &[]).await?;
--- a/crates/soak/src/ignored_requests.rs
+++ b/crates/soak/src/ignored_requests.rs
@@ -1,11 +1,11 @@
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
 use zinniahinge_platform_standins::SeenRequest;
 
 use crate::CallerRecord;
+use crate::call_index::CallIndex;
 use crate::promise_check::SoakRecords;
 
 /// Requests that callers send later than this after an answer said that the server leaves don't reach it; from the hosts'
@@ -21,11 +21,10 @@
 /// Requests that hosts sent to servers which had asked them not to, in words. A disturbance of the host or of the server's
 /// link excuses it: the host may have forgotten, or never got the answer.
 pub(crate) fn ignored_requests(records: &SoakRecords) -> Vec<String> {
-    let calls = records.calls.iter().map(|call| (&*call.id, call));
-    let calls: HashMap<&str, &CallerRecord> = calls.collect();
+    let index = CallIndex::new(&records.calls);
     let mut arrivals: BTreeMap<(&str, &str), Vec<(&SeenRequest, &CallerRecord)>> = BTreeMap::new();
     for seen in &records.requests {
-        if let Some(call) = calls.get(&*seen.id) {
+        if let Some(call) = index.call_of(seen) {
             let pair = (&*call.host, &*seen.server);
             arrivals.entry(pair).or_default().push((seen, call));
         }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -1,5 +1,6 @@
 //! Randomized faults against real host processes, judged by what callers and backend servers see.
 
+mod call_index;
 mod caller_record;
 mod caller_task;
 mod fault_plan;
@@ -18,6 +19,7 @@
 pub use fault_plan::FaultKind;
 pub use fault_plan::PlannedFault;
 pub use fault_plan::plan_faults;
+pub use fault_plan::plan_refusal_copies;
 pub use link_proxy::LinkMode;
 pub use link_proxy::LinkProxy;
 pub use promise_check::Disturbance;
--- a/crates/soak/src/promise_check.rs
+++ b/crates/soak/src/promise_check.rs
@@ -9,6 +9,7 @@
 use zinniahinge_platform_standins::WorkSpan;
 
 use crate::CallerRecord;
+use crate::call_index::CallIndex;
 use crate::ignored_requests::ignored_requests;
 use crate::overlapping_runs::overlapping_runs;
 
@@ -61,16 +62,30 @@
 
 /// Every promise that the records show to be broken, in words.
 pub fn broken_promises(records: &SoakRecords) -> Vec<String> {
-    let mut runs: HashMap<&str, Vec<&SeenRequest>> = HashMap::new();
+    let index = CallIndex::new(&records.calls);
+    // By id and time of the call: a caller may send a refused request once more under its id.
+    let mut runs: HashMap<(&str, Instant), usize> = HashMap::new();
     for seen in records.requests.iter().filter(|seen| seen.ran) {
-        runs.entry(&seen.id).or_default().push(seen);
+        if let Some(call) = index.call_of(seen) {
+            *runs.entry((&call.id, call.sent_at)).or_default() += 1;
+        }
     }
     let mut broken = Vec::new();
-    for call in &records.calls {
-        let runs = runs.get(&*call.id).map_or(&[][..], Vec::as_slice);
-        check_call(call, runs.len(), &mut broken);
-        if call.key == records.turned_key && !runs.is_empty() {
-            check_key(call, &records.key_turns, &mut broken);
+    for calls in index.by_id() {
+        let runs_of = |call: &CallerRecord| {
+            let runs = runs.get(&(&*call.id, call.sent_at));
+            runs.copied().unwrap_or_default()
+        };
+        let (id, kind) = (&calls[0].id, calls[0].kind);
+        let all_runs: usize = calls.iter().map(|call| runs_of(call)).sum();
+        if kind.runs_once() && all_runs > 1 {
+            broken.push(format!("request {id} ({kind:?}) ran {all_runs} times"));
+        }
+        for call in calls {
+            check_call(call, runs_of(call), &mut broken);
+            if call.key == records.turned_key && runs_of(call) > 0 {
+                check_key(call, &records.key_turns, &mut broken);
+            }
         }
     }
     for seen in &records.requests {
@@ -102,9 +117,6 @@
     let CallerRecord {
         id, kind, answer, ..
     } = call;
-    if kind.runs_once() && runs > 1 {
-        broken.push(format!("request {id} ({kind:?}) ran {runs} times"));
-    }
     let Some(answer) = answer else {
         return;
     };
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -19,6 +19,7 @@
 use crate::broken_promises;
 use crate::caller_task::call;
 use crate::fault_plan::plan_faults;
+use crate::fault_plan::plan_refusal_copies;
 use crate::fault_task::strike;
 use crate::promise_check::SoakRecords;
 use crate::soak_world::PLAIN_SERVERS;
@@ -57,11 +58,17 @@
         fault_time,
         hosts,
         callers,
+        only_refusals,
         ..
     } = *settings;
-    let faults = plan_faults(seed, fault_time, hosts, (PLAIN_SERVERS, backends));
+    let servers = (PLAIN_SERVERS, backends);
+    let faults = if only_refusals {
+        plan_refusal_copies(seed, fault_time, servers)
+    } else {
+        plan_faults(seed, fault_time, hosts, servers)
+    };
     let mut strikes = JoinSet::new();
-    for fault in faults.iter().copied() {
+    for fault in faults.iter().cloned() {
         let world = world.clone();
         strikes.spawn(async move { strike(&world, fault).await });
     }
--- a/crates/soak/src/soak_settings.rs
+++ b/crates/soak/src/soak_settings.rs
@@ -21,6 +21,8 @@
     pub hosts: usize,
     /// Callers, each with a connection that it uses until it ends.
     pub callers: usize,
+    /// True if servers only refuse requests and send their refusals once more; the other faults don't strike.
+    pub only_refusals: bool,
     /// Program of the hosts.
     pub program: PathBuf,
     /// Folder for the hosts' logs of a run that broke a promise; `None` if they aren't kept.
@@ -47,6 +49,9 @@
         .help("Callers (default: 12)")
         .argument::<usize>("COUNT")
         .fallback(12);
+    let only_refusals = bpaf::long("only-refusals")
+        .help("Servers refuse requests and send their refusals once more; no other faults")
+        .switch();
     let program = bpaf::long("program")
         .help("Program of the hosts (default: zinniahinge-host beside this program)")
         .argument::<PathBuf>("FILE")
@@ -60,6 +65,7 @@
         fault_time,
         hosts,
         callers,
+        only_refusals,
         program,
         keep_logs,
     })
--- a/crates/soak/src/soak_world.rs
+++ b/crates/soak/src/soak_world.rs
@@ -62,6 +62,8 @@
 pub(crate) struct SoakWorld {
     pub(crate) store: PlatformStore,
     pub(crate) backends: Mutex<Vec<LinkedBackend>>,
+    /// Held while a server starts at the address of a former one.
+    pub(crate) successions: tokio::sync::Mutex<()>,
     pub(crate) hosts: Vec<HostSlot>,
     pub(crate) fleet: tokio::sync::Mutex<HostFleet>,
     pub(crate) config: Mutex<ConfigText>,
@@ -120,6 +122,7 @@
         Ok(Self {
             store,
             backends: Mutex::new(backends),
+            successions: tokio::sync::Mutex::default(),
             hosts,
             fleet: tokio::sync::Mutex::new(fleet),
             config: Mutex::new(config),
--- a/crates/soak/tests/promise_check.rs
+++ b/crates/soak/tests/promise_check.rs
@@ -140,7 +140,47 @@
             ..with_call(call, Vec::new())
         }
     };
+    // Refused, sent again under the same id at second 5 and answered with this status; runs at these seconds.
+    let refused_and_repeated = |status: u16, runs_at: &[u64]| {
+        let last = match status {
+            200 => served(),
+            status => answer(status, Some(""), None),
+        };
+        let runs = runs_at.iter().map(|second| run_at(at(*second), &[]));
+        SoakRecords {
+            calls: vec![
+                call(RequestKind::Once, at(5), last),
+                once(answer(503, Some(""), None)),
+            ],
+            ..with_call(once(served()), runs.collect())
+        }
+    };
     let cases = [
+        RecordCase {
+            name: "refused, and run when it was sent again",
+            records: refused_and_repeated(200, &[6]),
+            broken: None,
+        },
+        RecordCase {
+            name: "refused twice",
+            records: refused_and_repeated(503, &[]),
+            broken: None,
+        },
+        RecordCase {
+            name: "refused and run before it was sent again",
+            records: refused_and_repeated(200, &[4]),
+            broken: Some("Some(503) and ran"),
+        },
+        RecordCase {
+            name: "refused twice, and run when it was sent again",
+            records: refused_and_repeated(429, &[6]),
+            broken: Some("Some(429) and ran"),
+        },
+        RecordCase {
+            name: "refused, and run twice when it was sent again",
+            records: refused_and_repeated(200, &[6, 7]),
+            broken: Some("ran 2 times"),
+        },
         RecordCase {
             name: "all kept",
             records: with_call(once(served()), vec![run()]),
