--- a/crates/host/src/backend_send.rs
+++ b/crates/host/src/backend_send.rs
@@ -122,7 +122,6 @@
         response,
         lease,
         is_reused,
-        has_carried,
         late_answers,
     } = exchange;
     let (head, body) = response.into_parts();
@@ -157,11 +156,7 @@
     };
     if response.metadata.states_not_executed {
         let status = response.metadata.status;
-        let connection = match (is_reused, has_carried) {
-            (_, true) => "carried-request",
-            (true, false) => "reused",
-            (false, false) => "new",
-        };
+        let connection = if is_reused { "reused" } else { "new" };
         info!(state.logger, "backend server rejected the request"; "id" => &*context.facts.attempt_id,
             "backend" => &*target.entry.id, "status" => status.as_u16(), "connection" => connection);
         state
--- a/crates/host/src/host_counters.rs
+++ b/crates/host/src/host_counters.rs
@@ -13,8 +13,7 @@
     pub(crate) requests: IntCounterVec,
     /// Sends to backend servers by outcome.
     pub(crate) sends: IntCounterVec,
-    /// Rejections by backend servers that counted as "not run", by connection: new, reused, or one that had carried the same
-    /// request.
+    /// Rejections by backend servers that counted as "not run", by connection: new or reused.
     pub(crate) rejections: IntCounterVec,
     /// Answers of backend servers to earlier requests of a connection that came once more and were skipped.
     pub(crate) late_answers: IntCounter,
--- a/crates/transport/src/http_pool.rs
+++ b/crates/transport/src/http_pool.rs
@@ -244,7 +244,6 @@
         key: Option<RequestKey>,
         deadline: Instant,
     ) -> Result<PooledExchange, (SendFailure, Option<Request<Full<Bytes>>>)> {
-        let has_carried = key.is_some_and(|key| connection.carried.contains(key));
         if let Some(key) = key {
             let has_body = request.method() != Method::HEAD;
             connection.carried.insert(key, has_body);
@@ -277,7 +276,6 @@
             response,
             lease,
             is_reused: false,
-            has_carried,
             late_answers,
         })
     }
--- a/crates/transport/src/pooled_exchange.rs
+++ b/crates/transport/src/pooled_exchange.rs
@@ -32,8 +32,6 @@
     pub lease: ConnectionLease,
     /// True if the connection had an exchange before. Late bytes of that one may have come first.
     pub is_reused: bool,
-    /// True if the connection carried the same request before. The response may be a copy of the earlier one.
-    pub has_carried: bool,
     /// Number of answers to earlier requests of the connection that came before the response and were skipped.
     pub late_answers: u64,
 }
