Serving: slots for requests to servers that name a limit

A limit counts the requests of all hosts together, so no host can keep to it by itself.

- BackendLoad keeps the newest statement of a run about its limit, by when the server made it, and the next free slot that this host knows of.

--- a/crates/serving/src/backend_load.rs
+++ b/crates/serving/src/backend_load.rs
@@ -13,8 +13,10 @@
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 
+use crate::LimitStatement;
 use crate::RequestFacts;
 use crate::SentParts;
+use crate::limit_record::LimitRecord;
 
 /// Time for which a server is avoided after it gave this host no answer.
 const AVOID_TIME: Duration = Duration::from_millis(1500);
@@ -43,6 +45,8 @@
     avoid_until_us: AtomicU64,
     pause_until_us: AtomicU64,
     is_leaving: AtomicBool,
+    limit: Mutex<LimitRecord>,
+    limited_until_us: AtomicU64,
     succeeded: AtomicU32,
     failed: AtomicU32,
     sample: Mutex<Option<(LoadSample, MonotonicTime)>>,
@@ -154,6 +158,49 @@
         self.is_leaving.load(Ordering::Relaxed)
     }
 
+    /// Records what the server said about its limit, unless something newer is known; returns true if the limit in force
+    /// changed.
+    pub fn record_limit(&self, statement: LimitStatement) -> bool {
+        let mut limit = self.lock_limit();
+        let is_changed = limit.apply(statement);
+        self.publish_bar(&limit);
+        is_changed
+    }
+
+    /// Requests a second that the server takes from all hosts together; `None` without a limit.
+    pub fn limit_per_s(&self) -> Option<f64> {
+        self.lock_limit().limit()
+    }
+
+    /// The newest statement about a limit, if the server has ever named one.
+    pub fn limit_statement(&self) -> Option<LimitStatement> {
+        self.lock_limit().statement()
+    }
+
+    /// Sends nothing more to the server until `until`, when its next slot is free, unless the limit changes.
+    pub fn bar_until_slot(&self, until: MonotonicTime) {
+        let mut limit = self.lock_limit();
+        limit.bar(until);
+        self.publish_bar(&limit);
+    }
+
+    /// Next free slot of a limited server that this host knows of; `None` if one may be free at `now`.
+    pub fn limited_until(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+        let until = Duration::from_micros(self.limited_until_us.load(Ordering::Relaxed));
+        let until = MonotonicTime::from_origin(until);
+        (now < until).then_some(until)
+    }
+
+    /// Copies the end of the bar to where it is read without the lock. Call it with the lock held.
+    fn publish_bar(&self, limit: &LimitRecord) {
+        let until = limit.barred_until().since_origin().as_micros() as u64;
+        self.limited_until_us.store(until, Ordering::Relaxed);
+    }
+
+    fn lock_limit(&self) -> MutexGuard<'_, LimitRecord> {
+        self.limit.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the numbers of answered and of failed requests since the last call.
     pub fn take_outcomes(&self) -> (u32, u32) {
         (
--- a/crates/types/src/fleet_message.rs
+++ b/crates/types/src/fleet_message.rs
@@ -106,7 +106,7 @@
 }
 
 /// Names one run of a backend server.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct BackendRun {
     /// Backend server.
     pub backend: Name,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -13,6 +13,7 @@
 mod part_message;
 mod pool_message;
 mod resource_key;
+mod slot_message;
 mod store_message;
 
 pub use copy_message::KeepCopyRequest;
@@ -91,6 +92,9 @@
 pub use resource_key::ResourceKey;
 pub use resource_key::SHARD_COUNT;
 pub use resource_key::ShardId;
+pub use slot_message::LimitNotice;
+pub use slot_message::SlotReply;
+pub use slot_message::SlotRequest;
 pub use store_message::ConfigReply;
 pub use store_message::ConfigRequest;
 pub use store_message::RelayedChange;
--- /dev/null
+++ b/crates/types/src/slot_message.rs
@@ -0,0 +1,65 @@
+//! Messages about backend servers that limit the rate of requests to them.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde_with::DurationMicroSeconds;
+use serde_with::serde_as;
+
+use crate::BackendRun;
+use crate::HostId;
+
+/// States what a run of a backend server last said about its limit, as far as the sender knows.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitNotice {
+    /// Run of the backend server.
+    pub run: BackendRun,
+    /// Requests a second that it takes from all hosts together; `None` if it names no limit any more.
+    pub limit_per_s: Option<f64>,
+    /// Time since the backend server said so.
+    #[serde_as(as = "DurationMicroSeconds<u64>")]
+    #[serde(rename = "age_us")]
+    pub age: Duration,
+}
+
+/// Asks the coordinator when one request may be sent to a backend server that limits requests.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SlotRequest {
+    /// Host that sends this.
+    pub host: HostId,
+    /// The limit as the sender knows it.
+    pub notice: LimitNotice,
+    /// Longest time that the request can wait.
+    #[serde_as(as = "DurationMicroSeconds<u64>")]
+    #[serde(rename = "max_wait_us")]
+    pub max_wait: Duration,
+}
+
+/// Answers a [`SlotRequest`].
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum SlotReply {
+    /// The receiver is not the coordinator.
+    NotHolder,
+    /// The request may be sent.
+    Granted {
+        /// Time until then.
+        #[serde_as(as = "DurationMicroSeconds<u64>")]
+        #[serde(rename = "wait_us")]
+        wait: Duration,
+        /// Time until the next request may be sent by any host.
+        #[serde_as(as = "DurationMicroSeconds<u64>")]
+        #[serde(rename = "next_in_us")]
+        next_in: Duration,
+    },
+    /// The request would have to wait longer than it can.
+    Refused {
+        /// Time until the next request may be sent.
+        #[serde_as(as = "DurationMicroSeconds<u64>")]
+        #[serde(rename = "again_in_us")]
+        again_in: Duration,
+    },
+}
