Host: backend servers get no more requests than the limit that they name

Every send now needs a SendPermit, which send() takes, so that first sends, repeats, returns and resumed streams all count. For a server with a limit the host asks the coordinator for a slot (/peer/slot). If none is in time, nothing is sent, the server is barred until its next slot (SendBar::Limited) and another one is chosen.

A limit holds for a run of the server until one of its answers names another or none. An unreadable value changes nothing. Reports and views pass the newest statements on with their ages. After a wait, the key and the server's bars are checked again.

--- a/crates/host/src/backend_exchange.rs
+++ b/crates/host/src/backend_exchange.rs
@@ -19,6 +19,7 @@
 use crate::request_context::RequestContext;
 use crate::request_log::SERVED;
 use crate::send_history::SendHistory;
+use crate::send_permit::SendPermit;
 
 /// Response that is passed on to the caller.
 pub(crate) enum CallerResponse {
@@ -40,12 +41,12 @@
     state: &Arc<HostState>,
     context: &RequestContext,
     history: &mut SendHistory,
-    target: &BackendCandidate,
+    (target, permit): (&BackendCandidate, SendPermit),
     deadline: Instant,
 ) -> Result<CallerResponse, FailedSend> {
     let sent_at = Instant::now();
     let is_alone = target.load.fleet_pending_tokens() == 0;
-    let response = send(state, context, history, target, None, deadline).await?;
+    let response = send(state, context, history, (target, permit), None, deadline).await?;
     let delivered = match context.rule.kind {
         RouteKind::Streaming { .. } if response.metadata.status.is_success() => {
             let opened = open_stream(response, target, deadline).await;
--- a/crates/host/src/backend_send.rs
+++ b/crates/host/src/backend_send.rs
@@ -9,9 +9,11 @@
 use tokio::time::Instant;
 use zinniahinge_platform::BackendHeaders;
 use zinniahinge_platform::PauseRequest;
+use zinniahinge_platform::RateLimit;
 use zinniahinge_platform::ResponseMetadata;
 use zinniahinge_platform::set_resume_point;
 use zinniahinge_serving::BackendCandidate;
+use zinniahinge_serving::LimitStatement;
 use zinniahinge_serving::LoadGuard;
 use zinniahinge_serving::SendBar;
 use zinniahinge_transport::PooledExchange;
@@ -23,6 +25,7 @@
 use crate::host_state::HostState;
 use crate::request_context::RequestContext;
 use crate::send_history::SendHistory;
+use crate::send_permit::SendPermit;
 
 /// Longest idle time of a pooled connection that a non-repeatable request may use. Backend servers close connections
 /// that were idle for several seconds, and a request written just then may or may not have been read.
@@ -78,7 +81,7 @@
     }
 }
 
-/// Sends a request to a backend server and reads the head of the response, until `deadline`.
+/// Uses the permit to send a request to a backend server, and reads the head of the response, until `deadline`.
 ///
 /// `resume_after` is the id of the event after which a stream continues. A request that goes to the same server again
 /// uses a new connection, on which no late answer is due.
@@ -86,12 +89,14 @@
     state: &HostState,
     context: &RequestContext,
     history: &mut SendHistory,
-    target: &BackendCandidate,
+    (target, _permit): (&BackendCandidate, SendPermit),
     resume_after: Option<&str>,
     deadline: Instant,
 ) -> Result<BackendResponse, BackendSendError> {
-    if let Some(bar) = SendBar::find(&target.entry, &target.load, state.now()) {
-        return Err(BackendSendError::Barred(bar));
+    match SendBar::find(&target.entry, &target.load, state.now()) {
+        // The permit covers this send; the bar is for the next one.
+        None | Some(SendBar::Limited { .. }) => {}
+        Some(bar) => return Err(BackendSendError::Barred(bar)),
     }
     let guard = LoadGuard::for_request(target.load.clone(), &context.facts);
     let request =
@@ -170,8 +175,8 @@
     Ok(response)
 }
 
-/// Notes the server's load, that it leaves or that it wants a pause. Hosts come back from a pause at different times, so that the server isn't
-/// met by all of them at once.
+/// Notes the server's load, that it leaves, wants a pause or limits requests. Hosts come back from a pause at different times,
+/// so that the server isn't met by all of them at once.
 fn apply_server_notices(
     state: &HostState,
     context: &RequestContext,
@@ -202,6 +207,20 @@
                 "id" => id, "backend" => backend, "value" => value);
         }
     }
+    let limit_per_s = match &metadata.limit {
+        RateLimit::None => None,
+        RateLimit::PerSecond(limit) => Some(*limit),
+        RateLimit::Unreadable(value) => {
+            info!(state.logger, "limit of a backend server ignored, it is not a number of requests";
+                "id" => id, "backend" => backend, "value" => value);
+            return;
+        }
+    };
+    let at = state.now();
+    if target.load.record_limit(LimitStatement { limit_per_s, at }) {
+        info!(state.logger, "backend server changes its limit"; "id" => id, "backend" => backend,
+            "limit_per_s" => limit_per_s);
+    }
 }
 
 /// Builds the request for the backend server: the caller's method, path and body with the system's own headers.
--- a/crates/host/src/caller_response.rs
+++ b/crates/host/src/caller_response.rs
@@ -101,6 +101,8 @@
     NoBackend,
     /// All backend servers that could run the request asked for a pause.
     ServersPaused,
+    /// All backend servers that could run the request limit requests and have no slot in time.
+    ServersLimited,
     /// A part of the request's prompt crashes backend servers.
     PartBlocked,
     /// The model is not loaded and can't be loaded in time.
@@ -130,6 +132,7 @@
             Self::RateLimited => "rate-limited",
             Self::NoBackend => "no-backend",
             Self::ServersPaused => "servers-paused",
+            Self::ServersLimited => "servers-limited",
             Self::PartBlocked => "prompt-part-blocked",
             Self::ModelUnavailable => "model-unavailable",
             Self::Overloaded => "overloaded",
@@ -152,6 +155,7 @@
             | Self::StaleConfiguration
             | Self::NoBackend
             | Self::ServersPaused
+            | Self::ServersLimited
             | Self::PartBlocked
             | Self::ModelUnavailable
             | Self::Overloaded
--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -14,10 +14,12 @@
 use zinniahinge_serving::CoordinatorTerm;
 use zinniahinge_serving::CoordinatorTimes;
 use zinniahinge_serving::FleetLedger;
+use zinniahinge_serving::LimitLedger;
 use zinniahinge_serving::PartLedger;
 use zinniahinge_serving::Placement;
 use zinniahinge_serving::ResidencyPlanner;
 use zinniahinge_serving::ResidencySettings;
+use zinniahinge_serving::SlotDecision;
 use zinniahinge_types::BackendRun;
 use zinniahinge_types::EngineModels;
 use zinniahinge_types::FleetCharge;
@@ -25,10 +27,13 @@
 use zinniahinge_types::FleetReply;
 use zinniahinge_types::FleetReport;
 use zinniahinge_types::FleetView;
+use zinniahinge_types::LimitNotice;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 use zinniahinge_types::PlacementReply;
 use zinniahinge_types::PlacementRequest;
+use zinniahinge_types::SlotReply;
+use zinniahinge_types::SlotRequest;
 
 use crate::fleet_reporter::INTERVAL_PER_HOST;
 use crate::fleet_table::FleetTable;
@@ -62,9 +67,13 @@
     pub(crate) ledger: FleetLedger,
     /// Prompt parts that crash backend servers.
     pub(crate) parts: PartLedger,
+    /// Schedules for backend servers that limit requests.
+    limits: LimitLedger,
     watch: ModelWatch,
     /// Backend servers that say that they leave while the store lists them as ready, as of `settled_at`.
     leaving: Vec<BackendRun>,
+    /// What backend servers said about their limits, as of `settled_at`.
+    limit_notices: Vec<LimitNotice>,
     /// When the prompt parts were last decided on.
     settled_at: MonotonicTime,
 }
@@ -94,8 +103,10 @@
             planners: HashMap::new(),
             ledger,
             parts,
+            limits: LimitLedger::new(now),
             watch: ModelWatch::default(),
             leaving: Vec::new(),
+            limit_notices: Vec::new(),
             settled_at: now,
         }
     }
@@ -149,6 +160,7 @@
         let slots = table.services.values().flatten();
         let listed: HashSet<&Name> = slots.map(|slot| &slot.entry.id).collect();
         self.ledger.retain_backends(|id| listed.contains(id));
+        self.limits.retain(|run| listed.contains(&run.backend));
     }
 
     /// Runs the ledger's periodic work over all accounts and backend servers if it is due.
@@ -196,6 +208,44 @@
         FleetChargeReply::Holder { is_admitted, level }
     }
 
+    /// Reserves a slot for one request to a backend server that limits requests.
+    fn slot(&mut self, request: &SlotRequest, now: MonotonicTime) -> SlotReply {
+        let notice = &request.notice;
+        self.state.record_limits(std::slice::from_ref(notice), now);
+        let limit_per_s = self
+            .state
+            .with_source(|source| match source.load(&notice.run) {
+                Some(load) => load.limit_per_s(),
+                None => notice.limit_per_s,
+            });
+        let decision = limit_per_s.map_or(
+            // Another host has heard that the limit is lifted.
+            SlotDecision::Granted {
+                wait: Duration::ZERO,
+                next_in: Duration::ZERO,
+            },
+            |limit| {
+                self.limits
+                    .reserve(&notice.run, limit, request.max_wait, now)
+            },
+        );
+        match decision {
+            SlotDecision::Granted { wait, next_in } => SlotReply::Granted { wait, next_in },
+            SlotDecision::Refused { again_in } => SlotReply::Refused { again_in },
+        }
+    }
+
+    /// What backend servers said about their limits, with their ages at `now`.
+    fn limits_known(&self, now: MonotonicTime) -> Vec<LimitNotice> {
+        let since = now.since(self.settled_at);
+        let notices = self.limit_notices.iter().cloned();
+        let notices = notices.map(|notice| LimitNotice {
+            age: notice.age + since,
+            ..notice
+        });
+        notices.collect()
+    }
+
     /// Takes in a host's report and returns what changed in the fleet since the versions that it names.
     fn report(&mut self, report: &FleetReport, now: MonotonicTime) -> FleetView {
         let table = self.state.table.load_full();
@@ -203,10 +253,12 @@
         self.settle(&table, now);
         self.ledger.apply(report, accounts, now);
         self.state.mark_leaving(&report.leaving);
+        self.state.record_limits(&report.limits, now);
         self.parts.apply(&report.host, &report.parts, now);
         if now.since(self.settled_at) >= SETTLE_INTERVAL {
             self.settled_at = now;
             self.leaving = table.leaving_unlisted();
+            self.limit_notices = table.limit_notices(Duration::MAX, now);
             self.settle_parts(now);
         }
         for used in &report.models {
@@ -261,6 +313,7 @@
                 .and_then(|after| reading_since(&self.state, after)),
             store_outage: relayed_outage(&self.state),
             leaving: self.leaving.clone(),
+            limits: self.limits_known(now),
             blocked: self.parts.changes_since(report.parts.blocked_version, now),
         }
     }
@@ -357,6 +410,15 @@
         }
     }
 
+    /// Decides when a host may send a request to a backend server that limits requests.
+    pub(crate) fn slot(&self, request: &SlotRequest, now: MonotonicTime) -> SlotReply {
+        if self.fence(now).is_none() {
+            return SlotReply::NotHolder;
+        }
+        let decided = self.with(|coordinator| coordinator.slot(request, now));
+        decided.unwrap_or(SlotReply::NotHolder)
+    }
+
     /// Decides for a host to which backend server a request can go. Holds the answer while an order may still make room,
     /// for [`PLACE_HOLD_LIMIT`] or the request's remaining time, whichever is shorter.
     pub(crate) async fn place(
--- a/crates/host/src/event_relay.rs
+++ b/crates/host/src/event_relay.rs
@@ -32,6 +32,8 @@
 use crate::run_check::SILENCE_CHECK_INTERVAL;
 use crate::run_check::is_run_over;
 use crate::send_history::SendHistory;
+use crate::send_permit::PermitError;
+use crate::send_permit::acquire_permit;
 use crate::stream_head::StreamHead;
 
 /// Chunks that are buffered for a slow caller before the relay stops reading from the backend server.
@@ -339,6 +341,16 @@
             }
             let (state, context) = (&self.state, &self.context);
             let target = next_target(state, context, &mut self.history).await.ok()?;
+            let permit = match acquire_permit(state, context, &self.history, &target).await {
+                Ok(permit) => permit,
+                Err(PermitError::Barred(bar)) => {
+                    info!(state.logger, "event stream not resumed, send barred";
+                        "id" => &*context.facts.attempt_id, "backend" => &*target.entry.id, "bar" => bar.name());
+                    self.history.record_bar(&target.entry.id, bar);
+                    continue;
+                }
+                Err(PermitError::Ended(_)) => return None,
+            };
             if !state.retries.for_service(&context.service).try_retry() {
                 return None;
             }
@@ -347,7 +359,16 @@
             self.log.delivered_sends += 1;
             self.log.backend = Some(backend.clone());
             let (history, deadline) = (&mut self.history, context.deadline);
-            let sent = send(state, context, history, &target, Some(last_event), deadline).await;
+            let target_permit = (&target, permit);
+            let sent = send(
+                state,
+                context,
+                history,
+                target_permit,
+                Some(last_event),
+                deadline,
+            )
+            .await;
             let is_not_run = matches!(&sent, Err(end) if end.is_not_run());
             let opened = match sent {
                 Ok(response)
--- a/crates/host/src/fleet_reporter.rs
+++ b/crates/host/src/fleet_reporter.rs
@@ -32,6 +32,9 @@
 /// the host uses its own share of the rates.
 const MAX_IDLE_INTERVAL: Duration = Duration::from_millis(800);
 
+/// Age up to which a report repeats what a backend server said about its limit: two reports of a fleet of 400 hosts.
+const MAX_LIMIT_AGE: Duration = Duration::from_millis(2400);
+
 /// Shortest report interval divided by the number of hosts in the fleet. Limits the coordinator to 333 reports a second.
 pub(crate) const INTERVAL_PER_HOST: Duration = Duration::from_millis(3);
 
@@ -83,9 +86,20 @@
                 self.send_report(&holder, interval, &mut session).await;
             }
             self.refresh_host_record(&mut session).await;
+            self.settle_limits();
         }
     }
 
+    /// Drops shares of runs that are gone, and counts the backend servers that limit requests.
+    fn settle_limits(&self) {
+        let table = self.state.table.load();
+        let limited = table.limited_count();
+        self.state.counters.limited_servers.set(limited as i64);
+        let mut shares = self.state.limit_shares();
+        self.state
+            .with_source(|source| shares.retain(|run| source.load(run).is_some()));
+    }
+
     /// Writes this host's record again after [`LIVENESS_INTERVAL`] without an answered report or a write. The coordinator learns
     /// from it that this host is alive, and keeps this host's share of the accounts' rates reserved.
     async fn refresh_host_record(&self, session: &mut ReportSession) {
@@ -182,6 +196,12 @@
             };
             (meter.take_unreported(&holder.host), prior_levels)
         };
+        // The coordinator that answered the last report knows of the older ones.
+        let limit_age = if is_new || session.is_unanswered {
+            Duration::MAX
+        } else {
+            MAX_LIMIT_AGE
+        };
         let table = state.table.load();
         let slots = table.services.values().flatten();
         let backends = slots.filter_map(|slot| {
@@ -214,6 +234,7 @@
                 ..state.parts().report(holder.fence, now)
             },
             leaving: table.leaving_unlisted(),
+            limits: table.limit_notices(limit_age, now),
         }
     }
 
@@ -238,6 +259,7 @@
             store_outage,
             blocked,
             leaving,
+            limits,
         } = view;
         let known_hosts = state.with_source(|source| source.hosts.len() as u32);
         state.set_hosts(hosts.max(known_hosts));
@@ -258,6 +280,7 @@
             has_views || has_blocked
         });
         state.mark_leaving(&leaving);
+        state.record_limits(&limits, asked_at);
         // A coordinator of an earlier version states no more than when a call last failed.
         let last_failure = store.as_ref().and_then(|reading| reading.outage_age_ms);
         let last_failure = last_failure.map(|age_ms| RelayedOutage {
--- a/crates/host/src/fleet_table.rs
+++ b/crates/host/src/fleet_table.rs
@@ -2,6 +2,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::LazyLock;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -14,6 +15,7 @@
 use zinniahinge_types::BackendRun;
 use zinniahinge_types::BlockedParts;
 use zinniahinge_types::HostId;
+use zinniahinge_types::LimitNotice;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 
@@ -72,6 +74,14 @@
         SendBar::find(&self.entry, &self.load, now)
     }
 
+    /// Names its run.
+    pub(crate) fn run(&self) -> BackendRun {
+        BackendRun {
+            backend: self.entry.id.clone(),
+            born_ms: self.entry.born_ms,
+        }
+    }
+
     /// True if it says that it leaves while the store lists it as ready.
     pub(crate) fn leaves_unlisted(&self) -> bool {
         self.load.is_leaving() && self.entry.phase == BackendPhase::Ready
@@ -120,11 +130,29 @@
     pub(crate) fn leaving_unlisted(&self) -> Vec<BackendRun> {
         let slots = self.services.values().flatten();
         let leaving = slots.filter(|slot| slot.leaves_unlisted());
-        let runs = leaving.map(|slot| BackendRun {
-            backend: slot.entry.id.clone(),
-            born_ms: slot.entry.born_ms,
+        leaving.map(BackendSlot::run).collect()
+    }
+
+    /// What backend servers that have ever named a limit last said about it, at most `max_age` ago.
+    pub(crate) fn limit_notices(&self, max_age: Duration, now: MonotonicTime) -> Vec<LimitNotice> {
+        let slots = self.services.values().flatten();
+        let notices = slots.filter_map(|slot| {
+            let statement = slot.load.limit_statement()?;
+            let age = now.since(statement.at);
+            (age <= max_age).then(|| LimitNotice {
+                run: slot.run(),
+                limit_per_s: statement.limit_per_s,
+                age,
+            })
         });
-        runs.collect()
+        notices.collect()
+    }
+
+    /// Number of backend servers that limit requests.
+    pub(crate) fn limited_count(&self) -> usize {
+        let slots = self.services.values().flatten();
+        let limited = slots.filter(|slot| slot.load.limit_per_s().is_some());
+        limited.count()
     }
 
     /// Finds a backend server of a service by its id.
--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -30,6 +30,9 @@
 use crate::request_wait::wait_until;
 use crate::run_check::wait_for_silent_run_end;
 use crate::send_history::SendHistory;
+use crate::send_permit::PermitError;
+use crate::send_permit::SendPermit;
+use crate::send_permit::acquire_permit;
 use crate::stream_head::StreamHead;
 
 /// Shortest time before the deadline at which a request is still sent to a backend server.
@@ -156,14 +159,30 @@
                 }
             }
         }
+        let permit = match acquire_permit(state, context, history, &target).await {
+            Ok(permit) => permit,
+            Err(PermitError::Barred(bar)) => {
+                record_bar(state, context, history, &target, bar);
+                has_retry = history.delivered_sends > 0;
+                continue;
+            }
+            Err(PermitError::Ended(refusal)) => {
+                return end_with_failure(refusal, history, failed_response);
+            }
+        };
         has_retry = false;
+        if permit.has_waited
+            && let Err(refusal) = recheck_key(state, context)
+        {
+            return end_with_failure(refusal, history, failed_response);
+        }
         if let Err(refusal) = check_parts_before_send(state, &context.facts) {
             return end_with_failure(refusal, history, failed_response);
         }
         let backend = target.entry.id.clone();
         log.record_send(&backend);
         history.sending_to = Some(backend.clone());
-        let sent = send_and_read(state, context, history, &target).await;
+        let sent = send_and_read(state, context, history, (&target, permit)).await;
         history.sending_to = None;
         let is_delivered = !matches!(&sent, Err(failed) if failed.is_unsent());
         history.delivered_sends += u32::from(is_delivered);
@@ -265,6 +284,21 @@
     }
 }
 
+/// Records that nothing may be sent to the chosen server now, so that another one is chosen.
+fn record_bar(
+    state: &HostState,
+    context: &RequestContext,
+    history: &mut SendHistory,
+    target: &BackendCandidate,
+    bar: SendBar,
+) {
+    let backend = &target.entry.id;
+    info!(state.logger, "send to backend server barred"; "id" => &*context.facts.attempt_id,
+        "backend" => &**backend, "bar" => bar.name());
+    state.counters.sends.with_label_values(&[bar.name()]).inc();
+    history.record_bar(backend, bar);
+}
+
 /// Counts the request for the next report of model usage to the coordinator.
 fn record_model_use(state: &HostState, context: &RequestContext) {
     let facts = &context.facts;
@@ -334,20 +368,20 @@
     state: &Arc<HostState>,
     context: &RequestContext,
     history: &mut SendHistory,
-    target: &BackendCandidate,
+    (target, permit): (&BackendCandidate, SendPermit),
 ) -> Result<CallerResponse, FailedSend> {
     let failover_timeout = (context.rule.goal * FAILOVER_GOAL_FACTOR).max(MIN_FAILOVER_TIMEOUT);
     let failover_at = Instant::now() + failover_timeout;
     if context.rule.kind.is_repeatable() && context.facts.model.is_none() {
         let deadline = context.deadline.min(failover_at);
-        return exchange(state, context, history, target, deadline).await;
+        return exchange(state, context, history, (target, permit), deadline).await;
     }
     if !may_send_again(state, context, history) {
-        return exchange(state, context, history, target, context.deadline).await;
+        return exchange(state, context, history, (target, permit), context.deadline).await;
     }
     tokio::select! {
         biased;
-        delivered = exchange(state, context, history, target, context.deadline) => delivered,
+        delivered = exchange(state, context, history, (target, permit), context.deadline) => delivered,
         () = wait_for_silent_run_end(state, context, target, failover_at) => {
             target.load.count_failure();
             target.load.avoid(state.now());
--- a/crates/host/src/host_counters.rs
+++ b/crates/host/src/host_counters.rs
@@ -17,6 +17,10 @@
     pub(crate) rejections: IntCounterVec,
     /// Answers of backend servers to earlier requests of a connection that came once more and were skipped.
     pub(crate) late_answers: IntCounter,
+    /// Slots asked for at backend servers that limit requests, by who decided and how.
+    pub(crate) slots: IntCounterVec,
+    /// Backend servers that limit requests, as this host knows.
+    pub(crate) limited_servers: IntGauge,
     /// Questions to engines whether they still work on a request, by what the answer shows and whether the request may go
     /// on at another server.
     pub(crate) run_lookups: IntCounterVec,
@@ -60,6 +64,15 @@
                 "host_late_answers_total",
                 "Answers to earlier requests that came again and were skipped",
             )?,
+            slots: registry.counter_vec(
+                "host_limit_slots_total",
+                "Slots asked for at backend servers that limit requests, by source and outcome",
+                &["source", "outcome"],
+            )?,
+            limited_servers: registry.gauge(
+                "host_limited_servers",
+                "Backend servers that limit the requests of all hosts together",
+            )?,
             run_lookups: registry.counter_vec(
                 "host_run_lookups_total",
                 "Runs looked up at engines by evidence and permission to go on elsewhere",
--- a/crates/host/src/host_process.rs
+++ b/crates/host/src/host_process.rs
@@ -209,6 +209,7 @@
         meter: Mutex::new(meter),
         stand_in: Mutex::new(StandInMeter::new(meter_settings(&startup.bounds))),
         retries: RetryBudgets::new(&startup.bounds),
+        limit_shares: Mutex::default(),
         uses: Mutex::new(ModelUses::default()),
         timings: Mutex::new(EngineTimings::default()),
         parts: Mutex::default(),
--- a/crates/host/src/host_state.rs
+++ b/crates/host/src/host_state.rs
@@ -6,12 +6,15 @@
 
 use arc_swap::ArcSwap;
 use slog::Logger;
+use slog::info;
 use tokio::sync::watch;
 use zinniahinge_platform::EngineClient;
 use zinniahinge_platform::FleetBounds;
 use zinniahinge_platform::StartupSettings;
 use zinniahinge_serving::AccountMeter;
 use zinniahinge_serving::ConfigFreshness;
+use zinniahinge_serving::LimitShares;
+use zinniahinge_serving::LimitStatement;
 use zinniahinge_serving::MeterSettings;
 use zinniahinge_serving::SilentHosts;
 use zinniahinge_serving::StandInMeter;
@@ -23,6 +26,7 @@
 use zinniahinge_types::FleetCharge;
 use zinniahinge_types::FleetChargeReply;
 use zinniahinge_types::HostId;
+use zinniahinge_types::LimitNotice;
 use zinniahinge_types::MonotonicTime;
 
 use crate::engine_timings::EngineTimings;
@@ -60,6 +64,8 @@
     /// Meter for charges that this host decides as the stand-in of a coordinator that doesn't answer.
     pub(crate) stand_in: Mutex<StandInMeter>,
     pub(crate) retries: RetryBudgets,
+    /// This host's shares of the limits that backend servers name.
+    pub(crate) limit_shares: Mutex<LimitShares>,
     /// Uses of models since the last report to the coordinator.
     pub(crate) uses: Mutex<ModelUses>,
     /// Times that engines took for requests since the last report to the coordinator.
@@ -112,6 +118,13 @@
         }
     }
 
+    /// Locks this host's shares of limits.
+    pub(crate) fn limit_shares(&self) -> MutexGuard<'_, LimitShares> {
+        self.limit_shares
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the model uses.
     pub(crate) fn uses(&self) -> MutexGuard<'_, ModelUses> {
         self.uses.lock().unwrap_or_else(PoisonError::into_inner)
@@ -199,6 +212,27 @@
         }
     }
 
+    /// Records limits that backend servers named to other hosts; the ages in `notices` count from `at`.
+    pub(crate) fn record_limits(&self, notices: &[LimitNotice], at: MonotonicTime) {
+        if notices.is_empty() {
+            return;
+        }
+        self.with_source(|source| {
+            for notice in notices {
+                let statement = LimitStatement {
+                    limit_per_s: notice.limit_per_s,
+                    at: at.before(notice.age),
+                };
+                let load = source.load(&notice.run);
+                if load.is_some_and(|load| load.record_limit(statement)) {
+                    info!(self.logger, "limit of a backend server learned from another host";
+                        "backend" => &*notice.run.backend, "limit_per_s" => notice.limit_per_s,
+                        "age_ms" => notice.age.as_millis() as u64);
+                }
+            }
+        });
+    }
+
     /// Records that the store answered a call that was sent at `sent`. To be called before the answer is applied.
     pub(crate) fn record_store_answer(&self, sent: MonotonicTime) {
         let now = self.now();
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -35,6 +35,7 @@
 mod retry_budgets;
 mod run_check;
 mod send_history;
+mod send_permit;
 mod side_servers;
 mod stop_progress;
 mod store_follower;
--- a/crates/host/src/next_target.rs
+++ b/crates/host/src/next_target.rs
@@ -7,6 +7,7 @@
 use crate::request_context::RequestContext;
 use crate::run_check::wait_for_run_end;
 use crate::send_history::SendHistory;
+use crate::send_permit::SHORT_SLOT_WAIT;
 use crate::target_choice::choose_target;
 
 /// Chooses the backend server for the next send of a request.
@@ -19,6 +20,7 @@
     context: &RequestContext,
     history: &mut SendHistory,
 ) -> Result<BackendCandidate> {
+    history.slot_wait = SHORT_SLOT_WAIT;
     if let Some(target) = history.take_return() {
         return Ok(target);
     }
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -15,6 +15,8 @@
 use zinniahinge_types::FleetReport;
 use zinniahinge_types::PlacementReply;
 use zinniahinge_types::PlacementRequest;
+use zinniahinge_types::SlotReply;
+use zinniahinge_types::SlotRequest;
 
 use crate::coordinator::CoordinatorCell;
 use crate::fleet_table::LeaseHolder;
@@ -38,6 +40,12 @@
 /// Timeout of a charge. Short, because the caller's request waits for it.
 const CHARGE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Path of requests for a slot at a backend server that limits requests.
+pub(crate) const SLOT_PATH: &str = "/peer/slot";
+
+/// Timeout of a request for a slot. Short, because the caller's request waits for it.
+const SLOT_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Timeout of a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -102,6 +110,20 @@
             .await
     }
 
+    /// Asks the coordinator when a request may be sent to a backend server that limits requests.
+    pub(crate) async fn slot(
+        &self,
+        holder: &LeaseHolder,
+        request: &SlotRequest,
+        state: &HostState,
+    ) -> Result<SlotReply, PeerError> {
+        if holder.host == state.startup.host {
+            return Ok(self.cell.slot(request, state.now()));
+        }
+        self.call(holder.address, (SLOT_PATH, SLOT_TIMEOUT), request)
+            .await
+    }
+
     /// Asks the coordinator to which backend server a request can go.
     pub(crate) async fn place(
         &self,
--- a/crates/host/src/peer_routes.rs
+++ b/crates/host/src/peer_routes.rs
@@ -10,6 +10,7 @@
 use zinniahinge_types::FleetCharge;
 use zinniahinge_types::FleetReport;
 use zinniahinge_types::PlacementRequest;
+use zinniahinge_types::SlotRequest;
 
 use crate::coordinator::CoordinatorCell;
 use crate::host_state::HostState;
@@ -17,6 +18,7 @@
 use crate::peer_link::CONFIG_PATH;
 use crate::peer_link::PLACE_PATH;
 use crate::peer_link::REPORT_PATH;
+use crate::peer_link::SLOT_PATH;
 use crate::store_relay::config_since;
 
 /// Server for the messages of other hosts; the receiver checks their authenticity.
@@ -69,6 +71,13 @@
                     })
                     .await
             }
+            SLOT_PATH => {
+                receiver
+                    .serve(request, async |message: SlotRequest| {
+                        cell.slot(&message, state.now())
+                    })
+                    .await
+            }
             _ => {
                 let mut response = Response::new(Body::default());
                 *response.status_mut() = http::StatusCode::NOT_FOUND;
--- a/crates/host/src/send_history.rs
+++ b/crates/host/src/send_history.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use smallvec::SmallVec;
 use zinniahinge_serving::BackendCandidate;
 use zinniahinge_serving::SendBar;
@@ -32,6 +34,8 @@
     returned_to: SmallVec<[Name; 2]>,
     /// Why a backend server was last left out, although it could have run the request.
     pub(crate) bar: Option<SendBar>,
+    /// Longest time that the next send may wait for a slot at a backend server that limits requests.
+    pub(crate) slot_wait: Duration,
     /// Sends that reached a backend server.
     pub(crate) delivered_sends: u32,
 }
--- a/crates/host/src/table_source.rs
+++ b/crates/host/src/table_source.rs
@@ -11,6 +11,7 @@
 use zinniahinge_serving::ChangeLog;
 use zinniahinge_serving::ServingConfig;
 use zinniahinge_serving::candidate_order;
+use zinniahinge_types::BackendRun;
 use zinniahinge_types::BlockedParts;
 use zinniahinge_types::EngineModels;
 use zinniahinge_types::HostPower;
@@ -182,6 +183,11 @@
         }
     }
 
+    /// Load of a run of a backend server; `None` if this host doesn't know the run.
+    pub(crate) fn load(&self, run: &BackendRun) -> Option<&Arc<BackendLoad>> {
+        self.loads.get(&(run.backend.clone(), run.born_ms))
+    }
+
     /// Builds the table from the current state. Drops expired entries, and loads and views of servers that are gone.
     pub(crate) fn build(&mut self, now: MonotonicTime) -> FleetTable {
         self.roster.expire(now);
@@ -209,9 +215,12 @@
                 models: Arc::new(models),
             });
         }
-        // A run that leaves or pauses may be listed again.
+        // A run that leaves, pauses or limits requests may be listed again.
         self.loads.retain(|run, load| {
-            alive.contains(run) || load.is_leaving() || load.paused_until(now).is_some()
+            alive.contains(run)
+                || load.is_leaving()
+                || load.paused_until(now).is_some()
+                || load.limit_per_s().is_some()
         });
         self.drop_surplus_loads(&alive);
         self.views
--- a/crates/host/src/target_choice.rs
+++ b/crates/host/src/target_choice.rs
@@ -21,6 +21,7 @@
 use crate::request_wait::wait_interval;
 use crate::request_wait::wait_until;
 use crate::send_history::SendHistory;
+use crate::send_permit::longest_slot_wait;
 
 /// Interval at which the coordinator, or a new one after a change, is asked again for a backend server.
 const PLACEMENT_POLL_INTERVAL: Duration = Duration::from_millis(120);
@@ -59,9 +60,15 @@
         if let Some(target) = target {
             return Ok(target);
         }
-        match pause_end(state, context) {
-            Some(until) => wait_for_pause_end(state, context, history, until).await?,
-            None => break,
+        match first_bar_end(state, context) {
+            Some((SendBar::Paused { until }, _)) => {
+                wait_for_pause_end(state, context, history, until).await?;
+            }
+            Some((SendBar::Limited { until }, target)) => {
+                check_slot_wait(state, context, history, until)?;
+                return Ok(target);
+            }
+            Some((SendBar::Draining | SendBar::Leaving, _)) | None => break,
         }
     }
     match model {
@@ -70,9 +77,12 @@
     }
 }
 
-/// End of the first pause among the servers that could run the request; `None` if one of them could be sent to, or none
-/// pauses.
-fn pause_end(state: &HostState, context: &RequestContext) -> Option<MonotonicTime> {
+/// Server that could run the request and is the first one whose pause ends or that has a free slot, and its bar; `None` if a
+/// server could be sent to, or none pauses or limits requests.
+fn first_bar_end(
+    state: &HostState,
+    context: &RequestContext,
+) -> Option<(SendBar, BackendCandidate)> {
     let table = state.table.load();
     let now = state.now();
     let facts = &context.facts;
@@ -81,17 +91,36 @@
         let model = facts.model.as_ref();
         model.is_none_or(|model| slot.has(model, facts.adapter.as_deref()))
     });
-    let mut first: Option<MonotonicTime> = None;
+    let mut first: Option<(MonotonicTime, SendBar, &BackendSlot)> = None;
     for slot in able {
         match slot.bar(now) {
             None => return None,
-            Some(SendBar::Paused { until }) => {
-                first = Some(first.map_or(until, |first| first.min(until)));
+            Some(bar @ (SendBar::Paused { until } | SendBar::Limited { until })) => {
+                if first.is_none_or(|(earliest, ..)| until < earliest) {
+                    first = Some((until, bar, slot));
+                }
             }
             Some(SendBar::Draining | SendBar::Leaving) => {}
         }
     }
-    first
+    first.map(|(_, bar, slot)| (bar, candidate(state, slot)))
+}
+
+/// Lets the request wait for the slot of the only server that can run it, which is at `until`. Fails if it can't wait that
+/// long.
+fn check_slot_wait(
+    state: &HostState,
+    context: &RequestContext,
+    history: &mut SendHistory,
+    until: MonotonicTime,
+) -> Result<()> {
+    let wait = until.since(state.now());
+    history.slot_wait = longest_slot_wait(context);
+    if wait <= history.slot_wait {
+        return Ok(());
+    }
+    history.bar = Some(SendBar::Limited { until });
+    Err(Refusal::not_run(RefusalKind::ServersLimited).retry_after(wait))
 }
 
 /// Waits until a pause ends, after which all servers are considered again. Fails at once if the request can't wait that
@@ -227,13 +256,20 @@
                 let table = state.table.load();
                 let slot = table.backend(&context.service, &backend);
                 let bar = slot.and_then(|slot| slot.bar(state.now()));
-                if let Some(SendBar::Paused { until }) = bar {
-                    wait_for_pause_end(state, context, history, until).await?;
-                    continue;
-                }
-                let is_usable = |slot: &&BackendSlot| {
-                    bar.is_none() && !history.is_last_unreachable(&slot.entry.id)
+                let may_send = match bar {
+                    Some(SendBar::Paused { until }) => {
+                        wait_for_pause_end(state, context, history, until).await?;
+                        continue;
+                    }
+                    Some(SendBar::Limited { until }) => {
+                        check_slot_wait(state, context, history, until)?;
+                        true
+                    }
+                    Some(SendBar::Draining | SendBar::Leaving) => false,
+                    None => true,
                 };
+                let is_usable =
+                    |slot: &&BackendSlot| may_send && !history.is_last_unreachable(&slot.entry.id);
                 match slot.filter(is_usable) {
                     Some(slot) => return Ok(candidate(state, slot)),
                     // The server is leaving, or this request could not reach it a moment ago.
--- a/crates/host/tests/server_limits.rs
+++ b/crates/host/tests/server_limits.rs
@@ -359,15 +359,62 @@
     Ok(())
 }
 
-/// Load pattern: streams break at an engine that isn't limited and go on at one that is. Guards against resumptions that are
-/// not counted.
+/// Guards against requests that wait for their deadline, or are told a wrong time, when all servers are limited; and against
+/// requests that are refused although a slot is free in time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn when_all_servers_are_limited_callers_learn_when_to_return() -> Outcome {
+    let bed = TestBed::start().await?;
+    let acquired = acquires_lease(&bed.host, Duration::from_secs(5)).await;
+    assert_that!(acquired, eq(true));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for server in &bed.plain {
+        server.say_limit(Some("0.25"));
+    }
+    // Each server names its limit with its first answer, and its first slot is an interval later.
+    for number in 0..4 {
+        bed.ask(&CallerRequest::new(&format!("first-{number}"), "/app/x"))
+            .await?;
+    }
+    let slots_at = Instant::now() + Duration::from_secs(4);
+    for path in ["/app/x", "/book/x"] {
+        let asked_at = Instant::now();
+        let request = CallerRequest::new(&format!("early{}", &path[..5]), path);
+        let answer = bed.ask(&request).await?;
+        assert_that!(answer.status, some(eq(503)), "{path}");
+        assert_that!(
+            asked_at.elapsed(),
+            le(Duration::from_millis(500)),
+            "{path}: refused at once"
+        );
+        let returns_at = asked_at + Duration::from_secs_f64(answer.retry_after.unwrap_or(0.0));
+        let earliest = slots_at - Duration::from_secs(1);
+        let latest = slots_at + Duration::from_secs(3);
+        assert_that!(
+            returns_at >= earliest && returns_at <= latest,
+            eq(true),
+            "{path}: {answer:?}"
+        );
+    }
+    let is_logged = wait_until(Duration::from_secs(2), || {
+        bed.host.log_lines(&["servers-limited"]).len() >= 2
+    })
+    .await;
+    assert_that!(is_logged, eq(true));
+    tokio::time::sleep_until((slots_at - Duration::from_secs(1)).into()).await;
+    let patient = bed.ask(&CallerRequest::new("patient", "/app/x")).await?;
+    assert_that!(patient.status, some(eq(200)), "waits for its slot");
+    Ok(())
+}
+
+/// Load pattern: streams break at the only engine of their model, which is limited, and go on there. Guards against
+/// resumptions that are not counted.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn resumed_streams_count_towards_the_limit() -> Outcome {
     let mut bed = TestBed::start().await?;
     let hosts = add_hosts(&mut bed, 2).await?;
     let all: Vec<&HostProcess> = [&bed.host].into_iter().chain(&hosts).collect();
-    bed.engines[0].say_limit(Some("1"));
-    bed.engines[1].set_fault(BackendFault::BreakNewStream);
+    bed.engines[0].say_limit(Some("2"));
+    bed.engines[0].set_fault(BackendFault::BreakNewStream);
     let mut loads = Vec::new();
     for host in &all {
         let address = host.callers;
@@ -378,7 +425,7 @@
             while started.elapsed() < NOTICE_TIME + Duration::from_secs(6) {
                 let id = format!("resume-{name}-{number}");
                 // The caller judges no answer here: some streams can't go on.
-                let _ = Caller::once(address, &model_request(&id, "/resume/stream/x", "m1")).await;
+                let _ = Caller::once(address, &model_request(&id, "/resume/stream/x", "m2")).await;
                 number += 1;
                 tokio::time::sleep(CALL_PAUSE).await;
             }
@@ -390,7 +437,7 @@
     }
     let ended_at = Instant::now();
     let most = most_in_window(&bed.engines[0], named_at + NOTICE_TIME, ended_at);
-    assert_that!(most, le(allowed(1.0)));
+    assert_that!(most, le(allowed(2.0)));
     let requests = bed.engines[0].requests();
     let resumed = requests
         .iter()
--- a/crates/serving/src/send_bar.rs
+++ b/crates/serving/src/send_bar.rs
@@ -16,6 +16,11 @@
         /// When the pause ends.
         until: MonotonicTime,
     },
+    /// The server limits the requests of all hosts, and others have its next slots.
+    Limited {
+        /// Next free slot that this host knows of.
+        until: MonotonicTime,
+    },
 }
 
 impl SendBar {
@@ -27,8 +32,11 @@
         if entry.phase == BackendPhase::Leaving {
             return Some(Self::Draining);
         }
-        let until = load.paused_until(now)?;
-        Some(Self::Paused { until })
+        if let Some(until) = load.paused_until(now) {
+            return Some(Self::Paused { until });
+        }
+        let until = load.limited_until(now)?;
+        Some(Self::Limited { until })
     }
 
     /// Name of the reason in log lines and metric labels.
@@ -37,6 +45,7 @@
             Self::Draining => "draining",
             Self::Leaving => "leaving",
             Self::Paused { .. } => "paused",
+            Self::Limited { .. } => "limited",
         }
     }
 }
--- a/crates/serving/tests/send_bar.rs
+++ b/crates/serving/tests/send_bar.rs
@@ -6,6 +6,7 @@
 use zinniahinge_serving::BackendEntry;
 use zinniahinge_serving::BackendLoad;
 use zinniahinge_serving::BackendPhase;
+use zinniahinge_serving::LimitStatement;
 use zinniahinge_serving::SendBar;
 use zinniahinge_types::MonotonicTime;
 
@@ -39,6 +40,111 @@
     bar: Option<SendBar>,
 }
 
+struct SlotCase {
+    name: &'static str,
+    /// Limits in the order in which they become known, with the times at which the server named them, milliseconds.
+    statements: &'static [(Option<f64>, u64)],
+    /// Next free slot as of the first statement, milliseconds.
+    next_slot_ms: u64,
+    pause_ms: u64,
+    /// Expected at 1000 ms.
+    bar: Option<SendBar>,
+    limit_per_s: Option<f64>,
+    is_reported: bool,
+}
+
+/// Guards against requests to a limited server before its next slot, against an old statement that replaces a newer one, and
+/// against a slot of an old limit that binds under another.
+#[test]
+fn limited_servers_are_barred_until_their_next_slot() {
+    let limited = |until_ms| {
+        Some(SendBar::Limited {
+            until: at(until_ms),
+        })
+    };
+    let case = SlotCase {
+        name: "limited",
+        statements: &[(Some(1.0), 500)],
+        next_slot_ms: 1400,
+        pause_ms: 0,
+        bar: limited(1400),
+        limit_per_s: Some(1.0),
+        is_reported: true,
+    };
+    let cases = [
+        SlotCase {
+            name: "slot is free",
+            next_slot_ms: 1000,
+            bar: None,
+            ..case
+        },
+        SlotCase {
+            name: "pauses, too",
+            pause_ms: 1200,
+            bar: Some(SendBar::Paused { until: at(1200) }),
+            ..case
+        },
+        SlotCase {
+            name: "said again",
+            statements: &[(Some(1.0), 500), (Some(1.0), 900)],
+            ..case
+        },
+        SlotCase {
+            name: "lifted",
+            statements: &[(Some(1.0), 500), (None, 900)],
+            bar: None,
+            limit_per_s: None,
+            ..case
+        },
+        SlotCase {
+            name: "raised",
+            statements: &[(Some(1.0), 500), (Some(2.0), 900)],
+            bar: None,
+            limit_per_s: Some(2.0),
+            ..case
+        },
+        SlotCase {
+            name: "an older statement comes late",
+            statements: &[(Some(1.0), 500), (None, 400), (Some(3.0), 300)],
+            ..case
+        },
+        SlotCase {
+            name: "lifted, the limit comes late",
+            statements: &[(None, 500), (Some(1.0), 400)],
+            bar: None,
+            limit_per_s: None,
+            ..case
+        },
+        SlotCase {
+            name: "never limited",
+            statements: &[(None, 500)],
+            bar: None,
+            limit_per_s: None,
+            is_reported: false,
+            ..case
+        },
+        case,
+    ];
+    for case in cases {
+        let load = BackendLoad::default();
+        for (index, (limit_per_s, at_ms)) in case.statements.iter().enumerate() {
+            load.record_limit(LimitStatement {
+                limit_per_s: *limit_per_s,
+                at: at(*at_ms),
+            });
+            if index == 0 {
+                load.bar_until_slot(at(case.next_slot_ms));
+            }
+        }
+        load.pause(at(case.pause_ms));
+        let bar = SendBar::find(&entry(BackendPhase::Ready), &load, at(1000));
+        assert_that!(bar, eq(case.bar), "{}", case.name);
+        assert_that!(load.limit_per_s(), eq(case.limit_per_s), "{}", case.name);
+        let statement = load.limit_statement();
+        assert_that!(statement.is_some(), eq(case.is_reported), "{}", case.name);
+    }
+}
+
 /// Guards against requests to servers that leave or pause, and against a shorter pause that ends a longer one.
 #[test]
 fn servers_that_leave_or_pause_are_barred() {
--- a/crates/types/src/fleet_message.rs
+++ b/crates/types/src/fleet_message.rs
@@ -8,6 +8,7 @@
 
 use crate::BlockedParts;
 use crate::HostId;
+use crate::LimitNotice;
 use crate::Name;
 use crate::PartReport;
 use crate::RelayedOutage;
@@ -53,6 +54,9 @@
     /// Backend servers that said that they leave, and that the store lists as ready. Empty in reports of earlier versions.
     #[serde(default)]
     pub leaving: Vec<BackendRun>,
+    /// Limits that backend servers named and that the sender knows, lifted ones too. Empty in reports of earlier versions.
+    #[serde(default)]
+    pub limits: Vec<LimitNotice>,
 }
 
 /// Gives a client account's level as an earlier coordinator last sent it, so that a new one does not start from
@@ -189,6 +193,9 @@
     /// Backend servers that said to some host that they leave, and that the store lists as ready.
     #[serde(default)]
     pub leaving: Vec<BackendRun>,
+    /// Newest limits that backend servers named to any host, lifted ones too.
+    #[serde(default)]
+    pub limits: Vec<LimitNotice>,
 }
 
 /// States how much of its quota a client account may still use, over all hosts.
