Planner: engines that take only so many requests a second

Cause: an engine in need states how many requests a second it takes. The planner knew nothing of it: it took such an engine for an idle one, counted its replicas as full ones, gave its models no replica elsewhere, loaded new ones there and evicted the replica that served nearly all requests.

Change: set_limits gives the planner the limits. A replica on an engine with a limit counts as the fraction of a full one that it can serve; the engine's models divide the limit by their demand. The waiting time of a model's requests is computed from the sum of these fractions, so that further replicas, evictions and the choice of an engine for a load follow without cases of their own. A load on such an engine costs the waiting time that a full replica would have saved more. place() and loads of adapters prefer engines that get fewer requests than their limit. Nothing is remembered beyond the limit, which also ends with the run of the engine.

Not covered: an adapter that only an engine with a limit holds gets no copy on another engine; the demand for single adapters isn't measured.

--- a/crates/serving/src/engine_record.rs
+++ b/crates/serving/src/engine_record.rs
@@ -57,6 +57,8 @@
     pub(crate) last_order_at: MonotonicTime,
     /// Models that the engine refused to load, and the time before which the load is not tried again.
     pub(crate) paused: BTreeMap<Name, MonotonicTime>,
+    /// Requests a second that the engine takes from all hosts together; `None` if it states no limit.
+    pub(crate) request_limit: Option<f64>,
 }
 
 /// A model on an engine: loaded, loading or unloading.
@@ -188,6 +190,7 @@
             awaits_report: false,
             last_order_at: MonotonicTime::ZERO,
             paused: BTreeMap::new(),
+            request_limit: None,
         };
         record.update_held(&entry.held, now);
         record
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -40,6 +40,7 @@
 mod residency_adapters;
 mod residency_background;
 mod residency_demand;
+mod residency_limits;
 mod residency_load;
 mod residency_observation;
 mod residency_outcome;
--- a/crates/serving/src/plan_snapshot.rs
+++ b/crates/serving/src/plan_snapshot.rs
@@ -28,23 +28,50 @@
     pub(crate) freed_mb: f64,
 }
 
+/// Replicas of a model, loaded or loading.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ReplicaSupply {
+    pub(crate) count: usize,
+    /// What they serve, as a number of replicas on engines without a limit.
+    pub(crate) capacity: f64,
+}
+
 /// State of all engines that one plan looks up. It is computed once for each change of the engines, so that the cost of
 /// a plan grows with the number of engines, not with engines times models.
 #[derive(Debug)]
 pub(crate) struct PlanSnapshot {
     /// Memory by engine.
     pub(crate) rooms: HashMap<Name, EngineRoom>,
-    /// Number of replicas by model; models without any are absent.
-    pub(crate) replicas: HashMap<Name, usize>,
+    /// Replicas by model; models without any are absent.
+    pub(crate) replicas: HashMap<Name, ReplicaSupply>,
 }
 
 impl ResidencyPlanner {
-    /// Number of replicas by model, loaded or loading; models without any are absent.
-    pub(crate) fn replicas(&self) -> HashMap<Name, usize> {
-        let mut replicas: HashMap<Name, usize> = HashMap::new();
-        for record in self.engines.values().filter(|record| record.is_accepting) {
-            for model in record.held.keys().filter(|model| record.keeps(model)) {
-                *replicas.entry(model.clone()).or_default() += 1;
+    /// Replicas by model; models without any are absent.
+    pub(crate) fn replicas(&self, now: MonotonicTime) -> HashMap<Name, ReplicaSupply> {
+        let held = || {
+            let engines = self.engines.values().filter(|record| record.is_accepting);
+            engines.flat_map(|record| {
+                let kept = record.held.keys().filter(|model| record.keeps(model));
+                kept.map(move |model| (record, model))
+            })
+        };
+        let mut replicas: HashMap<Name, ReplicaSupply> = HashMap::new();
+        for (_, model) in held() {
+            let supply = replicas.entry(model.clone()).or_default();
+            supply.count += 1;
+            supply.capacity += 1.0;
+        }
+        // The shares depend on the counts of all models.
+        let limited = held().filter(|(record, _)| record.request_limit.is_some());
+        let missing = limited.map(|(record, model)| {
+            let share = self.replica_share(record, model, &replicas, now);
+            (model, 1.0 - share)
+        });
+        let missing: Vec<(&Name, f64)> = missing.collect();
+        for (model, share) in missing {
+            if let Some(supply) = replicas.get_mut(model) {
+                supply.capacity -= share;
             }
         }
         replicas
@@ -52,7 +79,7 @@
 
     /// Computes the memory and replicas of all accepting engines.
     pub(crate) fn snapshot(&self, now: MonotonicTime) -> PlanSnapshot {
-        let replicas = self.replicas();
+        let replicas = self.replicas(now);
         let engines = self.engines.values().filter(|record| record.is_accepting);
         let rooms = engines.map(|record| (record.id.clone(), self.room(record, &replicas, now)));
         PlanSnapshot {
@@ -64,7 +91,7 @@
     fn room(
         &self,
         record: &EngineRecord,
-        replicas: &HashMap<Name, usize>,
+        replicas: &HashMap<Name, ReplicaSupply>,
         now: MonotonicTime,
     ) -> EngineRoom {
         let held = record.held.iter();
@@ -73,10 +100,13 @@
             .map(|(model, held)| {
                 let freed_mb = model_mb(&self.spec, model)
                     + adapter_mb(&self.spec, model) * held.adapters.len() as f64;
-                let replicas = replicas.get(model).copied().unwrap_or_default();
+                let share = self.replica_share(record, model, replicas, now);
+                let capacity = replicas.get(model).map_or(0.0, |supply| supply.capacity);
+                let remaining = (capacity - share).max(0.0);
+                let lost = self.saved_waiting(model, remaining, share, now);
                 EvictionVictim {
                     model: model.clone(),
-                    cost_s: self.eviction_cost(record, model, replicas, now),
+                    cost_s: self.eviction_cost(record, model, lost, now),
                     unload_time: self.unload_time(record, model),
                     freed_mb,
                 }
--- a/crates/serving/src/residency_adapters.rs
+++ b/crates/serving/src/residency_adapters.rs
@@ -20,7 +20,7 @@
 
 impl ResidencyPlanner {
     /// Returns the next order towards the adapter: its load on the ready engine with the fewest adapters, or the unload
-    /// of another adapter there.
+    /// of another adapter there. Engines that get more requests than their limit come last.
     pub(crate) fn plan_adapter(
         &mut self,
         model: &Name,
@@ -35,16 +35,17 @@
         let is_starving = request.is_some_and(|request| is_starving(request, now));
         let needed = adapter_mb(&self.spec, model);
         let spec = &self.spec;
+        let short = self.short_engines(now);
         let engines = self.engines.values();
         let able = engines.filter(|record| record.is_free(now) && record.is_ready(model, now));
         let ranked = able.map(|record| {
             let count = record.adapter_count(now);
             let is_full = count >= spec.max_adapters
                 || spec.memory_mb - record.used_mb(spec, now) < needed + ROUNDING_MB;
-            (is_full, count, record)
+            (is_full, short.contains(&record.id), count, record)
         });
-        let best = ranked.min_by_key(|(is_full, count, _)| (*is_full, *count));
-        let (is_full, _, best) = best.ok_or(LoadHold::NoReadyEngine)?;
+        let best = ranked.min_by_key(|(is_full, is_short, count, _)| (*is_full, *is_short, *count));
+        let (is_full, .., best) = best.ok_or(LoadHold::NoReadyEngine)?;
         let backend = best.id.clone();
         let full = LoadHold::AdaptersFull {
             backend: backend.clone(),
--- a/crates/serving/src/residency_background.rs
+++ b/crates/serving/src/residency_background.rs
@@ -88,7 +88,7 @@
     ) -> Option<EngineOrder> {
         let absent = self.load_requests.keys().map(|key| &key.model);
         let absent = absent.filter(|model| !snapshot.replicas.contains_key(*model));
-        let waiting = absent.map(|model| self.saved_waiting(model, 0, now));
+        let waiting = absent.map(|model| self.saved_waiting(model, 0.0, 1.0, now));
         let waiting = waiting.fold(0.0, f64::max);
         let mut short = self.short_of_replicas(snapshot, now);
         short.retain(|(saved, _)| *saved > waiting);
@@ -108,10 +108,10 @@
         let mut short: Vec<(f64, Name)> = snapshot
             .replicas
             .iter()
-            .filter_map(|(model, replicas)| {
+            .filter_map(|(model, supply)| {
                 let adapters = starving.get(model).copied().unwrap_or_default();
                 let adapters = adapters.min(self.spec.max_adapters) as f64;
-                let saved = self.saved_waiting(model, *replicas, now) + adapters;
+                let saved = self.saved_waiting(model, supply.capacity, 1.0, now) + adapters;
                 (saved * horizon_s >= MIN_SAVED_S).then(|| (saved, model.clone()))
             })
             .collect();
--- /dev/null
+++ b/crates/serving/src/residency_limits.rs
@@ -0,0 +1,90 @@
+//! What engines serve that take only so many requests a second. The limit makes a replica a fraction of a full one;
+//! everything else a [`ResidencyPlanner`] decides follows from the sum of these shares.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::Name;
+
+use crate::ResidencyPlanner;
+use crate::engine_record::EngineRecord;
+use crate::plan_snapshot::ReplicaSupply;
+
+impl ResidencyPlanner {
+    /// Replaces the limits that engines state: by engine, the requests a second that it takes from all hosts together.
+    /// Engines without an entry take any number. A limit ends with the run of its engine, too.
+    pub fn set_limits(&mut self, limits: &HashMap<Name, f64>) {
+        for record in self.engines.values_mut() {
+            let limit = limits.get(&record.id).copied();
+            if record.request_limit != limit {
+                record.request_limit = limit;
+                self.background_idle_at = None;
+            }
+        }
+    }
+
+    /// Share of a full replica's requests that a replica of the model on the engine can serve: 1 without a limit. The
+    /// models of an engine divide its limit by their demand.
+    pub(crate) fn replica_share(
+        &self,
+        record: &EngineRecord,
+        model: &Name,
+        replicas: &HashMap<Name, ReplicaSupply>,
+        now: MonotonicTime,
+    ) -> f64 {
+        let Some(limit) = record.request_limit else {
+            return 1.0;
+        };
+        let (rate, work) = self.model_load(model, now);
+        if rate <= 0.0 {
+            return 1.0;
+        }
+        let known = replicas.get(model).map_or(0, |supply| supply.count);
+        let count = known + usize::from(!record.keeps(model));
+        let own = rate / count.max(1) as f64;
+        let others = record.held.keys().filter(|held| *held != model);
+        let others: f64 = others
+            .map(|other| self.expected_rate(record, other, replicas, now))
+            .sum();
+        let taken = limit * own / (own + others);
+        // A full replica serves as many requests a second as fit into a second of work.
+        (taken * work / rate).clamp(0.0, 1.0)
+    }
+
+    /// Engines that get more requests a second than their limit if the demand of each model is spread evenly over its
+    /// replicas.
+    pub(crate) fn short_engines(&self, now: MonotonicTime) -> HashSet<Name> {
+        let limited = || {
+            let engines = self.engines.values();
+            engines.filter_map(|record| Some((record, record.request_limit?)))
+        };
+        if limited().next().is_none() {
+            return HashSet::new();
+        }
+        let replicas = self.replicas(now);
+        let short = limited().filter(|(record, limit)| {
+            let models = record.held.keys();
+            let expected: f64 = models
+                .map(|model| self.expected_rate(record, model, &replicas, now))
+                .sum();
+            expected >= *limit
+        });
+        short.map(|(record, _)| record.id.clone()).collect()
+    }
+
+    /// Requests a second for the model that the engine gets if they are spread evenly over the model's replicas.
+    fn expected_rate(
+        &self,
+        record: &EngineRecord,
+        model: &Name,
+        replicas: &HashMap<Name, ReplicaSupply>,
+        now: MonotonicTime,
+    ) -> f64 {
+        if !record.keeps(model) {
+            return 0.0;
+        }
+        let count = replicas.get(model).map_or(1, |supply| supply.count);
+        self.rate(model, now) / count.max(1) as f64
+    }
+}
--- a/crates/serving/src/residency_load.rs
+++ b/crates/serving/src/residency_load.rs
@@ -315,8 +315,13 @@
         }
         let source = record.source_of(model);
         let delay = self.load_time(&record.id, model, now) + record.wait(now) + unload_time;
-        let is_absent = !snapshot.replicas.contains_key(model);
+        let supply = snapshot.replicas.get(model).copied().unwrap_or_default();
+        let is_absent = supply.count == 0;
         cost_s += delay.as_secs_f64() * self.waiting_requests(model, is_absent, now);
+        // What a full replica would save and this one doesn't.
+        let share = self.replica_share(record, model, &snapshot.replicas, now);
+        let unsaved = self.saved_waiting(model, supply.capacity + share, 1.0 - share, now);
+        cost_s += unsaved * self.settings.eviction_horizon_s;
         // Spreads copies over all engines. An engine with many copies would have to swap between their models.
         cost_s += record.disk_copies.len() as f64 * 0.01;
         Some(LoadTarget {
@@ -343,16 +348,16 @@
         }
     }
 
-    /// Waiting time of future requests over the eviction horizon if the model is evicted from the engine, seconds.
+    /// Waiting time of future requests over the eviction horizon if the model is evicted from the engine, seconds. The
+    /// replica saves `lost` seconds of waiting each second.
     pub(crate) fn eviction_cost(
         &self,
         record: &EngineRecord,
         model: &Name,
-        replicas: usize,
+        lost: f64,
         now: MonotonicTime,
     ) -> f64 {
         let horizon = self.settings.eviction_horizon_s;
-        let lost = self.saved_waiting(model, replicas.saturating_sub(1), now);
         let Some(held) = record.held.get(model) else {
             return 0.0;
         };
--- a/crates/serving/src/residency_outlook.rs
+++ b/crates/serving/src/residency_outlook.rs
@@ -35,19 +35,19 @@
 impl ResidencyPlanner {
     /// Returns the loads that requests have waited for longest, and the further replicas that would save most.
     pub fn held_loads(&self, now: MonotonicTime) -> Vec<HeldLoad> {
-        let replicas = self.replicas();
+        let replicas = self.replicas(now);
         let half_life = self.settings.demand_half_life;
         let held = |model: &Name, adapter, age, hold| {
             let demand = self.demand.get(model);
-            let replicas = replicas.get(model).copied().unwrap_or_default();
+            let supply = replicas.get(model).copied().unwrap_or_default();
             HeldLoad {
                 model: model.clone(),
                 adapter,
                 age,
                 rate: demand.map_or(0.0, |demand| demand.rate(half_life, now)),
                 work: demand.map_or(0.0, |demand| demand.work(half_life, now)),
-                replicas,
-                saved: self.saved_waiting(model, replicas, now),
+                replicas: supply.count,
+                saved: self.saved_waiting(model, supply.capacity, 1.0, now),
                 hold,
             }
         };
--- a/crates/serving/src/residency_planner.rs
+++ b/crates/serving/src/residency_planner.rs
@@ -272,7 +272,8 @@
         })
     }
 
-    /// Returns an engine that can serve the request now. Engines rotate, to spread requests that ask at the same time.
+    /// Returns an engine that can serve the request now, preferably one that gets fewer requests than its limit. Engines
+    /// rotate, to spread requests that ask at the same time.
     fn ready_engine(
         &mut self,
         model: &Name,
@@ -280,11 +281,17 @@
         now: MonotonicTime,
     ) -> Option<Name> {
         let engines = self.engines.values();
-        let ready: Vec<&Name> = engines
+        let mut ready: Vec<&Name> = engines
             .filter(|record| record.is_ready(model, now))
             .filter(|record| adapter.is_none_or(|adapter| has_adapter(record, model, adapter, now)))
             .map(|record| &record.id)
             .collect();
+        if ready.len() > 1 {
+            let short = self.short_engines(now);
+            if ready.iter().any(|id| !short.contains(*id)) {
+                ready.retain(|id| !short.contains(*id));
+            }
+        }
         if ready.is_empty() {
             return None;
         }
