Tell the planner which engines limit requests

What callers of a model saw: its only engine takes few requests, and they waited for slots or were refused although another engine had room. Cause: the coordinator knew the limits and the planner could take them into account, but wasn't told. Now each plan gets the limits of the engines' present runs. Test: a_model_of_a_limited_engine_is_loaded_elsewhere failed without the call (no load in 16 s) and passes. resumed_streams_count_towards_the_limit counted on a model that stays at its limited engine; now the other engine isn't listed there, so that it can't be loaded elsewhere; its checks are unchanged.

--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -147,6 +147,11 @@
             }
             let listed: HashSet<&Name> = backends.iter().map(|slot| &slot.entry.id).collect();
             planner.retain_engines(|id| listed.contains(id));
+            let limits = backends.iter().filter_map(|slot| {
+                let limit_per_s = slot.load.limit_per_s()?;
+                Some((slot.entry.id.clone(), limit_per_s))
+            });
+            planner.set_limits(&limits.collect());
         }
         let last_seen = self.state.with_source(|source| {
             let hosts = source.hosts.iter();
--- a/crates/host/tests/server_limits.rs
+++ b/crates/host/tests/server_limits.rs
@@ -413,6 +413,8 @@
     let mut bed = TestBed::start().await?;
     let hosts = add_hosts(&mut bed, 2).await?;
     let all: Vec<&HostProcess> = [&bed.host].into_iter().chain(&hosts).collect();
+    // Else the model is loaded there, and the streams leave the limited engine.
+    bed.engines[1].vanish();
     bed.engines[0].say_limit(Some("2"));
     bed.engines[0].set_fault(BackendFault::BreakNewStream);
     let mut loads = Vec::new();
@@ -445,3 +447,31 @@
     assert_that!(resumed.count(), ge(1));
     Ok(())
 }
+
+/// Load pattern: callers ask for a model, less often than one engine could serve and more often than its only engine takes
+/// requests. Guards against a model that stays there while another engine has room.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_model_of_a_limited_engine_is_loaded_elsewhere() -> Outcome {
+    let mut bed = TestBed::start().await?;
+    add_hosts(&mut bed, 1).await?;
+    bed.engines[0].say_limit(Some("0.5"));
+    let mut asked = JoinSet::new();
+    for number in 0..40 {
+        let request = model_request(&format!("elsewhere-{number}"), "/llm/stream/x", "m2");
+        let address = bed.host.callers;
+        asked.spawn(async move {
+            let answer = Caller::once(address, &request).await;
+            answer.is_ok_and(|answer| answer.status == Some(200))
+        });
+        tokio::time::sleep(Duration::from_millis(400)).await;
+    }
+    let served = asked.join_all().await;
+    let orders = bed.engines[1].orders();
+    let is_loaded = orders
+        .iter()
+        .any(|order| order.op == "load" && order.subject == "m2" && order.status == 202);
+    assert_that!(is_loaded, eq(true));
+    let last = served.iter().rev().take(10);
+    assert_that!(last.filter(|is_served| **is_served).count(), ge(9));
+    Ok(())
+}
