Don't let an old answer lift a server's limit

An answer without the header that was written before the server named its limit, and read after another host had heard of it, counted as the newest statement and lifted the limit for all hosts. Now such an answer counts from when its request was sent, and a lift that another host reports from a report's time-out earlier. Servers that never named a limit cost no lock. A changed limit also begins a new plan, which before came with the next change of the store. The tests of send_bar and server_limits pass; no test plays the late answer with real hosts.

--- a/crates/host/src/backend_send.rs
+++ b/crates/host/src/backend_send.rs
@@ -20,6 +20,7 @@
 use zinniahinge_transport::RequestKey;
 use zinniahinge_transport::ReuseRule;
 use zinniahinge_transport::SendFailure;
+use zinniahinge_types::MonotonicTime;
 
 use crate::backend_response::BackendResponse;
 use crate::host_state::HostState;
@@ -114,6 +115,7 @@
             "backend" => &*target.entry.id, "earlier" => history.possible_runs_text(), "after" => resume_after);
     }
     let key = RequestKey::new(&context.facts.attempt_id);
+    let sent_at = state.now();
     let sent = state
         .pool
         .send(target.entry.address, request, rule, Some(key), deadline)
@@ -150,7 +152,7 @@
     }
     // A late answer to an earlier request may say what no longer holds.
     if metadata.names_attempt || !is_reused {
-        apply_server_notices(state, context, target, &metadata);
+        apply_server_notices(state, context, target, &metadata, sent_at);
     }
     let response = BackendResponse {
         metadata,
@@ -182,6 +184,7 @@
     context: &RequestContext,
     target: &BackendCandidate,
     metadata: &ResponseMetadata,
+    sent_at: MonotonicTime,
 ) {
     let (id, backend) = (&*context.facts.attempt_id, &*target.entry.id);
     if let Some(sample) = metadata.load {
@@ -216,10 +219,17 @@
             return;
         }
     };
-    let at = state.now();
+    // An answer without a limit may have been written before the server began to name one, but not before its request was
+    // sent.
+    let at = match limit_per_s {
+        Some(_) => state.now(),
+        None => sent_at,
+    };
     if target.load.record_limit(LimitStatement { limit_per_s, at }) {
         info!(state.logger, "backend server changes its limit"; "id" => id, "backend" => backend,
             "limit_per_s" => limit_per_s);
+        // The next plan takes the limit into account.
+        state.update(|_| true);
     }
 }
 
--- a/crates/host/src/host_state.rs
+++ b/crates/host/src/host_state.rs
@@ -35,6 +35,7 @@
 use crate::model_uses::ModelUses;
 use crate::part_watch::PartWatch;
 use crate::peer_link::PeerLink;
+use crate::peer_link::REPORT_TIMEOUT;
 use crate::retry_budgets::RetryBudgets;
 use crate::stop_progress::StopProgress;
 use crate::table_source::TableSource;
@@ -214,23 +215,33 @@
 
     /// Records limits that backend servers named to other hosts; the ages in `notices` count from `at`.
     pub(crate) fn record_limits(&self, notices: &[LimitNotice], at: MonotonicTime) {
-        if notices.is_empty() {
-            return;
-        }
-        self.with_source(|source| {
-            for notice in notices {
+        let changed = self.with_source(|source| {
+            let changed = notices.iter().filter(|notice| {
+                // The message may have been under way for that long; a limit must not end before it was lifted.
+                let is_lifted = notice.limit_per_s.is_none();
+                let slack = if is_lifted {
+                    REPORT_TIMEOUT
+                } else {
+                    Duration::ZERO
+                };
                 let statement = LimitStatement {
                     limit_per_s: notice.limit_per_s,
-                    at: at.before(notice.age),
+                    at: at.before(notice.age + slack),
                 };
                 let load = source.load(&notice.run);
-                if load.is_some_and(|load| load.record_limit(statement)) {
-                    info!(self.logger, "limit of a backend server learned from another host";
-                        "backend" => &*notice.run.backend, "limit_per_s" => notice.limit_per_s,
-                        "age_ms" => notice.age.as_millis() as u64);
-                }
-            }
+                load.is_some_and(|load| load.record_limit(statement))
+            });
+            changed.collect::<Vec<_>>()
         });
+        for notice in &changed {
+            info!(self.logger, "limit of a backend server learned from another host";
+                "backend" => &*notice.run.backend, "limit_per_s" => notice.limit_per_s,
+                "age_ms" => notice.age.as_millis() as u64);
+        }
+        if !changed.is_empty() {
+            // The next plan takes the limit into account.
+            self.update(|_| true);
+        }
     }
 
     /// Records that the store answered a call that was sent at `sent`. To be called before the answer is applied.
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -47,7 +47,7 @@
 const SLOT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Timeout of a report.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(600);
+pub(crate) const REPORT_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Timeout of a placement request, whose answer the coordinator may hold back for up to 400 ms.
 const PLACE_TIMEOUT: Duration = Duration::from_millis(900);
--- a/crates/serving/src/backend_load.rs
+++ b/crates/serving/src/backend_load.rs
@@ -45,6 +45,10 @@
     avoid_until_us: AtomicU64,
     pause_until_us: AtomicU64,
     is_leaving: AtomicBool,
+    /// True once the run has named a limit; read before `limit` is locked.
+    was_limit_named: AtomicBool,
+    /// Newest answer without a limit before the run first named one.
+    unlimited_at_us: AtomicU64,
     limit: Mutex<LimitRecord>,
     limited_until_us: AtomicU64,
     succeeded: AtomicU32,
@@ -161,7 +165,21 @@
     /// Records what the server said about its limit, unless something newer is known; returns true if the limit in force
     /// changed.
     pub fn record_limit(&self, statement: LimitStatement) -> bool {
+        let is_named = statement.limit_per_s.is_some();
+        if !is_named && !self.was_limit_named.load(Ordering::Relaxed) {
+            let at = statement.at.since_origin().as_micros() as u64;
+            self.unlimited_at_us.fetch_max(at, Ordering::Relaxed);
+            return false;
+        }
         let mut limit = self.lock_limit();
+        if !self.was_limit_named.swap(true, Ordering::Relaxed) {
+            let at = Duration::from_micros(self.unlimited_at_us.load(Ordering::Relaxed));
+            let at = MonotonicTime::from_origin(at);
+            limit.apply(LimitStatement {
+                limit_per_s: None,
+                at,
+            });
+        }
         let is_changed = limit.apply(statement);
         self.publish_bar(&limit);
         is_changed
@@ -169,11 +187,17 @@
 
     /// Requests a second that the server takes from all hosts together; `None` without a limit.
     pub fn limit_per_s(&self) -> Option<f64> {
+        if !self.was_limit_named.load(Ordering::Relaxed) {
+            return None;
+        }
         self.lock_limit().limit()
     }
 
     /// The newest statement about a limit, if the server has ever named one.
     pub fn limit_statement(&self) -> Option<LimitStatement> {
+        if !self.was_limit_named.load(Ordering::Relaxed) {
+            return None;
+        }
         self.lock_limit().statement()
     }
 
--- a/crates/serving/src/limit_record.rs
+++ b/crates/serving/src/limit_record.rs
@@ -13,15 +13,12 @@
 #[derive(Debug, Default)]
 pub(crate) struct LimitRecord {
     newest: Option<LimitStatement>,
-    /// True if the run has ever named a limit.
-    was_named: bool,
     barred_until: MonotonicTime,
 }
 
 impl LimitRecord {
     /// Takes a statement in unless a newer one is known; returns true if the limit in force changed.
     pub(crate) fn apply(&mut self, statement: LimitStatement) -> bool {
-        self.was_named |= statement.limit_per_s.is_some();
         if self.newest.is_some_and(|newest| newest.at > statement.at) {
             return false;
         }
@@ -39,9 +36,9 @@
         self.newest?.limit_per_s
     }
 
-    /// The newest statement, if the run has ever named a limit.
+    /// The newest statement.
     pub(crate) fn statement(&self) -> Option<LimitStatement> {
-        self.newest.filter(|_| self.was_named)
+        self.newest
     }
 
     /// Sends nothing more before `until`, unless the limit changes.
