Bound the waits for slots by what callers bear

A request for a model whose only limited engine had just failed was sent there again and again, since a server that waits for a slot was chosen although the request excluded it; now it asks for a placement as it did before. A stream that broke off late had no time left to wait for a slot, because the time for a first event had passed; its wait now counts from the interruption. A return to the server of an open run waits as long as that. A slot that was granted under a higher limit is given up when the limit has fallen meanwhile. Own shares use the number of hosts that accounts use.

--- a/crates/host/src/event_relay.rs
+++ b/crates/host/src/event_relay.rs
@@ -267,6 +267,7 @@
                 "resume_point" => stream.reader.resume_point(), "parts" => self.context.facts.shared_parts_text(),
                 "reason" => %failure);
             self.history.record_possible_run(&stream.target.entry.id);
+            self.history.broken_at = Some(Instant::now());
             let reader = stream.reader.resumed();
             if failure == StreamFailure::RunOver {
                 self.history.open_run = None;
--- a/crates/host/src/next_target.rs
+++ b/crates/host/src/next_target.rs
@@ -8,6 +8,7 @@
 use crate::run_check::wait_for_run_end;
 use crate::send_history::SendHistory;
 use crate::send_permit::SHORT_SLOT_WAIT;
+use crate::send_permit::longest_slot_wait;
 use crate::target_choice::choose_target;
 
 /// Chooses the backend server for the next send of a request.
@@ -22,6 +23,7 @@
 ) -> Result<BackendCandidate> {
     history.slot_wait = SHORT_SLOT_WAIT;
     if let Some(target) = history.take_return() {
+        history.slot_wait = longest_slot_wait(context, history);
         return Ok(target);
     }
     if let Some(target) = &history.open_run {
--- a/crates/host/src/send_history.rs
+++ b/crates/host/src/send_history.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use smallvec::SmallVec;
+use tokio::time::Instant;
 use zinniahinge_serving::BackendCandidate;
 use zinniahinge_serving::SendBar;
 use zinniahinge_types::MonotonicTime;
@@ -34,6 +35,8 @@
     returned_to: SmallVec<[Name; 2]>,
     /// Why a backend server was last left out, although it could have run the request.
     pub(crate) bar: Option<SendBar>,
+    /// When the stream broke off that the request resumes; `None` before its first event.
+    pub(crate) broken_at: Option<Instant>,
     /// Longest time that the next send may wait for a slot at a backend server that limits requests.
     pub(crate) slot_wait: Duration,
     /// Sends that reached a backend server.
@@ -96,10 +99,12 @@
         self.excluded.contains(backend)
     }
 
-    /// Records that a server may not be sent to now, and excludes it from the next choices.
+    /// Records that a server may not be sent to now, and excludes it from the next choices unless it has a slot later.
     pub(crate) fn record_bar(&mut self, backend: &Name, bar: SendBar) {
         self.bar = Some(bar);
-        self.exclude(backend);
+        if !matches!(bar, SendBar::Limited { .. }) {
+            self.exclude(backend);
+        }
     }
 
     /// Records that a server could not be reached, and excludes it from the next choices.
--- a/crates/host/src/send_permit.rs
+++ b/crates/host/src/send_permit.rs
@@ -62,9 +62,14 @@
     }
 }
 
-/// Longest time that the request can wait for a slot at the only server that can run it.
-pub(crate) fn longest_slot_wait(context: &RequestContext) -> Duration {
-    let deadline = context.first_response_deadline();
+/// Longest time that the request can wait for a slot at the only server that can run it, so that callers don't give up before
+/// the first event, or the next one of a stream that broke off.
+pub(crate) fn longest_slot_wait(context: &RequestContext, history: &SendHistory) -> Duration {
+    let gap = context.rule.first_event_timeout();
+    let deadline = match (history.broken_at, gap) {
+        (Some(broken_at), Some(gap)) => context.deadline.min(broken_at + gap),
+        _ => context.first_response_deadline(),
+    };
     let time_left = deadline.saturating_duration_since(Instant::now());
     time_left
         .saturating_sub(FIRST_RESPONSE_MARGIN)
@@ -82,10 +87,30 @@
         None | Some(SendBar::Limited { .. }) => {}
         Some(bar) => return Err(PermitError::Barred(bar)),
     }
-    let Some(limit_per_s) = target.load.limit_per_s() else {
-        return Ok(SendPermit { has_waited: false });
-    };
-    let max_wait = history.slot_wait.min(longest_slot_wait(context));
+    let mut has_waited = false;
+    loop {
+        let Some(limit_per_s) = target.load.limit_per_s() else {
+            return Ok(SendPermit { has_waited });
+        };
+        let waited = wait_for_slot(state, context, history, target, limit_per_s).await?;
+        has_waited |= waited;
+        // A slot under a higher limit is too early under a lower one.
+        let now_per_s = target.load.limit_per_s();
+        if !waited || now_per_s.is_none_or(|now_per_s| now_per_s >= limit_per_s) {
+            return Ok(SendPermit { has_waited });
+        }
+    }
+}
+
+/// Reserves a slot under the limit `limit_per_s` and waits for it; returns true if it waited.
+async fn wait_for_slot(
+    state: &HostState,
+    context: &RequestContext,
+    history: &SendHistory,
+    target: &BackendCandidate,
+    limit_per_s: f64,
+) -> Result<bool, PermitError> {
+    let max_wait = history.slot_wait.min(longest_slot_wait(context, history));
     let (decision, source) = reserve_slot(state, target, limit_per_s, max_wait).await;
     let now = state.now();
     let (id, backend) = (&*context.facts.attempt_id, &*target.entry.id);
@@ -108,14 +133,14 @@
         return Err(PermitError::Barred(SendBar::Limited { until }));
     };
     if wait.is_zero() {
-        return Ok(SendPermit { has_waited: false });
+        return Ok(false);
     }
     info!(state.logger, "request waits for a slot at a limited backend server"; "id" => id, "backend" => backend,
         "limit_per_s" => limit_per_s, "source" => source.name(), "wait_ms" => wait.as_millis() as u64);
     let waited = wait_until(state, context, Instant::now() + wait).await;
     waited.map_err(PermitError::Ended)?;
     match bar_after_wait(state, context, target) {
-        None => Ok(SendPermit { has_waited: true }),
+        None => Ok(true),
         Some(bar) => Err(PermitError::Barred(bar)),
     }
 }
@@ -153,7 +178,7 @@
         Some(SlotReply::Granted { wait, next_in }) => SlotDecision::Granted { wait, next_in },
         Some(SlotReply::Refused { again_in }) => SlotDecision::Refused { again_in },
         Some(SlotReply::NotHolder) | None => {
-            let hosts = state.with_source(|source| source.hosts.len() as u32);
+            let hosts = state.meter().hosts();
             let phase = rand::random();
             let now = state.now();
             let mut shares = state.limit_shares();
--- a/crates/host/src/target_choice.rs
+++ b/crates/host/src/target_choice.rs
@@ -60,7 +60,7 @@
         if let Some(target) = target {
             return Ok(target);
         }
-        match first_bar_end(state, context) {
+        match first_bar_end(state, context, history) {
             Some((SendBar::Paused { until }, _)) => {
                 wait_for_pause_end(state, context, history, until).await?;
             }
@@ -82,6 +82,7 @@
 fn first_bar_end(
     state: &HostState,
     context: &RequestContext,
+    history: &SendHistory,
 ) -> Option<(SendBar, BackendCandidate)> {
     let table = state.table.load();
     let now = state.now();
@@ -95,6 +96,9 @@
     for slot in able {
         match slot.bar(now) {
             None => return None,
+            // The model may have to be loaded elsewhere.
+            Some(SendBar::Limited { .. })
+                if facts.model.is_some() && history.is_excluded(&slot.entry.id) => {}
             Some(bar @ (SendBar::Paused { until } | SendBar::Limited { until })) => {
                 if first.is_none_or(|(earliest, ..)| until < earliest) {
                     first = Some((until, bar, slot));
@@ -115,7 +119,7 @@
     until: MonotonicTime,
 ) -> Result<()> {
     let wait = until.since(state.now());
-    history.slot_wait = longest_slot_wait(context);
+    history.slot_wait = longest_slot_wait(context, history);
     if wait <= history.slot_wait {
         return Ok(());
     }
@@ -256,23 +260,23 @@
                 let table = state.table.load();
                 let slot = table.backend(&context.service, &backend);
                 let bar = slot.and_then(|slot| slot.bar(state.now()));
+                let is_unreachable = history.is_last_unreachable(&backend);
                 let may_send = match bar {
                     Some(SendBar::Paused { until }) => {
                         wait_for_pause_end(state, context, history, until).await?;
                         continue;
                     }
+                    // The server is leaving, or this request could not reach it a moment ago.
+                    _ if is_unreachable => false,
+                    Some(SendBar::Draining | SendBar::Leaving) => false,
                     Some(SendBar::Limited { until }) => {
                         check_slot_wait(state, context, history, until)?;
                         true
                     }
-                    Some(SendBar::Draining | SendBar::Leaving) => false,
                     None => true,
                 };
-                let is_usable =
-                    |slot: &&BackendSlot| may_send && !history.is_last_unreachable(&slot.entry.id);
-                match slot.filter(is_usable) {
+                match slot.filter(|_| may_send) {
                     Some(slot) => return Ok(candidate(state, slot)),
-                    // The server is leaving, or this request could not reach it a moment ago.
                     None => PLACEMENT_POLL_INTERVAL,
                 }
             }
--- a/crates/serving/src/account_meter.rs
+++ b/crates/serving/src/account_meter.rs
@@ -184,6 +184,11 @@
         }
     }
 
+    /// Number of hosts that share the accounts' rates; at least 1.
+    pub fn hosts(&self) -> u32 {
+        self.hosts
+    }
+
     /// Sets the number of hosts that share the accounts' rates; at least 1 is used.
     pub fn set_hosts(&mut self, hosts: u32) {
         self.hosts = hosts.max(1);
