--- a/crates/host/src/send_permit.rs
+++ b/crates/host/src/send_permit.rs
@@ -19,6 +19,7 @@
 use crate::request_context::RequestContext;
 use crate::request_wait::wait_until;
 use crate::send_history::SendHistory;
+use crate::target_choice::FIRST_RESPONSE_MARGIN;
 
 /// Longest time that a request waits for a slot while another server could run it.
 pub(crate) const SHORT_SLOT_WAIT: Duration = Duration::from_millis(100);
@@ -26,9 +27,6 @@
 /// Longest time for which this host's own share bars a server. A coordinator has usually answered again by then.
 const MAX_SHARE_BAR: Duration = Duration::from_secs(3);
 
-/// Time that must be left after the slot until the first response is due.
-const FIRST_RESPONSE_MARGIN: Duration = Duration::from_millis(300);
-
 /// Allows one send to a backend server.
 #[derive(Debug)]
 pub(crate) struct SendPermit {
--- a/crates/host/src/target_choice.rs
+++ b/crates/host/src/target_choice.rs
@@ -33,8 +33,8 @@
 /// Share of a request's total time, in percent from its arrival, until which it may wait for a placement of its model.
 const PLACEMENT_WAIT_PERCENT: u32 = 50;
 
-/// Time that must be left until the first response is due when the model becomes ready.
-const FIRST_RESPONSE_MARGIN: Duration = Duration::from_millis(300);
+/// Time that must be left until the first response is due when the model becomes ready, or a server has a slot.
+pub(crate) const FIRST_RESPONSE_MARGIN: Duration = Duration::from_millis(300);
 
 /// Delay after which callers are told to retry when no backend server of the service is available.
 const NO_BACKEND_RETRY_AFTER: Duration = Duration::from_millis(700);
