Soak: servers that name a limit, change it and lift it

The soak played no server that limits the requests of all hosts together, so that a host that breaks a limit under other faults was not seen.

--- a/crates/soak/src/caller_record.rs
+++ b/crates/soak/src/caller_record.rs
@@ -28,6 +28,8 @@
     pub key: &'static str,
     /// When the first byte was sent.
     pub sent_at: Instant,
+    /// When the answer was there, or the caller gave up.
+    pub ended_at: Instant,
     /// Answer; `None` if the caller gave up first or could not send it all.
     pub answer: Option<CallerAnswer>,
 }
--- a/crates/soak/src/caller_task.rs
+++ b/crates/soak/src/caller_task.rs
@@ -83,6 +83,7 @@
         };
         let asked = tokio::time::timeout(patience, caller.ask(&request)).await;
         let answer = asked.ok().and_then(|asked| asked.ok());
+        let ended_at = Instant::now();
         let is_kept = answer.as_ref().is_some_and(|answer| answer.body.is_some());
         let retry_after = answer.as_ref().and_then(retry_after);
         records.push(CallerRecord {
@@ -91,6 +92,7 @@
             host: world.hosts[host].name.clone(),
             key: request.key.unwrap_or_default(),
             sent_at,
+            ended_at,
             answer,
         });
         if is_kept && random.random_bool(0.95) {
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -24,6 +24,15 @@
 /// Faults a second after which a server sends its refusals once more.
 const REFUSAL_COPIES_PER_S: f64 = 0.5;
 
+/// Servers that name a limit, a second.
+const LIMITS_PER_S: f64 = 0.25;
+
+/// Least and greatest limit, requests a second.
+const LIMIT_RANGE: (f64, f64) = (0.3, 20.0);
+
+/// Makes the draws of these faults differ from the others'.
+const LIMITS_SALT: u64 = 0x94d0_49bb_1331_11eb;
+
 /// Makes the draws of these faults differ from the others'.
 const REFUSAL_COPIES_SALT: u64 = 0xd1b5_4a32_d192_ed03;
 
@@ -66,6 +75,8 @@
     ReplaceBackend(usize),
     /// A plain backend server says in its answers that it leaves, a while before the store does, and another one comes.
     LeaveByAnswer(usize),
+    /// Backend servers name the first limit, the second one from the middle of the time, and then none.
+    NameLimit(Range<usize>, [f64; 2]),
     /// The configuration gets another version.
     ChangeConfig,
     /// The second key of the account is withdrawn, or given again.
@@ -110,6 +121,7 @@
     faults.extend(plan_server_requests(seed, time, (plain, backends)));
     faults.extend(plan_hidden_runs(seed, time, (plain, backends)));
     faults.extend(plan_refusal_copies(seed, time, (plain, backends)));
+    faults.extend(plan_limits(seed, time, (plain, backends)));
     faults.sort_by_key(|fault| fault.at);
     faults
 }
@@ -168,14 +180,7 @@
 ) -> Vec<PlannedFault> {
     let seed = seed ^ REFUSAL_COPIES_SALT;
     draw_faults(seed, REFUSAL_COPIES_PER_S, time, 1_000..5_000, |random| {
-        let services = [0..plain, plain..backends];
-        let service = services[random.random_range(0..2)].clone();
-        let backend = random.random_range(service.clone());
-        let servers = if random.random_bool(0.6) {
-            service
-        } else {
-            backend..backend + 1
-        };
+        let servers = draw_servers(random, 0.6, (plain, backends));
         if servers.end <= plain && random.random_bool(0.4) {
             return FaultKind::SucceedBackends(servers);
         }
@@ -192,6 +197,27 @@
     })
 }
 
+/// Draws servers that name limits, in the first half of the time, so that callers send while the limits bind. Drawn apart, so
+/// that the other faults of a seed stay as they are.
+pub fn plan_limits(
+    seed: u64,
+    time: Duration,
+    (plain, backends): (usize, usize),
+) -> Vec<PlannedFault> {
+    let seed = seed ^ LIMITS_SALT;
+    let mut faults = draw_faults(seed, LIMITS_PER_S, time, 4_000..9_000, |random| {
+        let servers = draw_servers(random, 0.4, (plain, backends));
+        let (least, greatest) = LIMIT_RANGE;
+        // Small and large limits are as frequent.
+        let limits = [(); 2].map(|()| least * (greatest / least).powf(random.random::<f64>()));
+        FaultKind::NameLimit(servers, limits.map(|limit| (limit * 10.0).round() / 10.0))
+    });
+    for fault in &mut faults {
+        fault.at /= 2;
+    }
+    faults
+}
+
 /// Draws `per_s` faults a second, each with its time, its length from `lasts_ms` and then its kind.
 fn draw_faults(
     seed: u64,
@@ -210,6 +236,18 @@
     faults.collect()
 }
 
+/// Draws a service's servers, with the probability `all`, or one of them.
+fn draw_servers(random: &mut StdRng, all: f64, (plain, backends): (usize, usize)) -> Range<usize> {
+    let services = [0..plain, plain..backends];
+    let service = services[random.random_range(0..2)].clone();
+    let backend = random.random_range(service.clone());
+    if random.random_bool(all) {
+        service
+    } else {
+        backend..backend + 1
+    }
+}
+
 fn store_fault(random: &mut StdRng) -> StoreFault {
     match random.random_range(0..3) {
         0 => StoreFault::Busy,
--- a/crates/soak/src/fault_task.rs
+++ b/crates/soak/src/fault_task.rs
@@ -4,7 +4,6 @@
 use nix::sys::signal::Signal;
 use zinniahinge_platform_standins::Admission;
 use zinniahinge_platform_standins::BackendFault;
-use zinniahinge_platform_standins::BackendServer;
 use zinniahinge_platform_standins::HostProcess;
 use zinniahinge_platform_standins::RefusalCopies;
 use zinniahinge_platform_standins::RouteText;
@@ -114,11 +113,7 @@
             Ok(())
         }
         FaultKind::Service(servers, kind) => {
-            let servers: Vec<BackendServer> = {
-                let backends = locked(&world.backends);
-                let servers = backends[servers].iter();
-                servers.map(|backend| backend.server.clone()).collect()
-            };
+            let servers = world.servers(servers);
             for server in &servers {
                 server.set_fault(kind);
             }
@@ -140,6 +135,19 @@
             tokio::time::sleep(lasts).await;
             replace_backend(world, backend).await
         }
+        FaultKind::NameLimit(servers, limits) => {
+            let servers = world.servers(servers);
+            for limit in limits {
+                for server in &servers {
+                    server.say_limit(Some(&limit.to_string()));
+                }
+                tokio::time::sleep(lasts / 2).await;
+            }
+            for server in &servers {
+                server.say_limit(None);
+            }
+            Ok(())
+        }
         FaultKind::ChangeConfig => {
             let mut config = locked(&world.config);
             config.version += 1;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -3,6 +3,7 @@
 mod call_index;
 mod caller_record;
 mod caller_task;
+mod exceeded_limits;
 mod fault_plan;
 mod fault_task;
 mod ignored_requests;
@@ -19,6 +20,7 @@
 pub use fault_plan::FaultKind;
 pub use fault_plan::PlannedFault;
 pub use fault_plan::plan_faults;
+pub use fault_plan::plan_limits;
 pub use fault_plan::plan_refusal_copies;
 pub use link_proxy::LinkMode;
 pub use link_proxy::LinkProxy;
--- a/crates/soak/src/promise_check.rs
+++ b/crates/soak/src/promise_check.rs
@@ -10,6 +10,7 @@
 
 use crate::CallerRecord;
 use crate::call_index::CallIndex;
+use crate::exceeded_limits::exceeded_limits;
 use crate::ignored_requests::ignored_requests;
 use crate::overlapping_runs::overlapping_runs;
 
@@ -20,7 +21,7 @@
 const ORDER_TURN: Duration = Duration::from_secs(3);
 
 /// A host is judged by time bounds again when its last disturbance is this long over; from the platform's rules.
-const CONTACT_TIME: Duration = Duration::from_secs(3);
+pub(crate) const CONTACT_TIME: Duration = Duration::from_secs(3);
 
 /// Memory of an engine, megabytes; from the stand-ins' configuration.
 const ENGINE_MB: f64 = 130.0;
@@ -101,6 +102,7 @@
         }
     }
     broken.extend(ignored_requests(records));
+    broken.extend(exceeded_limits(records));
     broken.extend(overlapping_runs(records));
     for (engine, orders) in records.orders.iter().enumerate() {
         check_orders(engine, orders, &records.disturbances, &mut broken);
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -19,6 +19,7 @@
 use crate::broken_promises;
 use crate::caller_task::call;
 use crate::fault_plan::plan_faults;
+use crate::fault_plan::plan_limits;
 use crate::fault_plan::plan_refusal_copies;
 use crate::fault_task::strike;
 use crate::promise_check::SoakRecords;
@@ -59,11 +60,14 @@
         hosts,
         callers,
         only_refusals,
+        only_limits,
         ..
     } = *settings;
     let servers = (PLAIN_SERVERS, backends);
     let faults = if only_refusals {
         plan_refusal_copies(seed, fault_time, servers)
+    } else if only_limits {
+        plan_limits(seed, fault_time, servers)
     } else {
         plan_faults(seed, fault_time, hosts, servers)
     };
--- a/crates/soak/src/soak_settings.rs
+++ b/crates/soak/src/soak_settings.rs
@@ -23,6 +23,8 @@
     pub callers: usize,
     /// True if servers only refuse requests and send their refusals once more; the other faults don't strike.
     pub only_refusals: bool,
+    /// True if servers only name limits; the other faults don't strike.
+    pub only_limits: bool,
     /// Program of the hosts.
     pub program: PathBuf,
     /// Folder for the hosts' logs of a run that broke a promise; `None` if they aren't kept.
@@ -52,6 +54,9 @@
     let only_refusals = bpaf::long("only-refusals")
         .help("Servers refuse requests and send their refusals once more; no other faults")
         .switch();
+    let only_limits = bpaf::long("only-limits")
+        .help("Servers name limits, change and lift them; no other faults")
+        .switch();
     let program = bpaf::long("program")
         .help("Program of the hosts (default: zinniahinge-host beside this program)")
         .argument::<PathBuf>("FILE")
@@ -66,6 +71,7 @@
         hosts,
         callers,
         only_refusals,
+        only_limits,
         program,
         keep_logs,
     })
--- a/crates/soak/src/soak_world.rs
+++ b/crates/soak/src/soak_world.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -132,6 +133,13 @@
         })
     }
 
+    /// The backend servers in these places now.
+    pub(crate) fn servers(&self, places: Range<usize>) -> Vec<BackendServer> {
+        let backends = locked(&self.backends);
+        let servers = backends[places].iter();
+        servers.map(|backend| backend.server.clone()).collect()
+    }
+
     /// Starts a host's next process, which does not wait until it is ready.
     pub(crate) async fn restart_host(&self, slot: &HostSlot) -> Result<HostProcess> {
         let started = self.fleet.lock().await.spawn(&slot.name, false);
--- a/crates/soak/tests/promise_check.rs
+++ b/crates/soak/tests/promise_check.rs
@@ -24,6 +24,7 @@
         host: "h1".to_owned(),
         key: "key-2",
         sent_at,
+        ended_at: sent_at,
         answer: Some(answer),
     }
 }
@@ -57,6 +58,7 @@
         server: "app-0".to_owned(),
         said_leaving: false,
         pause: None,
+        limit: None,
     }
 }
 
