Serving: group the modules by what they decide

Cause: 60 files stood side by side, so that a newcomer couldn't see which of them belong together, and the parts to come would add to them.

Only moves: accounts, coordination, prompt_parts, residency and routing hold the files as they were; lib.rs re-exports the same names, and paths to crate-private items name the folder.

--- a/crates/serving/src/fleet_ledger.rs
+++ b/crates/serving/src/coordination/fleet_ledger.rs
@@ -16,9 +16,9 @@
 use crate::BackendHealth;
 use crate::MeterSettings;
 use crate::StandInMeter;
-use crate::account_ledger::AccountLedger;
-use crate::backend_totals::BackendTotals;
-use crate::host_presence::HostPresence;
+use crate::accounts::account_ledger::AccountLedger;
+use crate::coordination::host_presence::HostPresence;
+use crate::routing::backend_totals::BackendTotals;
 
 /// Time without a report after which a host's record is dropped.
 const MAX_HOST_SILENCE: Duration = Duration::from_secs(10);
--- a/crates/serving/src/engine_record.rs
+++ b/crates/serving/src/residency/engine_record.rs
@@ -11,7 +11,7 @@
 use crate::EngineSpec;
 use crate::HeldModel;
 use crate::ResidencyAction;
-use crate::residency_demand::WeightSource;
+use crate::residency::residency_demand::WeightSource;
 
 /// The planner's state of one engine: the models it holds, the order it carries out, and unanswered orders that may
 /// still reach it.
--- /dev/null
+++ b/crates/serving/src/residency/mod.rs
@@ -0,0 +1,43 @@
+//! Residency of models on engines: what is loaded where, and with which orders.
+
+mod engine_order;
+pub(crate) mod engine_record;
+mod engine_report;
+mod engine_runs;
+mod engine_spec;
+mod engine_speed;
+mod load_hold;
+pub(crate) mod open_runs;
+mod order_outcome;
+pub(crate) mod plan_snapshot;
+mod residency_adapters;
+mod residency_background;
+pub(crate) mod residency_demand;
+mod residency_limits;
+pub(crate) mod residency_load;
+mod residency_observation;
+mod residency_outcome;
+mod residency_outlook;
+pub(crate) mod residency_planner;
+mod residency_settings;
+mod residency_view;
+pub(crate) mod residency_waiting;
+mod unserved_models;
+
+pub use engine_order::EngineOrder;
+pub use engine_order::ResidencyAction;
+pub use engine_report::EngineReport;
+pub use engine_runs::EngineRuns;
+pub use engine_spec::EngineSpec;
+pub use engine_spec::ModelSpec;
+pub use engine_speed::EngineSpeed;
+pub use load_hold::LoadHold;
+pub use order_outcome::OrderOutcome;
+pub use residency_outlook::HeldLoad;
+pub use residency_planner::Placement;
+pub use residency_planner::ResidencyPlanner;
+pub use residency_settings::ResidencySettings;
+pub use residency_view::ReadyModel;
+pub use residency_view::ResidencyView;
+pub use unserved_models::UnservedModels;
+pub use unserved_models::UnservedSummary;
--- a/crates/serving/src/plan_snapshot.rs
+++ b/crates/serving/src/residency/plan_snapshot.rs
@@ -5,9 +5,9 @@
 use zinniahinge_types::Name;
 
 use crate::ResidencyPlanner;
-use crate::engine_record::EngineRecord;
-use crate::engine_record::adapter_mb;
-use crate::engine_record::model_mb;
+use crate::residency::engine_record::EngineRecord;
+use crate::residency::engine_record::adapter_mb;
+use crate::residency::engine_record::model_mb;
 
 /// Free and reclaimable memory of one engine, the same for every model to load.
 #[derive(Debug)]
--- a/crates/serving/src/residency_adapters.rs
+++ b/crates/serving/src/residency/residency_adapters.rs
@@ -9,14 +9,14 @@
 use crate::LoadHold;
 use crate::ResidencyAction;
 use crate::ResidencyPlanner;
-use crate::engine_record::EngineRecord;
-use crate::engine_record::adapter_mb;
-use crate::residency_demand::LoadKey;
-use crate::residency_demand::LoadRequest;
-use crate::residency_load::ROUNDING_MB;
-use crate::residency_load::Result;
-use crate::residency_load::order_for;
-use crate::residency_waiting::RELOAD_DELAY_S;
+use crate::residency::engine_record::EngineRecord;
+use crate::residency::engine_record::adapter_mb;
+use crate::residency::residency_demand::LoadKey;
+use crate::residency::residency_demand::LoadRequest;
+use crate::residency::residency_load::ROUNDING_MB;
+use crate::residency::residency_load::Result;
+use crate::residency::residency_load::order_for;
+use crate::residency::residency_waiting::RELOAD_DELAY_S;
 
 impl ResidencyPlanner {
     /// Returns the next order towards the adapter: its load on the ready engine with the fewest adapters, or the unload
--- a/crates/serving/src/residency_background.rs
+++ b/crates/serving/src/residency/residency_background.rs
@@ -11,10 +11,10 @@
 use crate::HeldModel;
 use crate::LoadHold;
 use crate::ResidencyPlanner;
-use crate::plan_snapshot::PlanSnapshot;
-use crate::residency_demand::WeightSource;
-use crate::residency_load::LoadLimit;
-use crate::residency_waiting::RELOAD_DELAY_S;
+use crate::residency::plan_snapshot::PlanSnapshot;
+use crate::residency::residency_demand::WeightSource;
+use crate::residency::residency_load::LoadLimit;
+use crate::residency::residency_waiting::RELOAD_DELAY_S;
 
 /// Waiting time over the horizon, seconds, from which a further replica is considered: the shortest load from a copy.
 const MIN_SAVED_S: f64 = 1.0;
--- a/crates/serving/src/residency_limits.rs
+++ b/crates/serving/src/residency/residency_limits.rs
@@ -8,8 +8,8 @@
 use zinniahinge_types::Name;
 
 use crate::ResidencyPlanner;
-use crate::engine_record::EngineRecord;
-use crate::plan_snapshot::ReplicaSupply;
+use crate::residency::engine_record::EngineRecord;
+use crate::residency::plan_snapshot::ReplicaSupply;
 
 impl ResidencyPlanner {
     /// Replaces the limits that engines state: by engine, the requests a second that it takes from all hosts together.
--- a/crates/serving/src/residency_load.rs
+++ b/crates/serving/src/residency/residency_load.rs
@@ -9,13 +9,13 @@
 use crate::LoadHold;
 use crate::ResidencyAction;
 use crate::ResidencyPlanner;
-use crate::engine_record::AdapterRecord;
-use crate::engine_record::EngineRecord;
-use crate::engine_record::MemoryClaim;
-use crate::engine_record::model_mb;
-use crate::plan_snapshot::PlanSnapshot;
-use crate::residency_demand::LoadKey;
-use crate::residency_demand::WeightSource;
+use crate::residency::engine_record::AdapterRecord;
+use crate::residency::engine_record::EngineRecord;
+use crate::residency::engine_record::MemoryClaim;
+use crate::residency::engine_record::model_mb;
+use crate::residency::plan_snapshot::PlanSnapshot;
+use crate::residency::residency_demand::LoadKey;
+use crate::residency::residency_demand::WeightSource;
 
 pub(crate) type Result<T> = std::result::Result<T, LoadHold>;
 
--- a/crates/serving/src/residency_observation.rs
+++ b/crates/serving/src/residency/residency_observation.rs
@@ -10,10 +10,10 @@
 use crate::EngineReport;
 use crate::ResidencyAction;
 use crate::ResidencyPlanner;
-use crate::engine_record::EngineRecord;
-use crate::residency_planner::CONFLICT_PAUSE;
-use crate::residency_planner::LOAD_CHECK_INTERVAL;
-use crate::residency_planner::ORDER_MARGIN;
+use crate::residency::engine_record::EngineRecord;
+use crate::residency::residency_planner::CONFLICT_PAUSE;
+use crate::residency::residency_planner::LOAD_CHECK_INTERVAL;
+use crate::residency::residency_planner::ORDER_MARGIN;
 
 /// Pause between two reports of an engine that carries out an order unknown to this planner.
 const BUSY_REPORT_PAUSE: Duration = Duration::from_millis(200);
--- a/crates/serving/src/residency_outcome.rs
+++ b/crates/serving/src/residency/residency_outcome.rs
@@ -8,12 +8,12 @@
 use crate::OrderOutcome;
 use crate::ResidencyAction;
 use crate::ResidencyPlanner;
-use crate::engine_record::ActiveOrder;
-use crate::engine_record::AdapterRecord;
-use crate::engine_record::EngineRecord;
-use crate::engine_record::UnansweredOrder;
-use crate::residency_planner::CONFLICT_PAUSE;
-use crate::residency_planner::ORDER_MARGIN;
+use crate::residency::engine_record::ActiveOrder;
+use crate::residency::engine_record::AdapterRecord;
+use crate::residency::engine_record::EngineRecord;
+use crate::residency::engine_record::UnansweredOrder;
+use crate::residency::residency_planner::CONFLICT_PAUSE;
+use crate::residency::residency_planner::ORDER_MARGIN;
 
 /// Load time of an adapter. Engines state 5 to 10 ms.
 const ADAPTER_LOAD: Duration = Duration::from_millis(12);
--- a/crates/serving/src/residency_planner.rs
+++ b/crates/serving/src/residency/residency_planner.rs
@@ -15,11 +15,11 @@
 use crate::ReadyModel;
 use crate::ResidencySettings;
 use crate::ResidencyView;
-use crate::engine_record::EngineRecord;
-use crate::open_runs::OpenRuns;
-use crate::residency_demand::LoadKey;
-use crate::residency_demand::LoadRequest;
-use crate::residency_demand::ModelDemand;
+use crate::residency::engine_record::EngineRecord;
+use crate::residency::open_runs::OpenRuns;
+use crate::residency::residency_demand::LoadKey;
+use crate::residency::residency_demand::LoadRequest;
+use crate::residency::residency_demand::ModelDemand;
 
 /// Extra time, beyond the load time that the service states, until a loading engine is sent the next order.
 pub(crate) const ORDER_MARGIN: Duration = Duration::from_millis(120);
--- a/crates/serving/src/backend_load.rs
+++ b/crates/serving/src/routing/backend_load.rs
@@ -16,7 +16,7 @@
 use crate::LimitStatement;
 use crate::RequestFacts;
 use crate::SentParts;
-use crate::limit_record::LimitRecord;
+use crate::routing::limit_record::LimitRecord;
 
 /// Time for which a server is avoided after it gave this host no answer.
 const AVOID_TIME: Duration = Duration::from_millis(1500);
--- a/crates/serving/src/limit_ledger.rs
+++ b/crates/serving/src/routing/limit_ledger.rs
@@ -7,8 +7,8 @@
 use crate::MAX_SLOT_WAIT;
 use crate::SendSchedule;
 use crate::SlotDecision;
+use crate::routing::send_schedule::MAX_SEND_INTERVAL;
 use crate::send_interval;
-use crate::send_schedule::MAX_SEND_INTERVAL;
 
 /// Schedules of all hosts' requests to servers that limit them, one for each run of a server. Kept by the coordinator.
 #[derive(Debug)]
