Slots: one type for the decision on a slot

SlotReply and SlotDecision held the same variants and were converted into each other on both ends. The decision now lives in the types crate and passes as it is; a host that doesn't coordinate answers None. A reply with a slot has the same bytes as before.

--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -19,7 +19,6 @@
 use zinniahinge_serving::Placement;
 use zinniahinge_serving::ResidencyPlanner;
 use zinniahinge_serving::ResidencySettings;
-use zinniahinge_serving::SlotDecision;
 use zinniahinge_types::BackendRun;
 use zinniahinge_types::EngineModels;
 use zinniahinge_types::FleetCharge;
@@ -32,7 +31,7 @@
 use zinniahinge_types::Name;
 use zinniahinge_types::PlacementReply;
 use zinniahinge_types::PlacementRequest;
-use zinniahinge_types::SlotReply;
+use zinniahinge_types::SlotDecision;
 use zinniahinge_types::SlotRequest;
 
 use crate::fleet_reporter::INTERVAL_PER_HOST;
@@ -214,7 +213,7 @@
     }
 
     /// Reserves a slot for one request to a backend server that limits requests.
-    fn slot(&mut self, request: &SlotRequest, now: MonotonicTime) -> SlotReply {
+    fn slot(&mut self, request: &SlotRequest, now: MonotonicTime) -> SlotDecision {
         let notice = &request.notice;
         self.state.record_limits(std::slice::from_ref(notice), now);
         let limit_per_s = self
@@ -223,7 +222,7 @@
                 Some(load) => load.limit_per_s(),
                 None => notice.limit_per_s,
             });
-        let decision = limit_per_s.map_or(
+        limit_per_s.map_or(
             // Another host has heard that the limit is lifted.
             SlotDecision::Granted {
                 wait: Duration::ZERO,
@@ -233,11 +232,7 @@
                 self.limits
                     .reserve(&notice.run, limit, request.max_wait, now)
             },
-        );
-        match decision {
-            SlotDecision::Granted { wait, next_in } => SlotReply::Granted { wait, next_in },
-            SlotDecision::Refused { again_in } => SlotReply::Refused { again_in },
-        }
+        )
     }
 
     /// What backend servers said about their limits, with their ages at `now`.
@@ -415,13 +410,11 @@
         }
     }
 
-    /// Decides when a host may send a request to a backend server that limits requests.
-    pub(crate) fn slot(&self, request: &SlotRequest, now: MonotonicTime) -> SlotReply {
-        if self.fence(now).is_none() {
-            return SlotReply::NotHolder;
-        }
-        let decided = self.with(|coordinator| coordinator.slot(request, now));
-        decided.unwrap_or(SlotReply::NotHolder)
+    /// Decides when a host may send a request to a backend server that limits requests; `None` if this host does not
+    /// coordinate.
+    pub(crate) fn slot(&self, request: &SlotRequest, now: MonotonicTime) -> Option<SlotDecision> {
+        self.fence(now)?;
+        self.with(|coordinator| coordinator.slot(request, now))
     }
 
     /// Decides for a host to which backend server a request can go. Holds the answer while an order may still make room,
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -15,7 +15,7 @@
 use zinniahinge_types::FleetReport;
 use zinniahinge_types::PlacementReply;
 use zinniahinge_types::PlacementRequest;
-use zinniahinge_types::SlotReply;
+use zinniahinge_types::SlotDecision;
 use zinniahinge_types::SlotRequest;
 
 use crate::coordinator::CoordinatorCell;
@@ -110,13 +110,14 @@
             .await
     }
 
-    /// Asks the coordinator when a request may be sent to a backend server that limits requests.
+    /// Asks the coordinator when a request may be sent to a backend server that limits requests; `None` if the receiver does not
+    /// coordinate.
     pub(crate) async fn slot(
         &self,
         holder: &LeaseHolder,
         request: &SlotRequest,
         state: &HostState,
-    ) -> Result<SlotReply, PeerError> {
+    ) -> Result<Option<SlotDecision>, PeerError> {
         if holder.host == state.startup.host {
             return Ok(self.cell.slot(request, state.now()));
         }
--- a/crates/host/src/send_permit.rs
+++ b/crates/host/src/send_permit.rs
@@ -8,10 +8,9 @@
 use zinniahinge_serving::BackendCandidate;
 use zinniahinge_serving::MAX_SLOT_WAIT;
 use zinniahinge_serving::SendBar;
-use zinniahinge_serving::SlotDecision;
 use zinniahinge_types::BackendRun;
 use zinniahinge_types::LimitNotice;
-use zinniahinge_types::SlotReply;
+use zinniahinge_types::SlotDecision;
 use zinniahinge_types::SlotRequest;
 
 use crate::caller_response::Refusal;
@@ -171,20 +170,16 @@
         backend: target.entry.id.clone(),
         born_ms: target.entry.born_ms,
     };
-    let reply = reserve_at_coordinator(state, target, &run, max_wait).await;
-    let decision = match reply {
-        Some(SlotReply::Granted { wait, next_in }) => SlotDecision::Granted { wait, next_in },
-        Some(SlotReply::Refused { again_in }) => SlotDecision::Refused { again_in },
-        Some(SlotReply::NotHolder) | None => {
-            let hosts = state.meter().hosts();
-            let phase = rand::random();
-            let now = state.now();
-            let mut shares = state.limit_shares();
-            let decision = shares.reserve(&run, (limit_per_s, hosts), max_wait, phase, now);
-            return (decision, SlotSource::OwnShare);
-        }
-    };
-    (decision, SlotSource::Coordinator)
+    let decision = reserve_at_coordinator(state, target, &run, max_wait).await;
+    if let Some(decision) = decision {
+        return (decision, SlotSource::Coordinator);
+    }
+    let hosts = state.meter().hosts();
+    let phase = rand::random();
+    let now = state.now();
+    let mut shares = state.limit_shares();
+    let decision = shares.reserve(&run, (limit_per_s, hosts), max_wait, phase, now);
+    (decision, SlotSource::OwnShare)
 }
 
 /// Asks the coordinator for a slot; `None` if none is known or it did not answer.
@@ -193,7 +188,7 @@
     target: &BackendCandidate,
     run: &BackendRun,
     max_wait: Duration,
-) -> Option<SlotReply> {
+) -> Option<SlotDecision> {
     let now = state.now();
     if !state.limit_shares().may_ask(now) || state.misses_coordinator() {
         return None;
@@ -210,7 +205,7 @@
         max_wait,
     };
     match state.link.slot(&holder, &request, state).await {
-        Ok(reply) => Some(reply),
+        Ok(decision) => decision,
         Err(error) => {
             state.limit_shares().record_silence(state.now());
             info!(state.logger, "coordinator did not answer a request for a slot"; "backend" => &*run.backend,
--- a/crates/serving/src/routing/limit_ledger.rs
+++ b/crates/serving/src/routing/limit_ledger.rs
@@ -3,10 +3,10 @@
 
 use zinniahinge_types::BackendRun;
 use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::SlotDecision;
 
 use crate::MAX_SLOT_WAIT;
 use crate::SendSchedule;
-use crate::SlotDecision;
 use crate::routing::send_schedule::MAX_SEND_INTERVAL;
 use crate::send_interval;
 
--- a/crates/serving/src/routing/limit_shares.rs
+++ b/crates/serving/src/routing/limit_shares.rs
@@ -3,10 +3,10 @@
 
 use zinniahinge_types::BackendRun;
 use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::SlotDecision;
 
 use crate::MAX_SLOT_WAIT;
 use crate::SendSchedule;
-use crate::SlotDecision;
 use crate::send_interval;
 
 /// Divisor of a host's share. Other hosts may still reach the coordinator, which grants them the whole limit, and slots of
--- a/crates/serving/src/routing/mod.rs
+++ b/crates/serving/src/routing/mod.rs
@@ -48,7 +48,6 @@
 pub use send_bar::SendBar;
 pub use send_schedule::MAX_SLOT_WAIT;
 pub use send_schedule::SendSchedule;
-pub use send_schedule::SlotDecision;
 pub use send_schedule::send_interval;
 pub use sent_parts::SentParts;
 pub use sent_run::MAX_REPORT_AGE;
--- a/crates/serving/src/routing/send_schedule.rs
+++ b/crates/serving/src/routing/send_schedule.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::SlotDecision;
 
 /// Longest time before its slot at which a request may reserve it. Bounds what a host that becomes coordinator doesn't know
 /// of, and the time for which a caller is kept waiting.
@@ -18,23 +19,6 @@
     })
 }
 
-/// Result of asking for a slot in a [`SendSchedule`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SlotDecision {
-    /// The request has a slot.
-    Granted {
-        /// Time until the slot.
-        wait: Duration,
-        /// Time until the slot after it.
-        next_in: Duration,
-    },
-    /// The next slot is later than the request can wait for; none was reserved.
-    Refused {
-        /// Time until the next slot.
-        again_in: Duration,
-    },
-}
-
 /// Slots for single requests to a server, one interval apart. Slots that nobody asks for are lost, so that they don't add up
 /// to a burst.
 #[derive(Clone, Debug)]
--- a/crates/serving/tests/send_limits.rs
+++ b/crates/serving/tests/send_limits.rs
@@ -10,10 +10,10 @@
 use zinniahinge_serving::LimitShares;
 use zinniahinge_serving::MAX_SLOT_WAIT;
 use zinniahinge_serving::SendSchedule;
-use zinniahinge_serving::SlotDecision;
 use zinniahinge_serving::send_interval;
 use zinniahinge_types::BackendRun;
 use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::SlotDecision;
 
 /// Span over which arrivals are counted, milliseconds, from the platform's rules.
 const WINDOW_MS: u64 = 4000;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -93,7 +93,7 @@
 pub use resource_key::SHARD_COUNT;
 pub use resource_key::ShardId;
 pub use slot_message::LimitNotice;
-pub use slot_message::SlotReply;
+pub use slot_message::SlotDecision;
 pub use slot_message::SlotRequest;
 pub use store_message::ConfigReply;
 pub use store_message::ConfigRequest;
--- a/crates/types/src/slot_message.rs
+++ b/crates/types/src/slot_message.rs
@@ -38,26 +38,25 @@
     pub max_wait: Duration,
 }
 
-/// Answers a [`SlotRequest`].
+/// Result of asking for a slot in the schedule of a backend server. A host that is not the coordinator answers a
+/// [`SlotRequest`] with `None`.
 #[serde_as]
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum SlotReply {
-    /// The receiver is not the coordinator.
-    NotHolder,
-    /// The request may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SlotDecision {
+    /// The request has a slot.
     Granted {
-        /// Time until then.
+        /// Time until the slot.
         #[serde_as(as = "DurationMicroSeconds<u64>")]
         #[serde(rename = "wait_us")]
         wait: Duration,
-        /// Time until the next request may be sent by any host.
+        /// Time until the slot after it, for the next request of any host.
         #[serde_as(as = "DurationMicroSeconds<u64>")]
         #[serde(rename = "next_in_us")]
         next_in: Duration,
     },
-    /// The request would have to wait longer than it can.
+    /// The next slot is later than the request can wait for; none was reserved.
     Refused {
-        /// Time until the next request may be sent.
+        /// Time until the next slot.
         #[serde_as(as = "DurationMicroSeconds<u64>")]
         #[serde(rename = "again_in_us")]
         again_in: Duration,
