Sends: look a bar up in the permit only

acquire_permit and send both asked SendBar::find, and a bar found in send came back as an error of the send, with a branch of its own in forward. The second look-up covered the time in which the coordinator was asked for a slot; the permit now looks once more after each slot, also one without a wait, and send relies on it: nothing is awaited in between. BackendSendError::Barred is gone.

--- a/crates/host/src/backend_exchange.rs
+++ b/crates/host/src/backend_exchange.rs
@@ -143,10 +143,7 @@
 impl FailedSend {
     /// True if no byte of the request was written.
     pub(crate) fn is_unsent(&self) -> bool {
-        matches!(
-            self.error,
-            BackendSendError::NotSent(_) | BackendSendError::Barred(_)
-        )
+        matches!(self.error, BackendSendError::NotSent(_))
     }
 }
 
--- a/crates/host/src/backend_send.rs
+++ b/crates/host/src/backend_send.rs
@@ -15,7 +15,6 @@
 use zinniahinge_serving::BackendCandidate;
 use zinniahinge_serving::LimitStatement;
 use zinniahinge_serving::LoadGuard;
-use zinniahinge_serving::SendBar;
 use zinniahinge_transport::PooledExchange;
 use zinniahinge_transport::RequestKey;
 use zinniahinge_transport::ReuseRule;
@@ -39,9 +38,6 @@
 /// Why a send to a backend server gave no usable response, and whether the request may have run.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub(crate) enum BackendSendError {
-    /// Nothing was sent, because the server leaves or wants a pause.
-    #[error("request not sent, the server is {}", .0.name())]
-    Barred(SendBar),
     /// No byte of the request was written.
     #[error("request not sent: {0}")]
     NotSent(String),
@@ -65,13 +61,12 @@
 impl BackendSendError {
     /// True if the server surely did not run the request.
     pub(crate) fn is_not_run(&self) -> bool {
-        matches!(self, Self::Barred(_) | Self::NotSent(_) | Self::NotRun(_))
+        matches!(self, Self::NotSent(_) | Self::NotRun(_))
     }
 
     /// Value of the metric label.
     pub(crate) fn label(&self) -> &'static str {
         match self {
-            Self::Barred(bar) => bar.name(),
             Self::NotSent(_) => "not-sent",
             Self::NotRun(_) => "not-run",
             Self::MayHaveRun(_) => "may-have-run",
@@ -94,11 +89,6 @@
     resume_after: Option<&str>,
     deadline: Instant,
 ) -> Result<BackendResponse, BackendSendError> {
-    match SendBar::find(&target.entry, &target.load, state.now()) {
-        // The permit covers this send; the bar is for the next one.
-        None | Some(SendBar::Limited { .. }) => {}
-        Some(bar) => return Err(BackendSendError::Barred(bar)),
-    }
     let guard = LoadGuard::for_request(target.load.clone(), &context.facts);
     let request =
         build_request(context, target, resume_after).map_err(BackendSendError::NotSent)?;
--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -202,7 +202,6 @@
             .with_label_values(&[error.label()])
             .inc();
         match error {
-            BackendSendError::Barred(bar) => history.record_bar(&backend, bar),
             BackendSendError::NotSent(_) => history.record_unreachable(&backend),
             BackendSendError::NotRun(status) => {
                 let pause = record_rejection(state, context, history, &target, status);
--- a/crates/host/src/send_permit.rs
+++ b/crates/host/src/send_permit.rs
@@ -80,22 +80,25 @@
     history: &SendHistory,
     target: &BackendCandidate,
 ) -> Result<SendPermit, PermitError> {
-    match SendBar::find(&target.entry, &target.load, state.now()) {
-        None | Some(SendBar::Limited { .. }) => {}
-        Some(bar) => return Err(PermitError::Barred(bar)),
-    }
     let mut has_waited = false;
+    let mut bar = SendBar::find(&target.entry, &target.load, state.now());
+    // Limit under which the request has a slot.
+    let mut slot_limit: Option<f64> = None;
     loop {
-        let Some(limit_per_s) = target.load.limit_per_s() else {
-            return Ok(SendPermit { has_waited });
-        };
-        let waited = wait_for_slot(state, context, history, target, limit_per_s).await?;
-        has_waited |= waited;
+        // The request has a slot, or asks for one: a bar for want of slots is for other requests.
+        match bar {
+            None | Some(SendBar::Limited { .. }) => {}
+            Some(bar) => return Err(PermitError::Barred(bar)),
+        }
+        let limit = target.load.limit_per_s();
         // A slot under a higher limit is too early under a lower one.
-        let now_per_s = target.load.limit_per_s();
-        if !waited || now_per_s.is_none_or(|now_per_s| now_per_s >= limit_per_s) {
+        let is_covered = |limit| slot_limit.is_some_and(|slot_limit| slot_limit <= limit);
+        let Some(limit) = limit.filter(|limit| !is_covered(*limit)) else {
             return Ok(SendPermit { has_waited });
-        }
+        };
+        has_waited |= wait_for_slot(state, context, history, target, limit).await?;
+        slot_limit = Some(limit);
+        bar = bar_after_slot(state, context, target);
     }
 }
 
@@ -136,14 +139,11 @@
         "limit_per_s" => limit_per_s, "source" => source.name(), "wait_ms" => wait.as_millis() as u64);
     let waited = wait_until(state, context, Instant::now() + wait).await;
     waited.map_err(PermitError::Ended)?;
-    match bar_after_wait(state, context, target) {
-        None => Ok(true),
-        Some(bar) => Err(PermitError::Barred(bar)),
-    }
+    Ok(true)
 }
 
-/// Why the server may not be sent to any more after a wait for a slot.
-fn bar_after_wait(
+/// Why the server may not be sent to after the coordinator was asked for a slot and the request waited for it.
+fn bar_after_slot(
     state: &HostState,
     context: &RequestContext,
     target: &BackendCandidate,
@@ -151,9 +151,8 @@
     let table = state.table.load();
     let slot = table.backend(&context.service, &target.entry.id);
     let slot = slot.filter(|slot| slot.entry.born_ms == target.entry.born_ms);
-    match slot.map(|slot| slot.bar(state.now())) {
-        Some(None | Some(SendBar::Limited { .. })) => None,
-        Some(Some(bar)) => Some(bar),
+    match slot {
+        Some(slot) => slot.bar(state.now()),
         // The store lists this run no more.
         None => Some(SendBar::Draining),
     }
