--- a/crates/host/src/backend_exchange.rs
+++ b/crates/host/src/backend_exchange.rs
@@ -36,17 +36,18 @@
     pub(crate) response: Option<BufferedResponse>,
 }
 
-/// Sends the request to `target` and reads the response until `deadline`.
+/// Uses the permit to send the request, and reads the response until `deadline`.
 pub(crate) async fn exchange(
     state: &Arc<HostState>,
     context: &RequestContext,
     history: &mut SendHistory,
-    (target, permit): (&BackendCandidate, SendPermit),
+    permit: SendPermit,
     deadline: Instant,
 ) -> Result<CallerResponse, FailedSend> {
     let sent_at = Instant::now();
+    let target = &permit.target.clone();
     let is_alone = target.load.fleet_pending_tokens() == 0;
-    let response = send(state, context, history, (target, permit), None, deadline).await?;
+    let response = send(state, context, history, permit, None, deadline).await?;
     let delivered = match context.rule.kind {
         RouteKind::Streaming { .. } if response.metadata.status.is_success() => {
             let opened = open_stream(response, target, deadline).await;
--- a/crates/host/src/backend_send.rs
+++ b/crates/host/src/backend_send.rs
@@ -85,10 +85,11 @@
     state: &HostState,
     context: &RequestContext,
     history: &mut SendHistory,
-    (target, _permit): (&BackendCandidate, SendPermit),
+    permit: SendPermit,
     resume_after: Option<&str>,
     deadline: Instant,
 ) -> Result<BackendResponse, BackendSendError> {
+    let target = &permit.target;
     let guard = LoadGuard::for_request(target.load.clone(), &context.facts);
     let request =
         build_request(context, target, resume_after).map_err(BackendSendError::NotSent)?;
--- a/crates/host/src/event_relay.rs
+++ b/crates/host/src/event_relay.rs
@@ -360,16 +360,7 @@
             self.log.delivered_sends += 1;
             self.log.backend = Some(backend.clone());
             let (history, deadline) = (&mut self.history, context.deadline);
-            let target_permit = (&target, permit);
-            let sent = send(
-                state,
-                context,
-                history,
-                target_permit,
-                Some(last_event),
-                deadline,
-            )
-            .await;
+            let sent = send(state, context, history, permit, Some(last_event), deadline).await;
             let is_not_run = matches!(&sent, Err(end) if end.is_not_run());
             let opened = match sent {
                 Ok(response)
--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -182,7 +182,7 @@
         let backend = target.entry.id.clone();
         log.record_send(&backend);
         history.sending_to = Some(backend.clone());
-        let sent = send_and_read(state, context, history, (&target, permit)).await;
+        let sent = send_and_read(state, context, history, permit).await;
         history.sending_to = None;
         let is_delivered = !matches!(&sent, Err(failed) if failed.is_unsent());
         history.delivered_sends += u32::from(is_delivered);
@@ -359,28 +359,29 @@
         && state.retries.for_service(&context.service).balance() > 0
 }
 
-/// Sends the request to `target` and reads the response: to its end, or to the first event of a stream.
+/// Uses the permit to send the request, and reads the response: to its end, or to the first event of a stream.
 ///
 /// A repeatable request for which no response comes in time is given up while another server can still answer in time. One
-/// with a model is given up only when `target` no longer works on it.
+/// with a model is given up only when the server no longer works on it.
 async fn send_and_read(
     state: &Arc<HostState>,
     context: &RequestContext,
     history: &mut SendHistory,
-    (target, permit): (&BackendCandidate, SendPermit),
+    permit: SendPermit,
 ) -> Result<CallerResponse, FailedSend> {
+    let target = &permit.target.clone();
     let failover_timeout = (context.rule.goal * FAILOVER_GOAL_FACTOR).max(MIN_FAILOVER_TIMEOUT);
     let failover_at = Instant::now() + failover_timeout;
     if context.rule.kind.is_repeatable() && context.facts.model.is_none() {
         let deadline = context.deadline.min(failover_at);
-        return exchange(state, context, history, (target, permit), deadline).await;
+        return exchange(state, context, history, permit, deadline).await;
     }
     if !may_send_again(state, context, history) {
-        return exchange(state, context, history, (target, permit), context.deadline).await;
+        return exchange(state, context, history, permit, context.deadline).await;
     }
     tokio::select! {
         biased;
-        delivered = exchange(state, context, history, (target, permit), context.deadline) => delivered,
+        delivered = exchange(state, context, history, permit, context.deadline) => delivered,
         () = wait_for_silent_run_end(state, context, target, failover_at) => {
             target.load.count_failure();
             target.load.avoid(state.now());
--- a/crates/host/src/send_permit.rs
+++ b/crates/host/src/send_permit.rs
@@ -29,6 +29,8 @@
 /// Allows one send to a backend server.
 #[derive(Debug)]
 pub(crate) struct SendPermit {
+    /// Backend server that the request may be sent to.
+    pub(crate) target: BackendCandidate,
     /// True if the request waited for it, so that earlier checks may be outdated.
     pub(crate) has_waited: bool,
 }
@@ -94,7 +96,10 @@
         // A slot under a higher limit is too early under a lower one.
         let is_covered = |limit| slot_limit.is_some_and(|slot_limit| slot_limit <= limit);
         let Some(limit) = limit.filter(|limit| !is_covered(*limit)) else {
-            return Ok(SendPermit { has_waited });
+            return Ok(SendPermit {
+                target: target.clone(),
+                has_waited,
+            });
         };
         has_waited |= wait_for_slot(state, context, history, target, limit).await?;
         slot_limit = Some(limit);
