Cold servers and paces: rates, ledger, slots and messages

A run now has one rate (BackendLoad::send_rate), the smallest of the limit that it named, what it takes while it is cold, and a pace that the coordinator finds from how it answers (PaceLedger). Sends keep to it through the slots that Server-Limit has already. Cold time and paces apply to services whose configuration has a cold start; paces also where the settings say that memory is tight. Elsewhere no rate applies, and no message has a further field.

--- a/crates/host/src/backend_exchange.rs
+++ b/crates/host/src/backend_exchange.rs
@@ -66,8 +66,17 @@
     {
         state.parts().record_progress(&context.facts, state.now());
     }
+    if delivered.is_ok() {
+        let (time, goal) = (sent_at.elapsed(), context.rule.goal);
+        target.load.answers().count_answer(time, goal);
+    }
     match &delivered {
-        Err(_) => target.load.count_failure(),
+        Err(failed) => {
+            target.load.count_failure();
+            if matches!(failed.error, BackendSendError::ConnectionLost(_)) {
+                target.load.record_connection_loss(state.now());
+            }
+        }
         Ok(CallerResponse::Buffered(..)) => target.load.count_success(),
         // The relay counts a stream when it ends.
         Ok(CallerResponse::Stream(..)) => {}
--- a/crates/host/src/backend_send.rs
+++ b/crates/host/src/backend_send.rs
@@ -145,6 +145,10 @@
     if metadata.names_attempt || !is_reused {
         apply_server_notices(state, context, target, &metadata, sent_at);
     }
+    // Another server has the address if it says so.
+    if metadata.status != StatusCode::MISDIRECTED_REQUEST {
+        target.load.record_answer(sent_at, state.now());
+    }
     let response = BackendResponse {
         metadata,
         headers: head.headers,
@@ -154,6 +158,9 @@
     };
     if response.metadata.states_not_executed {
         let status = response.metadata.status;
+        if status != StatusCode::MISDIRECTED_REQUEST {
+            target.load.answers().count_rejection();
+        }
         let connection = if is_reused { "reused" } else { "new" };
         info!(state.logger, "backend server rejected the request"; "id" => &*context.facts.attempt_id,
             "backend" => &*target.entry.id, "status" => status.as_u16(), "connection" => connection);
@@ -264,8 +271,14 @@
     target.load.avoid(state.now());
     let reason = failure.to_string();
     match failure {
-        SendFailure::NotSent { .. } => BackendSendError::NotSent(reason),
-        SendFailure::Unanswered { .. } => BackendSendError::ConnectionLost(reason),
+        SendFailure::NotSent { .. } => {
+            target.load.record_connection_loss(state.now());
+            BackendSendError::NotSent(reason)
+        }
+        SendFailure::Unanswered { .. } => {
+            target.load.record_connection_loss(state.now());
+            BackendSendError::ConnectionLost(reason)
+        }
         SendFailure::TimedOut => BackendSendError::TimedOut,
     }
 }
--- a/crates/host/src/change_applier.rs
+++ b/crates/host/src/change_applier.rs
@@ -137,9 +137,9 @@
         };
         let entry = value.and_then(|value| self.decode_entry(source, id, &value));
         let known = source.roster.find(id);
-        let is_minor = known
-            .zip(entry.as_ref())
-            .is_some_and(|(known, entry)| known.has_same_routing(entry));
+        let is_minor = known.zip(entry.as_ref()).is_some_and(|(known, entry)| {
+            known.has_same_routing(entry) && !source.shows_new_cold_time(entry, now)
+        });
         if !is_minor {
             source.log.push(relayed);
         }
--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -15,11 +15,15 @@
 use zinniahinge_serving::CoordinatorTimes;
 use zinniahinge_serving::FleetLedger;
 use zinniahinge_serving::LimitLedger;
+use zinniahinge_serving::PaceChange;
+use zinniahinge_serving::PaceLedger;
 use zinniahinge_serving::PartLedger;
 use zinniahinge_serving::Placement;
 use zinniahinge_serving::ResidencyPlanner;
 use zinniahinge_serving::ResidencySettings;
+use zinniahinge_serving::SendRate;
 use zinniahinge_types::BackendRun;
+use zinniahinge_types::ColdNotice;
 use zinniahinge_types::EngineModels;
 use zinniahinge_types::FleetCharge;
 use zinniahinge_types::FleetChargeReply;
@@ -66,8 +70,12 @@
     pub(crate) ledger: FleetLedger,
     /// Prompt parts that crash backend servers.
     pub(crate) parts: PartLedger,
-    /// Schedules for backend servers that limit requests.
+    /// Schedules for backend servers that get only so many requests a second.
     limits: LimitLedger,
+    /// Paces of backend servers that have just started or recovered.
+    paces: PaceLedger,
+    /// Backend servers that are cold, as of `settled_at`.
+    cold: Vec<ColdNotice>,
     watch: ModelWatch,
     /// Backend servers that say that they leave while the store lists them as ready, as of `settled_at`.
     leaving: Vec<BackendRun>,
@@ -103,6 +111,8 @@
             ledger,
             parts,
             limits: LimitLedger::new(now),
+            paces: PaceLedger::new(now),
+            cold: Vec::new(),
             watch: ModelWatch::default(),
             leaving: Vec::new(),
             limit_notices: Vec::new(),
@@ -146,12 +156,8 @@
             }
             let listed: HashSet<&Name> = backends.iter().map(|slot| &slot.entry.id).collect();
             planner.retain_engines(|id| listed.contains(id));
-            let limits = backends.iter().filter_map(|slot| {
-                let limit_per_s = slot.load.limit_per_s()?;
-                Some((slot.entry.id.clone(), limit_per_s))
-            });
-            planner.set_limits(&limits.collect());
         }
+        self.set_planner_limits(&table, now);
         let last_seen = self.state.with_source(|source| {
             let hosts = source.hosts.iter();
             hosts
@@ -167,6 +173,64 @@
         self.limits.expire(now);
     }
 
+    /// Tells the planners which engines take only so many requests a second. Paces are left out: they end soon.
+    fn set_planner_limits(&mut self, table: &FleetTable, now: MonotonicTime) {
+        for (service, planner) in &mut self.planners {
+            let slots = table.backends(service).iter();
+            let limits = slots.filter_map(|slot| {
+                let load = &slot.load;
+                let rate = SendRate::smallest(load.limit_per_s(), load.cold_rate(now), None)?;
+                Some((slot.entry.id.clone(), rate.per_s))
+            });
+            planner.set_limits(&limits.collect());
+        }
+    }
+
+    /// Finds the backend servers that are cold, and changes the paces that are due.
+    fn settle_paces(&mut self, table: &FleetTable, now: MonotonicTime) {
+        let had_cold = !self.cold.is_empty();
+        self.cold = table.cold_notices(|load| load.cold_left(now));
+        if had_cold || !self.cold.is_empty() {
+            self.set_planner_limits(table, now);
+        }
+        let has_tight_memory = self.state.startup.bounds.has_tight_memory;
+        let listed = table.paced_servers(has_tight_memory, now);
+        let changes = self.paces.settle(listed, now);
+        self.apply_paces(table, &changes);
+    }
+
+    /// Logs changes of paces, and keeps this host to them at once.
+    fn apply_paces(&self, table: &FleetTable, changes: &[PaceChange]) {
+        let logger = &self.state.logger;
+        for change in changes {
+            match change {
+                PaceChange::Begun { run, per_s, start } => {
+                    info!(logger, "pace of a backend server begins"; "backend" => &*run.backend,
+                        "per_s" => per_s, "start" => start.name(), "fence" => self.fence);
+                }
+                PaceChange::Ended { run, per_s, end } => {
+                    info!(logger, "pace of a backend server ends"; "backend" => &*run.backend,
+                        "per_s" => per_s, "end" => end.name(), "fence" => self.fence);
+                }
+            }
+        }
+        let paces = self.paces.notices();
+        if !paces.is_empty() || !changes.is_empty() {
+            table.set_paces(&paces);
+        }
+    }
+
+    /// Backend servers that are cold, with the times that are left at `now`.
+    fn cold_known(&self, now: MonotonicTime) -> Vec<ColdNotice> {
+        let since = now.since(self.settled_at);
+        let notices = self.cold.iter().cloned();
+        let notices = notices.map(|notice| ColdNotice {
+            left: notice.left.saturating_sub(since),
+            ..notice
+        });
+        notices.collect()
+    }
+
     /// Runs the ledger's periodic work over all accounts and backend servers if it is due.
     fn settle(&mut self, table: &FleetTable, now: MonotonicTime) {
         let accounts = table.accounts();
@@ -212,25 +276,30 @@
         FleetChargeReply::Holder { is_admitted, level }
     }
 
-    /// Reserves a slot for one request to a backend server that limits requests.
+    /// Reserves a slot for one request to a backend server that gets only so many a second.
     fn slot(&mut self, request: &SlotRequest, now: MonotonicTime) -> SlotDecision {
         let notice = &request.notice;
         self.state.record_limits(std::slice::from_ref(notice), now);
-        let limit_per_s = self
+        if let Some(left) = request.cold_left {
+            let run = notice.run.clone();
+            self.state.record_cold(&[ColdNotice { run, left }]);
+        }
+        self.paces.record_ask(&notice.run);
+        let rate = self
             .state
             .with_source(|source| match source.load(&notice.run) {
-                Some(load) => load.limit_per_s(),
-                None => notice.limit_per_s,
+                Some(load) => load.send_rate(now),
+                None => SendRate::smallest(notice.limit_per_s, request.rate_per_s, None),
             });
-        limit_per_s.map_or(
-            // Another host has heard that the limit is lifted.
+        rate.map_or(
+            // Another host has heard that the limit is lifted, or the pace has ended.
             SlotDecision::Granted {
                 wait: Duration::ZERO,
                 next_in: Duration::ZERO,
             },
-            |limit| {
+            |rate| {
                 self.limits
-                    .reserve(&notice.run, limit, request.max_wait, now)
+                    .reserve(&notice.run, rate.per_s, request.max_wait, now)
             },
         )
     }
@@ -254,13 +323,22 @@
         self.ledger.apply(report, accounts, now);
         self.state.mark_leaving(&report.leaving);
         self.state.record_limits(&report.limits, now);
+        self.state.record_cold(&report.cold);
+        for usage in &report.backends {
+            if let Some(answers) = &usage.answers {
+                self.paces.record(&usage.backend, answers, now);
+            }
+        }
         self.parts.apply(&report.host, &report.parts, now);
         if now.since(self.settled_at) >= SETTLE_INTERVAL {
             self.settled_at = now;
             self.leaving = table.leaving_unlisted();
             self.limit_notices = table.limit_notices(Duration::MAX, now);
             self.settle_parts(now);
+            self.settle_paces(&table, now);
         }
+        let inherited = self.paces.inherit(&report.paces, now);
+        self.apply_paces(&table, &inherited);
         for used in &report.models {
             self.watch.record(used, now);
             if used.count == 0 {
@@ -314,6 +392,8 @@
             store_outage: relayed_outage(&self.state),
             leaving: self.leaving.clone(),
             limits: self.limits_known(now),
+            cold: self.cold_known(now),
+            paces: self.paces.notices(),
             blocked: self.parts.changes_since(report.parts.blocked_version, now),
         }
     }
--- a/crates/host/src/event_relay.rs
+++ b/crates/host/src/event_relay.rs
@@ -262,6 +262,9 @@
             let load = stream.guard.load().clone();
             load.count_failure();
             load.avoid(self.state.now());
+            if matches!(failure, StreamFailure::ConnectionLost(_)) {
+                load.record_connection_loss(self.state.now());
+            }
             info!(self.state.logger, "event stream interrupted"; "id" => &*self.context.facts.attempt_id,
                 "backend" => &*stream.target.entry.id, "events" => self.log.events,
                 "resume_point" => stream.reader.resume_point(), "parts" => self.context.facts.shared_parts_text(),
@@ -390,6 +393,7 @@
                     if matches!(failure, StreamFailure::ConnectionLost(_)) {
                         let now = state.now();
                         state.parts().record_cut(&context.facts, &target, now);
+                        target.load.record_connection_loss(now);
                     }
                     info!(state.logger, "event stream not resumed at backend server";
                         "id" => &*context.facts.attempt_id, "backend" => &*backend, "reason" => %failure);
--- a/crates/host/src/fleet_reporter.rs
+++ b/crates/host/src/fleet_reporter.rs
@@ -35,6 +35,9 @@
 /// Age up to which a report repeats what a backend server said about its limit: two reports of a fleet of 400 hosts.
 const MAX_LIMIT_AGE: Duration = Duration::from_millis(2400);
 
+/// Time without an answer of a coordinator after which paces end. A coordinator ends them about as soon.
+const MAX_PACE_AGE: Duration = Duration::from_secs(20);
+
 /// Shortest report interval divided by the number of hosts in the fleet. Limits the coordinator to 333 reports a second.
 pub(crate) const INTERVAL_PER_HOST: Duration = Duration::from_millis(3);
 
@@ -61,6 +64,8 @@
     record_written_at: MonotonicTime,
     /// Load of all hosts together on each backend server, from the coordinator of this fencing number.
     totals: HashMap<Name, BackendTotal>,
+    /// True if the coordinator's last answer named paces.
+    has_paces: bool,
     /// Newest version of the totals, after which the coordinator sends changes.
     totals_version: u64,
 }
@@ -86,15 +91,26 @@
                 self.send_report(&holder, interval, &mut session).await;
             }
             self.refresh_host_record(&mut session).await;
-            self.settle_limits();
+            self.settle_limits(&mut session);
         }
     }
 
-    /// Drops shares of runs that are gone, and counts the backend servers that limit requests.
-    fn settle_limits(&self) {
+    /// Drops shares of runs that are gone and paces that no coordinator confirms, and counts the backend servers that get only
+    /// so many requests a second.
+    fn settle_limits(&self, session: &mut ReportSession) {
         let table = self.state.table.load();
-        let limited = table.limited_count();
-        self.state.counters.limited_servers.set(limited as i64);
+        let now = self.state.now();
+        if session.has_paces && now.since(session.answered_at) >= MAX_PACE_AGE {
+            session.has_paces = false;
+            table.set_paces(&[]);
+        }
+        let counters = &self.state.counters;
+        let limited = table.count_loads(|load| load.limit_per_s().is_some());
+        counters.limited_servers.set(limited as i64);
+        let cold = table.count_loads(|load| load.cold_left(now).is_some());
+        counters.cold_servers.set(cold as i64);
+        let paced = table.count_loads(|load| load.pace().is_some());
+        counters.paced_servers.set(paced as i64);
         let mut shares = self.state.limit_shares();
         self.state
             .with_source(|source| shares.retain(|run| source.load(run).is_some()));
@@ -207,13 +223,15 @@
         let backends = slots.filter_map(|slot| {
             let (succeeded, failed) = slot.load.take_outcomes();
             let in_flight = slot.load.in_flight();
-            (in_flight + succeeded + failed > 0).then(|| BackendUse {
+            let answers = slot.load.answers().take(slot.entry.born_ms);
+            (in_flight + succeeded + failed > 0 || answers.is_some()).then(|| BackendUse {
                 backend: slot.entry.id.clone(),
                 in_flight,
                 pending_tokens: slot.load.pending_tokens(),
                 succeeded,
                 failed,
                 runs: slot.load.open_runs(),
+                answers,
             })
         });
         FleetReport {
@@ -235,6 +253,12 @@
             },
             leaving: table.leaving_unlisted(),
             limits: table.limit_notices(limit_age, now),
+            cold: table.cold_notices(|load| load.own_cold_left(now)),
+            paces: if is_new {
+                table.pace_notices()
+            } else {
+                Vec::new()
+            },
         }
     }
 
@@ -260,6 +284,8 @@
             blocked,
             leaving,
             limits,
+            cold,
+            paces,
         } = view;
         let known_hosts = state.with_source(|source| source.hosts.len() as u32);
         state.set_hosts(hosts.max(known_hosts));
@@ -281,6 +307,11 @@
         });
         state.mark_leaving(&leaving);
         state.record_limits(&limits, asked_at);
+        state.record_cold(&cold);
+        if session.has_paces || !paces.is_empty() {
+            session.has_paces = !paces.is_empty();
+            state.table.load().set_paces(&paces);
+        }
         // A coordinator of an earlier version states no more than when a call last failed.
         let last_failure = store.as_ref().and_then(|reading| reading.outage_age_ms);
         let last_failure = last_failure.map(|age_ms| RelayedOutage {
--- a/crates/host/src/fleet_table.rs
+++ b/crates/host/src/fleet_table.rs
@@ -10,14 +10,19 @@
 use zinniahinge_serving::BackendEntry;
 use zinniahinge_serving::BackendLoad;
 use zinniahinge_serving::BackendPhase;
+use zinniahinge_serving::PacedServer;
 use zinniahinge_serving::SendBar;
+use zinniahinge_serving::SendRate;
 use zinniahinge_serving::ServingConfig;
+use zinniahinge_serving::is_paced;
 use zinniahinge_types::BackendRun;
 use zinniahinge_types::BlockedParts;
+use zinniahinge_types::ColdNotice;
 use zinniahinge_types::HostId;
 use zinniahinge_types::LimitNotice;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
+use zinniahinge_types::PaceNotice;
 
 /// The coordinator: the host that holds the coordinator lease, from its record in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -148,11 +153,76 @@
         notices.collect()
     }
 
-    /// Number of backend servers that limit requests.
-    pub(crate) fn limited_count(&self) -> usize {
+    /// Backend servers that are cold, each with the time that `cold_left` returns for its load.
+    pub(crate) fn cold_notices(
+        &self,
+        cold_left: impl Fn(&BackendLoad) -> Option<Duration>,
+    ) -> Vec<ColdNotice> {
         let slots = self.services.values().flatten();
-        let limited = slots.filter(|slot| slot.load.limit_per_s().is_some());
-        limited.count()
+        let notices = slots.filter_map(|slot| {
+            Some(ColdNotice {
+                left: cold_left(&slot.load)?,
+                run: slot.run(),
+            })
+        });
+        notices.collect()
+    }
+
+    /// Backend servers that have a pace, as the coordinator last said.
+    pub(crate) fn pace_notices(&self) -> Vec<PaceNotice> {
+        let slots = self.services.values().flatten();
+        let notices = slots.filter_map(|slot| {
+            Some(PaceNotice {
+                per_s: slot.load.pace()?,
+                run: slot.run(),
+            })
+        });
+        notices.collect()
+    }
+
+    /// Sets the paces of all backend servers; those that `paces` doesn't name have none.
+    pub(crate) fn set_paces(&self, paces: &[PaceNotice]) {
+        let paces = paces.iter().map(|notice| (&notice.run, notice.per_s));
+        let paces: HashMap<&BackendRun, f64> = paces.collect();
+        for slot in self.services.values().flatten() {
+            slot.load.set_pace(paces.get(&slot.run()).copied());
+        }
+    }
+
+    /// Listed backend servers of services that have paces.
+    pub(crate) fn paced_servers(
+        &self,
+        has_tight_memory: bool,
+        now: MonotonicTime,
+    ) -> Vec<PacedServer> {
+        let services = self
+            .config
+            .iter()
+            .flat_map(|config| config.services.values());
+        let services = services.filter(|service| is_paced(service, has_tight_memory));
+        let slots = services.flat_map(|service| self.backends(&service.name));
+        let listed = slots.filter(|slot| slot.is_listed);
+        listed
+            .map(|slot| {
+                let bound =
+                    SendRate::smallest(slot.load.limit_per_s(), slot.load.cold_rate(now), None);
+                PacedServer {
+                    run: slot.run(),
+                    service: slot.entry.service.clone(),
+                    slots: slot.entry.slots,
+                    bound: bound.map(|rate| rate.per_s),
+                    is_cold: slot.load.cold_left(now).is_some(),
+                    is_suspect: slot.load.is_suspect(),
+                }
+            })
+            .collect()
+    }
+
+    /// Number of backend servers for whose load `is_counted` returns true.
+    pub(crate) fn count_loads(&self, is_counted: impl Fn(&BackendLoad) -> bool) -> usize {
+        let slots = self.services.values().flatten();
+        let counted = slots.filter(|slot| is_counted(&slot.load));
+        counted.count()
     }
 
     /// Finds a backend server of a service by its id.
--- a/crates/host/src/host_counters.rs
+++ b/crates/host/src/host_counters.rs
@@ -17,10 +17,15 @@
     pub(crate) rejections: IntCounterVec,
     /// Answers of backend servers to earlier requests of a connection that came once more and were skipped.
     pub(crate) late_answers: IntCounter,
-    /// Slots asked for at backend servers that limit requests, by who decided and how.
+    /// Slots asked for at backend servers that get only so many requests a second, by who decided, how, and why they get no
+    /// more.
     pub(crate) slots: IntCounterVec,
     /// Backend servers that limit requests, as this host knows.
     pub(crate) limited_servers: IntGauge,
+    /// Backend servers that are cold, as this host knows.
+    pub(crate) cold_servers: IntGauge,
+    /// Backend servers with a pace, as this host knows.
+    pub(crate) paced_servers: IntGauge,
     /// Questions to engines whether they still work on a request, by what the answer shows and whether the request may go
     /// on at another server.
     pub(crate) run_lookups: IntCounterVec,
@@ -66,13 +71,21 @@
             )?,
             slots: registry.counter_vec(
                 "host_limit_slots_total",
-                "Slots asked for at backend servers that limit requests, by source and outcome",
-                &["source", "outcome"],
+                "Slots asked for at backend servers that get only so many requests a second, by source, outcome and reason",
+                &["source", "outcome", "reason"],
             )?,
             limited_servers: registry.gauge(
                 "host_limited_servers",
                 "Backend servers that limit the requests of all hosts together",
             )?,
+            cold_servers: registry.gauge(
+                "host_cold_servers",
+                "Backend servers that have just started and are slow",
+            )?,
+            paced_servers: registry.gauge(
+                "host_paced_servers",
+                "Backend servers whose pace the coordinator finds out",
+            )?,
             run_lookups: registry.counter_vec(
                 "host_run_lookups_total",
                 "Runs looked up at engines by evidence and permission to go on elsewhere",
--- a/crates/host/src/host_process.rs
+++ b/crates/host/src/host_process.rs
@@ -202,7 +202,7 @@
         counters,
         table: ArcSwap::from_pointee(FleetTable::default()),
         table_version: watch::channel(0).0,
-        source: Mutex::new(TableSource::new()),
+        source: Mutex::new(TableSource::new(&startup.bounds)),
         confirmed: ConfigFreshness::default(),
         engines: EngineClient::new(pool.clone()),
         pool,
--- a/crates/host/src/host_state.rs
+++ b/crates/host/src/host_state.rs
@@ -23,6 +23,7 @@
 use zinniahinge_telemetry::BootClock;
 use zinniahinge_transport::HttpPool;
 use zinniahinge_types::BackendRun;
+use zinniahinge_types::ColdNotice;
 use zinniahinge_types::FleetCharge;
 use zinniahinge_types::FleetChargeReply;
 use zinniahinge_types::HostId;
@@ -244,6 +245,28 @@
         }
     }
 
+    /// Records backend servers that other hosts found to be cold; the times in `notices` count from now.
+    pub(crate) fn record_cold(&self, notices: &[ColdNotice]) {
+        if notices.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let changed = self.with_source(|source| {
+            let mut changed = 0;
+            for notice in notices {
+                let load = source.load(&notice.run);
+                let is_new = load.is_some_and(|load| load.presume_cold(now + notice.left, now));
+                changed += usize::from(is_new);
+            }
+            changed
+        });
+        if changed > 0 {
+            info!(self.logger, "backend servers are cold, as other hosts found"; "count" => changed);
+            // The next plan takes it into account.
+            self.update(|_| true);
+        }
+    }
+
     /// Records that the store answered a call that was sent at `sent`. To be called before the answer is applied.
     pub(crate) fn record_store_answer(&self, sent: MonotonicTime) {
         let now = self.now();
--- a/crates/host/src/next_target.rs
+++ b/crates/host/src/next_target.rs
@@ -22,8 +22,10 @@
     history: &mut SendHistory,
 ) -> Result<BackendCandidate> {
     history.slot_wait = SHORT_SLOT_WAIT;
+    history.is_only_target = false;
     if let Some(target) = history.take_return() {
         history.slot_wait = longest_slot_wait(context, history);
+        history.is_only_target = true;
         return Ok(target);
     }
     if let Some(target) = &history.open_run {
--- a/crates/host/src/send_history.rs
+++ b/crates/host/src/send_history.rs
@@ -39,6 +39,8 @@
     pub(crate) broken_at: Option<Instant>,
     /// Longest time that the next send may wait for a slot at a backend server that limits requests.
     pub(crate) slot_wait: Duration,
+    /// True if no other backend server than the chosen one can run the request now.
+    pub(crate) is_only_target: bool,
     /// Sends that reached a backend server.
     pub(crate) delivered_sends: u32,
 }
--- a/crates/host/src/send_permit.rs
+++ b/crates/host/src/send_permit.rs
@@ -1,15 +1,19 @@
-//! Permits to send a request to a backend server. A server that limits the requests of all hosts together gets each one in
-//! a slot that the coordinator grants, or in this host's own share while no coordinator answers.
+//! Permits to send a request to a backend server. A server that gets only so many requests a second of all hosts together,
+//! because it limits them, is cold or has a pace, gets each one in a slot that the coordinator grants, or in this host's own share while no coordinator answers.
 
 use std::time::Duration;
 
 use slog::info;
 use tokio::time::Instant;
 use zinniahinge_serving::BackendCandidate;
+use zinniahinge_serving::LimitStatement;
 use zinniahinge_serving::MAX_SLOT_WAIT;
+use zinniahinge_serving::RateReason;
 use zinniahinge_serving::SendBar;
+use zinniahinge_serving::SendRate;
 use zinniahinge_types::BackendRun;
 use zinniahinge_types::LimitNotice;
+use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::SlotDecision;
 use zinniahinge_types::SlotRequest;
 
@@ -84,43 +88,54 @@
 ) -> Result<SendPermit, PermitError> {
     let mut has_waited = false;
     let mut bar = SendBar::find(&target.entry, &target.load, state.now());
-    // Limit under which the request has a slot.
-    let mut slot_limit: Option<f64> = None;
+    // Requests a second under which the request has a slot.
+    let mut slot_per_s: Option<f64> = None;
     loop {
         // The request has a slot, or asks for one: a bar for want of slots is for other requests.
         match bar {
             None | Some(SendBar::Limited { .. }) => {}
             Some(bar) => return Err(PermitError::Barred(bar)),
         }
-        let limit = target.load.limit_per_s();
-        // A slot under a higher limit is too early under a lower one.
-        let is_covered = |limit| slot_limit.is_some_and(|slot_limit| slot_limit <= limit);
-        let Some(limit) = limit.filter(|limit| !is_covered(*limit)) else {
+        let rate = target.load.send_rate(state.now());
+        // A slot under a higher rate is too early under a lower one.
+        let is_covered = |per_s| slot_per_s.is_some_and(|slot_per_s| slot_per_s <= per_s);
+        let Some(rate) = rate.filter(|rate| !is_covered(rate.per_s)) else {
             return Ok(SendPermit {
                 target: target.clone(),
                 has_waited,
             });
         };
-        has_waited |= wait_for_slot(state, context, history, target, limit).await?;
-        slot_limit = Some(limit);
+        has_waited |= wait_for_slot(state, context, history, target, rate).await?;
+        slot_per_s = Some(rate.per_s);
         bar = bar_after_slot(state, context, target);
     }
 }
 
-/// Reserves a slot under the limit `limit_per_s` and waits for it; returns true if it waited.
+/// Reserves a slot under `rate` and waits for it; returns true if it waited.
+///
+/// A pace is an estimate and no promise to the server: where others can run the request, it doesn't wait for the slot, and
+/// where none can and the slot would be too late, it goes without one.
 async fn wait_for_slot(
     state: &HostState,
     context: &RequestContext,
     history: &SendHistory,
     target: &BackendCandidate,
-    limit_per_s: f64,
+    rate: SendRate,
 ) -> Result<bool, PermitError> {
-    let max_wait = history.slot_wait.min(longest_slot_wait(context, history));
-    let (decision, source) = reserve_slot(state, target, limit_per_s, max_wait).await;
+    let is_pace = rate.reason == RateReason::Pace;
+    let max_wait = if is_pace && !history.is_only_target {
+        Duration::ZERO
+    } else {
+        history.slot_wait.min(longest_slot_wait(context, history))
+    };
+    let (decision, source) = reserve_slot(state, target, rate.per_s, max_wait).await;
     let now = state.now();
     let (id, backend) = (&*context.facts.attempt_id, &*target.entry.id);
     let (outcome, next_in, wait) = match decision {
         SlotDecision::Granted { wait, next_in } => ("granted", next_in, Some(wait)),
+        SlotDecision::Refused { again_in } if is_pace && history.is_only_target => {
+            ("exceeded", again_in, Some(Duration::ZERO))
+        }
         SlotDecision::Refused { again_in } => ("refused", again_in, None),
     };
     let next_in = match source {
@@ -128,20 +143,24 @@
         SlotSource::OwnShare => next_in.min(MAX_SHARE_BAR),
     };
     let counter = &state.counters.slots;
-    counter.with_label_values(&[source.name(), outcome]).inc();
+    counter
+        .with_label_values(&[source.name(), outcome, rate.reason.name()])
+        .inc();
     let until = now + next_in;
     target.load.bar_until_slot(until);
     let Some(wait) = wait else {
-        info!(state.logger, "limited backend server has no slot in time"; "id" => id, "backend" => backend,
-            "limit_per_s" => limit_per_s, "source" => source.name(),
-            "max_wait_ms" => max_wait.as_millis() as u64, "again_ms" => next_in.as_millis() as u64);
+        if !is_pace {
+            info!(state.logger, "limited backend server has no slot in time"; "id" => id, "backend" => backend,
+                "limit_per_s" => rate.per_s, "reason" => rate.reason.name(), "source" => source.name(),
+                "max_wait_ms" => max_wait.as_millis() as u64, "again_ms" => next_in.as_millis() as u64);
+        }
         return Err(PermitError::Barred(SendBar::Limited { until }));
     };
     if wait.is_zero() {
         return Ok(false);
     }
     info!(state.logger, "request waits for a slot at a limited backend server"; "id" => id, "backend" => backend,
-        "limit_per_s" => limit_per_s, "source" => source.name(), "wait_ms" => wait.as_millis() as u64);
+        "limit_per_s" => rate.per_s, "reason" => rate.reason.name(), "source" => source.name(), "wait_ms" => wait.as_millis() as u64);
     let waited = wait_until(state, context, Instant::now() + wait).await;
     waited.map_err(PermitError::Ended)?;
     Ok(true)
@@ -167,14 +186,14 @@
 async fn reserve_slot(
     state: &HostState,
     target: &BackendCandidate,
-    limit_per_s: f64,
+    per_s: f64,
     max_wait: Duration,
 ) -> (SlotDecision, SlotSource) {
     let run = BackendRun {
         backend: target.entry.id.clone(),
         born_ms: target.entry.born_ms,
     };
-    let decision = reserve_at_coordinator(state, target, &run, max_wait).await;
+    let decision = reserve_at_coordinator(state, target, &run, per_s, max_wait).await;
     if let Some(decision) = decision {
         return (decision, SlotSource::Coordinator);
     }
@@ -182,7 +201,7 @@
     let phase = rand::random();
     let now = state.now();
     let mut shares = state.limit_shares();
-    let decision = shares.reserve(&run, (limit_per_s, hosts), max_wait, phase, now);
+    let decision = shares.reserve(&run, (per_s, hosts), max_wait, phase, now);
     (decision, SlotSource::OwnShare)
 }
 
@@ -191,6 +210,7 @@
     state: &HostState,
     target: &BackendCandidate,
     run: &BackendRun,
+    per_s: f64,
     max_wait: Duration,
 ) -> Option<SlotDecision> {
     let now = state.now();
@@ -198,7 +218,12 @@
         return None;
     }
     let holder = state.table.load().holder.clone()?;
-    let statement = target.load.limit_statement()?;
+    // A statement of the oldest age replaces none that the coordinator knows.
+    let statement = target.load.limit_statement();
+    let statement = statement.unwrap_or(LimitStatement {
+        limit_per_s: None,
+        at: MonotonicTime::ZERO,
+    });
     let request = SlotRequest {
         host: state.startup.host.clone(),
         notice: LimitNotice {
@@ -206,6 +231,8 @@
             limit_per_s: statement.limit_per_s,
             age: now.since(statement.at),
         },
+        rate_per_s: (statement.limit_per_s != Some(per_s)).then_some(per_s),
+        cold_left: target.load.cold_left(now),
         max_wait,
     };
     match state.link.slot(&holder, &request, state).await {
--- a/crates/host/src/table_source.rs
+++ b/crates/host/src/table_source.rs
@@ -5,12 +5,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use zinniahinge_platform::FleetBounds;
 use zinniahinge_serving::BackendEntry;
 use zinniahinge_serving::BackendLoad;
 use zinniahinge_serving::BackendRoster;
 use zinniahinge_serving::ChangeLog;
+use zinniahinge_serving::ColdTolerance;
 use zinniahinge_serving::ServingConfig;
 use zinniahinge_serving::candidate_order;
+use zinniahinge_serving::is_paced;
 use zinniahinge_types::BackendRun;
 use zinniahinge_types::BlockedParts;
 use zinniahinge_types::EngineModels;
@@ -30,6 +33,9 @@
 /// Age of the coordinator's newest views from which a server's own entry in the store takes precedence over them.
 const VIEW_MAX_AGE: Duration = Duration::from_secs(5);
 
+/// Difference between a cold time that a server states and the known one that delays on the way explain.
+const COLD_TIME_SLACK: Duration = Duration::from_millis(500);
+
 /// Largest number of runs that are not listed of which the load is kept, because they leave or pause.
 const MAX_UNLISTED_LOADS: usize = 4096;
 
@@ -72,13 +78,19 @@
     views_received_at: MonotonicTime,
     /// Prompt parts whose requests are refused, and when this host learned of them.
     blocked: (Arc<BlockedParts>, MonotonicTime),
+    /// How far requests in one second may exceed what a cold backend server takes.
+    cold_tolerance: ColdTolerance,
+    /// True if backend servers crash when the requests that they hold exceed their memory.
+    has_tight_memory: bool,
     /// Load counters by backend server and time of its start, so that a restarted server starts with new ones.
     loads: HashMap<(Name, u64), Arc<BackendLoad>>,
 }
 
 impl TableSource {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(bounds: &FleetBounds) -> Self {
         Self {
+            cold_tolerance: bounds.cold_tolerance,
+            has_tight_memory: bounds.has_tight_memory,
             config: None,
             config_item: None,
             roster: BackendRoster::new(REREGISTRATION_TIME),
@@ -183,6 +195,13 @@
         }
     }
 
+    /// True if the entry says that the server stays cold for longer than this host knows: it became cold again.
+    pub(crate) fn shows_new_cold_time(&self, entry: &BackendEntry, now: MonotonicTime) -> bool {
+        let load = self.loads.get(&(entry.id.clone(), entry.born_ms));
+        let known = load.and_then(|load| load.cold_left(now));
+        entry.cold_left > known.unwrap_or_default() + COLD_TIME_SLACK
+    }
+
     /// Load of a run of a backend server; `None` if this host doesn't know the run.
     pub(crate) fn load(&self, run: &BackendRun) -> Option<&Arc<BackendLoad>> {
         self.loads.get(&(run.backend.clone(), run.born_ms))
@@ -196,6 +215,16 @@
         for (entry, is_listed) in self.roster.entries() {
             let run = (entry.id.clone(), entry.born_ms);
             let load = self.loads.entry(run.clone()).or_default().clone();
+            let config = self.config.as_ref();
+            let service = config.and_then(|config| config.services.get(&entry.service));
+            let start = service.and_then(|service| service.cold_start);
+            load.set_cold_start(start.map(|start| {
+                let slots_per_s = start.slots_per_s(&self.cold_tolerance);
+                (start.time, slots_per_s)
+            }));
+            load.apply_entry(entry, now);
+            let has_paces = service.is_some_and(|spec| is_paced(spec, self.has_tight_memory));
+            load.answers().set_used(has_paces);
             alive.insert(run);
             let view = self.views.get(&entry.id);
             let view = view.filter(|view| view.born_ms == entry.born_ms);
@@ -215,12 +244,12 @@
                 models: Arc::new(models),
             });
         }
-        // A run that leaves, pauses or limits requests may be listed again.
+        // A run that leaves, pauses, is cold or limits requests may be listed again.
         self.loads.retain(|run, load| {
             alive.contains(run)
                 || load.is_leaving()
                 || load.paused_until(now).is_some()
-                || load.limit_per_s().is_some()
+                || load.send_rate(now).is_some()
         });
         self.drop_surplus_loads(&alive);
         self.views
--- a/crates/host/src/target_choice.rs
+++ b/crates/host/src/target_choice.rs
@@ -4,7 +4,9 @@
 use tokio::time::Instant;
 use zinniahinge_serving::BackendCandidate;
 use zinniahinge_serving::BackendChooser;
+use zinniahinge_serving::BackendLoad;
 use zinniahinge_serving::ChooserWeights;
+use zinniahinge_serving::RateReason;
 use zinniahinge_serving::SendBar;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
@@ -65,7 +67,7 @@
                 wait_for_pause_end(state, context, history, until).await?;
             }
             Some((SendBar::Limited { until }, target)) => {
-                check_slot_wait(state, context, history, until)?;
+                check_slot_wait(state, context, history, until, &target.load)?;
                 return Ok(target);
             }
             Some((SendBar::Draining | SendBar::Leaving, _)) | None => break,
@@ -111,16 +113,21 @@
 }
 
 /// Lets the request wait for the slot of the only server that can run it, which is at `until`. Fails if it can't wait that
-/// long.
+/// long, unless only a pace binds.
 fn check_slot_wait(
     state: &HostState,
     context: &RequestContext,
     history: &mut SendHistory,
     until: MonotonicTime,
+    load: &BackendLoad,
 ) -> Result<()> {
-    let wait = until.since(state.now());
+    let now = state.now();
+    let wait = until.since(now);
     history.slot_wait = longest_slot_wait(context, history);
-    if wait <= history.slot_wait {
+    history.is_only_target = true;
+    let rate = load.send_rate(now);
+    let is_pace = rate.is_some_and(|rate| rate.reason == RateReason::Pace);
+    if wait <= history.slot_wait || is_pace {
         return Ok(());
     }
     history.bar = Some(SendBar::Limited { until });
@@ -270,7 +277,9 @@
                     _ if is_unreachable => false,
                     Some(SendBar::Draining | SendBar::Leaving) => false,
                     Some(SendBar::Limited { until }) => {
-                        check_slot_wait(state, context, history, until)?;
+                        if let Some(slot) = slot {
+                            check_slot_wait(state, context, history, until, &slot.load)?;
+                        }
                         true
                     }
                     None => true,
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -5,12 +5,14 @@
 
 mod accounts;
 mod coordination;
+mod pacing;
 mod prompt_parts;
 mod residency;
 mod routing;
 
 pub use accounts::*;
 pub use coordination::*;
+pub use pacing::*;
 pub use prompt_parts::*;
 pub use residency::*;
 pub use routing::*;
--- a/crates/serving/src/routing/backend_entry.rs
+++ b/crates/serving/src/routing/backend_entry.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use zinniahinge_types::Name;
 
@@ -39,6 +40,8 @@
     pub born_ms: u64,
     /// Version of the record; grows with each one of the same run.
     pub sequence: u64,
+    /// Time for which the server is still cold, as of the record.
+    pub cold_left: Duration,
     /// Loaded models.
     pub held: Vec<HeldModel>,
     /// Models with weights cached in main memory.
@@ -54,8 +57,11 @@
     }
 
     /// True if requests are sent to the server in the same way under both entries. Loaded models don't matter, because
-    /// the coordinator sends them to all hosts.
+    /// the coordinator sends them to all hosts, and neither does it that less of the same cold time is left.
     pub fn has_same_routing(&self, other: &Self) -> bool {
+        if other.cold_left > self.cold_left {
+            return false;
+        }
         let key = |entry: &Self| (entry.address, entry.slots, entry.phase, entry.born_ms);
         key(self) == key(other) && self.service == other.service && self.place == other.place
     }
--- a/crates/serving/src/routing/backend_load.rs
+++ b/crates/serving/src/routing/backend_load.rs
@@ -13,9 +13,13 @@
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 
+use crate::AnswerTally;
+use crate::BackendEntry;
 use crate::LimitStatement;
 use crate::RequestFacts;
+use crate::SendRate;
 use crate::SentParts;
+use crate::routing::cold_record::ColdRecord;
 use crate::routing::limit_record::LimitRecord;
 
 /// Time for which a server is avoided after it gave this host no answer.
@@ -50,7 +54,14 @@
     /// Newest answer without a limit before the run first named one.
     unlimited_at_us: AtomicU64,
     limit: Mutex<LimitRecord>,
+    /// True if servers of the service start cold; read before `cold` is locked.
+    may_be_cold: AtomicBool,
+    cold: Mutex<ColdRecord>,
+    /// Bits of the pace, requests a second; 0 without a pace.
+    pace_bits: AtomicU64,
+    /// When the next slot is free, as far as this host knows; applies while a rate does.
     limited_until_us: AtomicU64,
+    answers: AnswerTally,
     succeeded: AtomicU32,
     failed: AtomicU32,
     sample: Mutex<Option<(LoadSample, MonotonicTime)>>,
@@ -125,6 +136,7 @@
     /// Counts a request that failed because of the server.
     pub fn count_failure(&self) {
         self.failed.fetch_add(1, Ordering::Relaxed);
+        self.answers.count_missing();
     }
 
     /// Avoids the server for 1.5 s, because it could not be reached or left a request unanswered.
@@ -181,7 +193,9 @@
             });
         }
         let is_changed = limit.apply(statement);
-        self.publish_bar(&limit);
+        if is_changed {
+            self.limited_until_us.store(0, Ordering::Relaxed);
+        }
         is_changed
     }
 
@@ -201,24 +215,112 @@
         self.lock_limit().statement()
     }
 
-    /// Sends nothing more to the server until `until`, when its next slot is free, unless the limit changes.
+    /// Requests a second that the server gets from all hosts together; `None` if nothing limits them. The smallest of the
+    /// limit that it named, what it takes while it is cold, and its pace.
+    pub fn send_rate(&self, now: MonotonicTime) -> Option<SendRate> {
+        SendRate::smallest(self.limit_per_s(), self.cold_rate(now), self.pace())
+    }
+
+    /// Sends nothing more to the server until `until`, when its next slot is free, unless the limit changes or no rate applies
+    /// any more.
     pub fn bar_until_slot(&self, until: MonotonicTime) {
-        let mut limit = self.lock_limit();
-        limit.bar(until);
-        self.publish_bar(&limit);
+        let until = until.since_origin().as_micros() as u64;
+        self.limited_until_us.fetch_max(until, Ordering::Relaxed);
     }
 
-    /// Next free slot of a limited server that this host knows of; `None` if one may be free at `now`.
+    /// Next free slot of a server with a rate that this host knows of; `None` if one may be free at `now`.
     pub fn limited_until(&self, now: MonotonicTime) -> Option<MonotonicTime> {
         let until = Duration::from_micros(self.limited_until_us.load(Ordering::Relaxed));
         let until = MonotonicTime::from_origin(until);
-        (now < until).then_some(until)
+        (now < until && self.send_rate(now).is_some()).then_some(until)
+    }
+
+    // ---------------------------------------------------------------------------------------------
+    // Cold time and pace
+
+    /// Sets the time for which servers of the service are cold, and the slots a second meanwhile; `None` if they start fast.
+    pub fn set_cold_start(&self, start: Option<(Duration, f64)>) {
+        if start.is_none() && !self.may_be_cold.load(Ordering::Relaxed) {
+            return;
+        }
+        self.lock_cold().set_start(start);
+        self.may_be_cold.store(start.is_some(), Ordering::Relaxed);
+    }
+
+    /// Takes in an entry of the server that says for how long it stays cold, once for each sequence number.
+    pub fn apply_entry(&self, entry: &BackendEntry, now: MonotonicTime) {
+        if let Some(mut cold) = self.cold_record() {
+            cold.apply_entry(entry.sequence, entry.cold_left, now);
+        }
+    }
+
+    /// Counts the server as cold until `until`, unless it is cold for longer; returns true if it was not cold. Without effect
+    /// if servers of its service start fast.
+    pub fn presume_cold(&self, until: MonotonicTime, now: MonotonicTime) -> bool {
+        let Some(mut cold) = self.cold_record() else {
+            return false;
+        };
+        let was_cold = cold.left(now).is_some();
+        cold.presume(until);
+        !was_cold && cold.left(now).is_some()
+    }
+
+    /// Records that no connection could be opened, or that one ended early. The server counts as cold until it has answered
+    /// for a whole cold time, since it may have started again.
+    pub fn record_connection_loss(&self, now: MonotonicTime) {
+        if let Some(mut cold) = self.cold_record() {
+            cold.record_loss(now);
+        }
+    }
+
+    /// Records an answer to a request that was sent at `sent`.
+    pub fn record_answer(&self, sent: MonotonicTime, now: MonotonicTime) {
+        if let Some(mut cold) = self.cold_record() {
+            cold.record_answer(sent, now);
+        }
+    }
+
+    /// Time for which the server stays cold; `None` if it isn't cold.
+    pub fn cold_left(&self, now: MonotonicTime) -> Option<Duration> {
+        self.cold_record()?.left(now)
+    }
+
+    /// Time for which the server stays cold as far as this host found out by itself; `None` if it found nothing.
+    pub fn own_cold_left(&self, now: MonotonicTime) -> Option<Duration> {
+        self.cold_record()?.own_left(now)
+    }
+
+    /// Requests a second that the server takes while it is cold; `None` if it isn't cold.
+    pub fn cold_rate(&self, now: MonotonicTime) -> Option<f64> {
+        self.cold_record()?.rate(now)
+    }
+
+    /// The cold time under its lock; `None` if servers of the service start fast.
+    fn cold_record(&self) -> Option<MutexGuard<'_, ColdRecord>> {
+        let may_be_cold = self.may_be_cold.load(Ordering::Relaxed);
+        may_be_cold.then(|| self.lock_cold())
+    }
+
+    fn lock_cold(&self) -> MutexGuard<'_, ColdRecord> {
+        self.cold.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets the pace that the coordinator found for the server, requests a second; returns true if a pace began or ended.
+    pub fn set_pace(&self, per_s: Option<f64>) -> bool {
+        let bits = per_s.map_or(0, f64::to_bits);
+        let before = self.pace_bits.swap(bits, Ordering::Relaxed);
+        (before == 0) != (bits == 0)
+    }
+
+    /// The pace of the server, requests a second; `None` without one.
+    pub fn pace(&self) -> Option<f64> {
+        let bits = self.pace_bits.load(Ordering::Relaxed);
+        (bits != 0).then(|| f64::from_bits(bits))
     }
 
-    /// Copies the end of the bar to where it is read without the lock. Call it with the lock held.
-    fn publish_bar(&self, limit: &LimitRecord) {
-        let until = limit.barred_until().since_origin().as_micros() as u64;
-        self.limited_until_us.store(until, Ordering::Relaxed);
+    /// How the server answers, for its pace.
+    pub fn answers(&self) -> &AnswerTally {
+        &self.answers
     }
 
     fn lock_limit(&self) -> MutexGuard<'_, LimitRecord> {
--- a/crates/serving/src/routing/limit_record.rs
+++ b/crates/serving/src/routing/limit_record.rs
@@ -9,11 +9,10 @@
     pub at: MonotonicTime,
 }
 
-/// Newest statement of a run of a server about its limit, and when this host may send to the server next.
+/// Newest statement of a run of a server about its limit.
 #[derive(Debug, Default)]
 pub(crate) struct LimitRecord {
     newest: Option<LimitStatement>,
-    barred_until: MonotonicTime,
 }
 
 impl LimitRecord {
@@ -24,11 +23,7 @@
         }
         let before = self.limit();
         self.newest = Some(statement);
-        let is_changed = before != self.limit();
-        if is_changed {
-            self.barred_until = MonotonicTime::ZERO;
-        }
-        is_changed
+        before != self.limit()
     }
 
     /// Requests a second that the server takes; `None` without a limit.
@@ -40,15 +35,4 @@
     pub(crate) fn statement(&self) -> Option<LimitStatement> {
         self.newest
     }
-
-    /// Sends nothing more before `until`, unless the limit changes.
-    pub(crate) fn bar(&mut self, until: MonotonicTime) {
-        self.barred_until = self.barred_until.max(until);
-    }
-
-    /// When this host may send next; the origin of the clock without a limit.
-    pub(crate) fn barred_until(&self) -> MonotonicTime {
-        self.limit()
-            .map_or(MonotonicTime::ZERO, |_| self.barred_until)
-    }
 }
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -73,6 +73,7 @@
         phase: BackendPhase::Ready,
         born_ms,
         sequence: 1,
+        cold_left: Duration::ZERO,
         held: held_models(held),
         memory_copies: Vec::new(),
         disk_copies: Vec::new(),
--- a/crates/serving/tests/residency_runs.rs
+++ b/crates/serving/tests/residency_runs.rs
@@ -38,6 +38,7 @@
         succeeded: 0,
         failed: 0,
         runs: runs.collect(),
+        answers: None,
     }]
 }
 
--- a/crates/serving/tests/send_bar.rs
+++ b/crates/serving/tests/send_bar.rs
@@ -24,6 +24,7 @@
         phase,
         born_ms: 1,
         sequence: 1,
+        cold_left: Duration::ZERO,
         held: Vec::new(),
         memory_copies: Vec::new(),
         disk_copies: Vec::new(),
--- a/crates/types/src/fleet_message.rs
+++ b/crates/types/src/fleet_message.rs
@@ -6,10 +6,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::AnswerCounts;
 use crate::BlockedParts;
+use crate::ColdNotice;
 use crate::HostId;
 use crate::LimitNotice;
 use crate::Name;
+use crate::PaceNotice;
 use crate::PartReport;
 use crate::RelayedOutage;
 use crate::Revision;
@@ -57,6 +60,12 @@
     /// Limits that backend servers named and that the sender knows, lifted ones too. Empty in reports of earlier versions.
     #[serde(default)]
     pub limits: Vec<LimitNotice>,
+    /// Backend servers that the sender found to be cold.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub cold: Vec<ColdNotice>,
+    /// Paces of backend servers that an earlier coordinator sent. Sent only until the new coordinator has answered.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub paces: Vec<PaceNotice>,
 }
 
 /// Gives a client account's level as an earlier coordinator last sent it, so that a new one does not start from
@@ -94,6 +103,10 @@
     /// The requests in flight for models. Empty in reports of earlier versions.
     #[serde(default)]
     pub runs: Vec<ModelRuns>,
+    /// How the backend server answered since the last report, if its service has paces. A report that isn't acknowledged
+    /// loses them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub answers: Option<AnswerCounts>,
 }
 
 /// Counts one host's requests in flight for one model or adapter on one backend server.
@@ -196,6 +209,12 @@
     /// Newest limits that backend servers named to any host, lifted ones too.
     #[serde(default)]
     pub limits: Vec<LimitNotice>,
+    /// Backend servers that any host found to be cold.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub cold: Vec<ColdNotice>,
+    /// Backend servers that have a pace; all others have none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub paces: Vec<PaceNotice>,
 }
 
 /// States how much of its quota a client account may still use, over all hosts.
--- a/crates/types/src/slot_message.rs
+++ b/crates/types/src/slot_message.rs
@@ -30,8 +30,16 @@
 pub struct SlotRequest {
     /// Host that sends this.
     pub host: HostId,
-    /// The limit as the sender knows it.
+    /// The limit as the sender knows it; of an age from before all other statements if it knows none.
     pub notice: LimitNotice,
+    /// Requests a second that the sender keeps to for another reason than the limit; `None` if only the limit counts.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rate_per_s: Option<f64>,
+    /// Time for which the backend server stays cold, as far as the sender knows.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde_as(as = "Option<DurationMicroSeconds<u64>>")]
+    #[serde(rename = "cold_left_us")]
+    pub cold_left: Option<Duration>,
     /// Longest time that the request can wait.
     #[serde_as(as = "DurationMicroSeconds<u64>")]
     #[serde(rename = "max_wait_us")]
