--- a/crates/host/src/send_permit.rs
+++ b/crates/host/src/send_permit.rs
@@ -128,7 +128,7 @@
     } else {
         history.slot_wait.min(longest_slot_wait(context, history))
     };
-    let (decision, source) = reserve_slot(state, target, rate.per_s, max_wait).await;
+    let (decision, source) = reserve_slot(state, target, rate, max_wait).await;
     let now = state.now();
     let (id, backend) = (&*context.facts.attempt_id, &*target.entry.id);
     let (outcome, next_in, wait) = match decision {
@@ -186,22 +186,23 @@
 async fn reserve_slot(
     state: &HostState,
     target: &BackendCandidate,
-    per_s: f64,
+    rate: SendRate,
     max_wait: Duration,
 ) -> (SlotDecision, SlotSource) {
     let run = BackendRun {
         backend: target.entry.id.clone(),
         born_ms: target.entry.born_ms,
     };
-    let decision = reserve_at_coordinator(state, target, &run, per_s, max_wait).await;
+    let decision = reserve_at_coordinator(state, target, &run, rate.per_s, max_wait).await;
     if let Some(decision) = decision {
         return (decision, SlotSource::Coordinator);
     }
     let hosts = state.meter().hosts();
+    let share = (rate.shared_per_s(), hosts);
     let phase = rand::random();
     let now = state.now();
     let mut shares = state.limit_shares();
-    let decision = shares.reserve(&run, (per_s, hosts), max_wait, phase, now);
+    let decision = shares.reserve(&run, share, max_wait, phase, now);
     (decision, SlotSource::OwnShare)
 }
 
--- a/crates/serving/src/routing/send_rate.rs
+++ b/crates/serving/src/routing/send_rate.rs
@@ -1,3 +1,7 @@
+/// Part of the rate of a cold server that hosts which reach no coordinator divide. Their slots fall together by chance, and one
+/// second too many crashes the server.
+const COLD_SHARE: f64 = 0.25;
+
 /// Why a server gets only so many requests a second.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RateReason {
@@ -30,6 +34,14 @@
 }
 
 impl SendRate {
+    /// Requests a second that hosts which reach no coordinator divide among them, as [`crate::LimitShares`] does.
+    pub fn shared_per_s(&self) -> f64 {
+        match self.reason {
+            RateReason::Cold => self.per_s * COLD_SHARE,
+            RateReason::Limit | RateReason::Pace => self.per_s,
+        }
+    }
+
     /// The smallest of the rates; `None` if none applies. Of equal rates, the first reason counts.
     pub fn smallest(limit: Option<f64>, cold: Option<f64>, pace: Option<f64>) -> Option<Self> {
         let rates = [
