--- a/crates/host/src/fleet_table.rs
+++ b/crates/host/src/fleet_table.rs
@@ -211,7 +211,6 @@
                     service: slot.entry.service.clone(),
                     slots: slot.entry.slots,
                     bound: bound.map(|rate| rate.per_s),
-                    is_cold: slot.load.cold_left(now).is_some(),
                     is_suspect: slot.load.is_suspect(),
                 }
             })
--- a/crates/serving/src/pacing/pace_ledger.rs
+++ b/crates/serving/src/pacing/pace_ledger.rs
@@ -42,8 +42,6 @@
     pub slots: u32,
     /// Requests a second that it may get at most, because it is cold or named a limit.
     pub bound: Option<f64>,
-    /// True if it is cold.
-    pub is_cold: bool,
     /// True if it fails more requests than its peers.
     pub is_suspect: bool,
 }
@@ -57,7 +55,6 @@
     created_at: MonotonicTime,
     servers: HashMap<Name, ServerRecord>,
     peers: HashMap<Name, PeerAnswers>,
-    is_synced: bool,
 }
 
 /// What is known of a listed server.
@@ -72,13 +69,12 @@
 
 impl PaceLedger {
     /// Creates the ledger of a host that begins to coordinate at `now`. Servers that are listed by then have no pace, unless
-    /// a host reports one or they are cold.
+    /// a host reports one.
     pub fn new(now: MonotonicTime) -> Self {
         Self {
             created_at: now,
             servers: HashMap::new(),
             peers: HashMap::new(),
-            is_synced: false,
         }
     }
 
@@ -151,7 +147,6 @@
             let count = counts.entry(server.service.clone()).or_default();
             changes.extend(self.settle_server(server, count, now));
         }
-        self.is_synced = true;
         changes
     }
 
@@ -211,8 +206,7 @@
             count.paced -= 1;
             return record.end(end);
         }
-        let has_started = is_new && (count.known > 0 || record.server.is_cold);
-        let has_started = has_started && (self.is_synced || record.server.is_cold);
+        let has_started = is_new && count.known > 0;
         let has_failed = record.has_failed() || record.server.is_suspect;
         let (per_s, start) = if has_started {
             let usual = peers.rate(count.listed - count.paced) * START_SHARE;
