--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -12,6 +12,7 @@
 mod coordinator;
 mod coordinator_election;
 mod coordinator_orders;
+mod coordinator_rates;
 mod engine_timings;
 mod event_relay;
 mod filters;
--- a/crates/host/tests/cold_servers.rs
+++ b/crates/host/tests/cold_servers.rs
@@ -159,7 +159,7 @@
             bed.host.signal(Signal::SIGCONT)?;
         }
         let server = &bed.plain[0];
-        assert_that!(server.cold_times(), eq(1), "{name}");
+        assert_that!(server.cold_spans().len(), eq(1), "{name}");
         let most = server.most_while_cold(case.notice);
         assert_that!(most, le(MOST_IN_A_SECOND), "{name}");
         let from = started + Duration::from_secs(2) + NOTICE_TIME;
--- a/crates/serving/tests/server_pace.rs
+++ b/crates/serving/tests/server_pace.rs
@@ -363,7 +363,7 @@
                 PaceChange::Begun { .. } => None,
             });
             assert_that!(end, eq(case.end), "{name}");
-            let starts = ends.filter_map(|change| match change {
+            let mut starts = ends.filter_map(|change| match change {
                 PaceChange::Begun { start, .. } => Some(*start),
                 PaceChange::Ended { .. } => None,
             });
@@ -372,7 +372,7 @@
             } else {
                 PaceStart::Started
             };
-            assert_that!(starts.last(), some(eq(expected)), "{name}");
+            assert_that!(starts.next_back(), some(eq(expected)), "{name}");
         }
     }
 }
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -30,6 +30,12 @@
 /// Least and greatest limit, requests a second.
 const LIMIT_RANGE: (f64, f64) = (0.3, 20.0);
 
+/// Groups of servers that become cold, a second.
+const COLD_TIMES_PER_S: f64 = 0.25;
+
+/// Makes the draws of these faults differ from the others'.
+const COLD_SALT: u64 = 0xbf58_476d_1ce4_e5b9;
+
 /// Makes the draws of these faults differ from the others'.
 const LIMITS_SALT: u64 = 0x94d0_49bb_1331_11eb;
 
@@ -77,6 +83,10 @@
     LeaveByAnswer(usize),
     /// Backend servers name the first limit, the second one from the middle of the time, and then none.
     NameLimit(Range<usize>, [f64; 2]),
+    /// Plain backend servers become cold.
+    BecomeCold(Range<usize>),
+    /// Plain backend servers start again at once, cold.
+    StartCold(Range<usize>),
     /// The configuration gets another version.
     ChangeConfig,
     /// The second key of the account is withdrawn, or given again.
@@ -122,6 +132,7 @@
     faults.extend(plan_hidden_runs(seed, time, (plain, backends)));
     faults.extend(plan_refusal_copies(seed, time, (plain, backends)));
     faults.extend(plan_limits(seed, time, (plain, backends)));
+    faults.extend(plan_cold_times(seed, time, (plain, backends)));
     faults.sort_by_key(|fault| fault.at);
     faults
 }
@@ -218,6 +229,20 @@
     faults
 }
 
+/// Draws plain servers that become cold. Drawn apart, so that the other faults of a seed stay as they are.
+pub fn plan_cold_times(seed: u64, time: Duration, (plain, _): (usize, usize)) -> Vec<PlannedFault> {
+    let seed = seed ^ COLD_SALT;
+    draw_faults(seed, COLD_TIMES_PER_S, time, 2_000..5_000, |random| {
+        let first = random.random_range(0..plain);
+        let servers = first..random.random_range(first + 1..=plain);
+        if random.random_bool(0.5) {
+            FaultKind::BecomeCold(servers)
+        } else {
+            FaultKind::StartCold(servers)
+        }
+    })
+}
+
 /// Draws `per_s` faults a second, each with its time, its length from `lasts_ms` and then its kind.
 fn draw_faults(
     seed: u64,
--- a/crates/soak/src/fault_task.rs
+++ b/crates/soak/src/fault_task.rs
@@ -4,6 +4,7 @@
 use nix::sys::signal::Signal;
 use zinniahinge_platform_standins::Admission;
 use zinniahinge_platform_standins::BackendFault;
+use zinniahinge_platform_standins::ColdTiming;
 use zinniahinge_platform_standins::HostProcess;
 use zinniahinge_platform_standins::RefusalCopies;
 use zinniahinge_platform_standins::RouteText;
@@ -33,6 +34,9 @@
 /// Time for which a backend server serves on after it said that it leaves: the platform's two seconds and a little more.
 const LEAVE_TIME: Duration = Duration::from_millis(2300);
 
+/// Time for which a server that starts again refuses connections, and after which it writes its entry.
+const START_DOWNTIME: Duration = Duration::from_millis(300);
+
 /// Time from the start of a server at the address of a former one until the store names it.
 const ENTRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -148,6 +152,23 @@
             }
             Ok(())
         }
+        FaultKind::BecomeCold(servers) => {
+            for server in world.servers(servers) {
+                server.become_cold(lasts);
+            }
+            Ok(())
+        }
+        FaultKind::StartCold(servers) => {
+            for server in world.servers(servers) {
+                server.set_cold_timing(ColdTiming {
+                    cold: lasts,
+                    downtime: START_DOWNTIME,
+                    entry_delay: START_DOWNTIME,
+                });
+                server.restart();
+            }
+            Ok(())
+        }
         FaultKind::ChangeConfig => {
             let mut config = locked(&world.config);
             config.version += 1;
--- a/crates/soak/src/promise_check.rs
+++ b/crates/soak/src/promise_check.rs
@@ -9,8 +9,10 @@
 use zinniahinge_platform_standins::WorkSpan;
 
 use crate::CallerRecord;
+use crate::ColdSpan;
 use crate::call_index::CallIndex;
 use crate::exceeded_limits::exceeded_limits;
+use crate::flooded_servers::flooded_servers;
 use crate::ignored_requests::ignored_requests;
 use crate::overlapping_runs::overlapping_runs;
 
@@ -57,6 +59,8 @@
     pub turned_key: &'static str,
     /// Turns in order.
     pub key_turns: Vec<(Instant, bool)>,
+    /// When servers were cold.
+    pub cold: Vec<ColdSpan>,
     /// What was done to hosts.
     pub disturbances: Vec<Disturbance>,
 }
@@ -103,6 +107,7 @@
     }
     broken.extend(ignored_requests(records));
     broken.extend(exceeded_limits(records));
+    broken.extend(flooded_servers(records));
     broken.extend(overlapping_runs(records));
     for (engine, orders) in records.orders.iter().enumerate() {
         check_orders(engine, orders, &records.disturbances, &mut broken);
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -6,11 +6,13 @@
 use tokio::task::JoinSet;
 use zinniahinge_platform_standins::Admission;
 use zinniahinge_platform_standins::BackendFault;
+use zinniahinge_platform_standins::BackendServer;
 use zinniahinge_platform_standins::Caller;
 use zinniahinge_platform_standins::CallerRequest;
 use zinniahinge_platform_standins::StoreFault;
 
 use crate::CallerRecord;
+use crate::ColdSpan;
 use crate::LinkMode;
 use crate::PlannedFault;
 use crate::Result;
@@ -18,6 +20,7 @@
 use crate::SoakSettings;
 use crate::broken_promises;
 use crate::caller_task::call;
+use crate::fault_plan::plan_cold_times;
 use crate::fault_plan::plan_faults;
 use crate::fault_plan::plan_limits;
 use crate::fault_plan::plan_refusal_copies;
@@ -61,6 +64,7 @@
         callers,
         only_refusals,
         only_limits,
+        only_cold,
         ..
     } = *settings;
     let servers = (PLAIN_SERVERS, backends);
@@ -68,6 +72,8 @@
         plan_refusal_copies(seed, fault_time, servers)
     } else if only_limits {
         plan_limits(seed, fault_time, servers)
+    } else if only_cold {
+        plan_cold_times(seed, fault_time, servers)
     } else {
         plan_faults(seed, fault_time, hosts, servers)
     };
@@ -170,6 +176,7 @@
         calls,
         requests: requests.collect(),
         orders,
+        cold: servers().flat_map(cold_spans).collect(),
         work: servers().map(|server| server.work()).collect(),
         peaks_mb: servers().map(|server| server.peak_mb()).collect(),
         turned_key: TURNED_KEY,
@@ -178,6 +185,16 @@
     }
 }
 
+fn cold_spans(server: &BackendServer) -> Vec<ColdSpan> {
+    let spans = server.cold_spans().into_iter();
+    let spans = spans.map(|(from, until)| ColdSpan {
+        server: server.id().to_owned(),
+        from,
+        until,
+    });
+    spans.collect()
+}
+
 async fn keep_logs(world: &SoakWorld, folder: &Path) -> std::io::Result<()> {
     std::fs::create_dir_all(folder)?;
     for (number, (name, text)) in locked(&world.ended_logs).iter().enumerate() {
--- a/crates/soak/src/soak_settings.rs
+++ b/crates/soak/src/soak_settings.rs
@@ -25,6 +25,8 @@
     pub only_refusals: bool,
     /// True if servers only name limits; the other faults don't strike.
     pub only_limits: bool,
+    /// True if servers only become cold, and start again cold; the other faults don't strike.
+    pub only_cold: bool,
     /// Program of the hosts.
     pub program: PathBuf,
     /// Folder for the hosts' logs of a run that broke a promise; `None` if they aren't kept.
@@ -57,6 +59,9 @@
     let only_limits = bpaf::long("only-limits")
         .help("Servers name limits, change and lift them; no other faults")
         .switch();
+    let only_cold = bpaf::long("only-cold")
+        .help("Servers become cold, and start again cold; no other faults")
+        .switch();
     let program = bpaf::long("program")
         .help("Program of the hosts (default: zinniahinge-host beside this program)")
         .argument::<PathBuf>("FILE")
@@ -72,6 +77,7 @@
         callers,
         only_refusals,
         only_limits,
+        only_cold,
         program,
         keep_logs,
     })
--- a/crates/soak/src/soak_world.rs
+++ b/crates/soak/src/soak_world.rs
@@ -18,6 +18,8 @@
 use crate::Result;
 use crate::SoakError;
 use crate::SoakSettings;
+use crate::flooded_servers::COLD_PER_S;
+use crate::flooded_servers::COLD_S;
 use crate::promise_check::Disturbance;
 
 /// Plain backend servers; they come before the engines.
@@ -207,6 +209,7 @@
             },
         ],
         keys: vec![KEPT_KEY, TURNED_KEY],
+        cold_start: Some((COLD_S, COLD_PER_S)),
         ..ConfigText::default()
     }
 }
