--- a/crates/host/src/backend_exchange.rs
+++ b/crates/host/src/backend_exchange.rs
@@ -36,17 +36,18 @@
     pub(crate) response: Option<BufferedResponse>,
 }
 
-/// Sends the request to `target` and reads the response until `deadline`.
+/// Uses the permit to send the request, and reads the response until `deadline`.
 pub(crate) async fn exchange(
     state: &Arc<HostState>,
     context: &RequestContext,
     history: &mut SendHistory,
-    (target, permit): (&BackendCandidate, SendPermit),
+    permit: SendPermit,
     deadline: Instant,
 ) -> Result<CallerResponse, FailedSend> {
     let sent_at = Instant::now();
+    let target = &permit.target.clone();
     let is_alone = target.load.fleet_pending_tokens() == 0;
-    let response = send(state, context, history, (target, permit), None, deadline).await?;
+    let response = send(state, context, history, permit, None, deadline).await?;
     let delivered = match context.rule.kind {
         RouteKind::Streaming { .. } if response.metadata.status.is_success() => {
             let opened = open_stream(response, target, deadline).await;
@@ -65,8 +66,17 @@
     {
         state.parts().record_progress(&context.facts, state.now());
     }
+    if delivered.is_ok() {
+        let (time, goal) = (sent_at.elapsed(), context.rule.goal);
+        target.load.answers().count_answer(time, goal);
+    }
     match &delivered {
-        Err(_) => target.load.count_failure(),
+        Err(failed) => {
+            target.load.count_failure();
+            if matches!(failed.error, BackendSendError::ConnectionLost(_)) {
+                target.load.record_connection_loss(state.now());
+            }
+        }
         Ok(CallerResponse::Buffered(..)) => target.load.count_success(),
         // The relay counts a stream when it ends.
         Ok(CallerResponse::Stream(..)) => {}
@@ -143,10 +153,7 @@
 impl FailedSend {
     /// True if no byte of the request was written.
     pub(crate) fn is_unsent(&self) -> bool {
-        matches!(
-            self.error,
-            BackendSendError::NotSent(_) | BackendSendError::Barred(_)
-        )
+        matches!(self.error, BackendSendError::NotSent(_))
     }
 }
 
--- a/crates/host/src/backend_send.rs
+++ b/crates/host/src/backend_send.rs
@@ -15,7 +15,6 @@
 use zinniahinge_serving::BackendCandidate;
 use zinniahinge_serving::LimitStatement;
 use zinniahinge_serving::LoadGuard;
-use zinniahinge_serving::SendBar;
 use zinniahinge_transport::PooledExchange;
 use zinniahinge_transport::RequestKey;
 use zinniahinge_transport::ReuseRule;
@@ -39,9 +38,6 @@
 /// Why a send to a backend server gave no usable response, and whether the request may have run.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub(crate) enum BackendSendError {
-    /// Nothing was sent, because the server leaves or wants a pause.
-    #[error("request not sent, the server is {}", .0.name())]
-    Barred(SendBar),
     /// No byte of the request was written.
     #[error("request not sent: {0}")]
     NotSent(String),
@@ -65,13 +61,12 @@
 impl BackendSendError {
     /// True if the server surely did not run the request.
     pub(crate) fn is_not_run(&self) -> bool {
-        matches!(self, Self::Barred(_) | Self::NotSent(_) | Self::NotRun(_))
+        matches!(self, Self::NotSent(_) | Self::NotRun(_))
     }
 
     /// Value of the metric label.
     pub(crate) fn label(&self) -> &'static str {
         match self {
-            Self::Barred(bar) => bar.name(),
             Self::NotSent(_) => "not-sent",
             Self::NotRun(_) => "not-run",
             Self::MayHaveRun(_) => "may-have-run",
@@ -90,15 +85,11 @@
     state: &HostState,
     context: &RequestContext,
     history: &mut SendHistory,
-    (target, _permit): (&BackendCandidate, SendPermit),
+    permit: SendPermit,
     resume_after: Option<&str>,
     deadline: Instant,
 ) -> Result<BackendResponse, BackendSendError> {
-    match SendBar::find(&target.entry, &target.load, state.now()) {
-        // The permit covers this send; the bar is for the next one.
-        None | Some(SendBar::Limited { .. }) => {}
-        Some(bar) => return Err(BackendSendError::Barred(bar)),
-    }
+    let target = &permit.target;
     let guard = LoadGuard::for_request(target.load.clone(), &context.facts);
     let request =
         build_request(context, target, resume_after).map_err(BackendSendError::NotSent)?;
@@ -154,6 +145,10 @@
     if metadata.names_attempt || !is_reused {
         apply_server_notices(state, context, target, &metadata, sent_at);
     }
+    // Another server has the address if it says so.
+    if metadata.status != StatusCode::MISDIRECTED_REQUEST {
+        target.load.record_answer(sent_at, state.now());
+    }
     let response = BackendResponse {
         metadata,
         headers: head.headers,
@@ -163,6 +158,9 @@
     };
     if response.metadata.states_not_executed {
         let status = response.metadata.status;
+        if status != StatusCode::MISDIRECTED_REQUEST {
+            target.load.answers().count_rejection();
+        }
         let connection = if is_reused { "reused" } else { "new" };
         info!(state.logger, "backend server rejected the request"; "id" => &*context.facts.attempt_id,
             "backend" => &*target.entry.id, "status" => status.as_u16(), "connection" => connection);
@@ -273,8 +271,14 @@
     target.load.avoid(state.now());
     let reason = failure.to_string();
     match failure {
-        SendFailure::NotSent { .. } => BackendSendError::NotSent(reason),
-        SendFailure::Unanswered { .. } => BackendSendError::ConnectionLost(reason),
+        SendFailure::NotSent { .. } => {
+            target.load.record_connection_loss(state.now());
+            BackendSendError::NotSent(reason)
+        }
+        SendFailure::Unanswered { .. } => {
+            target.load.record_connection_loss(state.now());
+            BackendSendError::ConnectionLost(reason)
+        }
         SendFailure::TimedOut => BackendSendError::TimedOut,
     }
 }
--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -15,12 +15,13 @@
 use zinniahinge_serving::CoordinatorTimes;
 use zinniahinge_serving::FleetLedger;
 use zinniahinge_serving::LimitLedger;
+use zinniahinge_serving::PaceLedger;
 use zinniahinge_serving::PartLedger;
 use zinniahinge_serving::Placement;
 use zinniahinge_serving::ResidencyPlanner;
 use zinniahinge_serving::ResidencySettings;
-use zinniahinge_serving::SlotDecision;
 use zinniahinge_types::BackendRun;
+use zinniahinge_types::ColdNotice;
 use zinniahinge_types::EngineModels;
 use zinniahinge_types::FleetCharge;
 use zinniahinge_types::FleetChargeReply;
@@ -32,7 +33,7 @@
 use zinniahinge_types::Name;
 use zinniahinge_types::PlacementReply;
 use zinniahinge_types::PlacementRequest;
-use zinniahinge_types::SlotReply;
+use zinniahinge_types::SlotDecision;
 use zinniahinge_types::SlotRequest;
 
 use crate::fleet_reporter::INTERVAL_PER_HOST;
@@ -67,15 +68,19 @@
     pub(crate) ledger: FleetLedger,
     /// Prompt parts that crash backend servers.
     pub(crate) parts: PartLedger,
-    /// Schedules for backend servers that limit requests.
-    limits: LimitLedger,
+    /// Schedules for backend servers that get only so many requests a second.
+    pub(crate) limits: LimitLedger,
+    /// Paces of backend servers that have just started or recovered.
+    pub(crate) paces: PaceLedger,
+    /// Backend servers that are cold, as of `settled_at`.
+    pub(crate) cold: Vec<ColdNotice>,
     watch: ModelWatch,
     /// Backend servers that say that they leave while the store lists them as ready, as of `settled_at`.
     leaving: Vec<BackendRun>,
     /// What backend servers said about their limits, as of `settled_at`.
-    limit_notices: Vec<LimitNotice>,
+    pub(crate) limit_notices: Vec<LimitNotice>,
     /// When the prompt parts were last decided on.
-    settled_at: MonotonicTime,
+    pub(crate) settled_at: MonotonicTime,
 }
 
 /// The term and the coordinator's state; both are empty while another host coordinates.
@@ -104,6 +109,8 @@
             ledger,
             parts,
             limits: LimitLedger::new(now),
+            paces: PaceLedger::new(now),
+            cold: Vec::new(),
             watch: ModelWatch::default(),
             leaving: Vec::new(),
             limit_notices: Vec::new(),
@@ -147,12 +154,8 @@
             }
             let listed: HashSet<&Name> = backends.iter().map(|slot| &slot.entry.id).collect();
             planner.retain_engines(|id| listed.contains(id));
-            let limits = backends.iter().filter_map(|slot| {
-                let limit_per_s = slot.load.limit_per_s()?;
-                Some((slot.entry.id.clone(), limit_per_s))
-            });
-            planner.set_limits(&limits.collect());
         }
+        self.set_planner_limits(&table, now);
         let last_seen = self.state.with_source(|source| {
             let hosts = source.hosts.iter();
             hosts
@@ -213,44 +216,6 @@
         FleetChargeReply::Holder { is_admitted, level }
     }
 
-    /// Reserves a slot for one request to a backend server that limits requests.
-    fn slot(&mut self, request: &SlotRequest, now: MonotonicTime) -> SlotReply {
-        let notice = &request.notice;
-        self.state.record_limits(std::slice::from_ref(notice), now);
-        let limit_per_s = self
-            .state
-            .with_source(|source| match source.load(&notice.run) {
-                Some(load) => load.limit_per_s(),
-                None => notice.limit_per_s,
-            });
-        let decision = limit_per_s.map_or(
-            // Another host has heard that the limit is lifted.
-            SlotDecision::Granted {
-                wait: Duration::ZERO,
-                next_in: Duration::ZERO,
-            },
-            |limit| {
-                self.limits
-                    .reserve(&notice.run, limit, request.max_wait, now)
-            },
-        );
-        match decision {
-            SlotDecision::Granted { wait, next_in } => SlotReply::Granted { wait, next_in },
-            SlotDecision::Refused { again_in } => SlotReply::Refused { again_in },
-        }
-    }
-
-    /// What backend servers said about their limits, with their ages at `now`.
-    fn limits_known(&self, now: MonotonicTime) -> Vec<LimitNotice> {
-        let since = now.since(self.settled_at);
-        let notices = self.limit_notices.iter().cloned();
-        let notices = notices.map(|notice| LimitNotice {
-            age: notice.age + since,
-            ..notice
-        });
-        notices.collect()
-    }
-
     /// Takes in a host's report and returns what changed in the fleet since the versions that it names.
     fn report(&mut self, report: &FleetReport, now: MonotonicTime) -> FleetView {
         let table = self.state.table.load_full();
@@ -259,13 +224,22 @@
         self.ledger.apply(report, accounts, now);
         self.state.mark_leaving(&report.leaving);
         self.state.record_limits(&report.limits, now);
+        self.state.record_cold(&report.cold);
+        for usage in &report.backends {
+            if let Some(answers) = &usage.answers {
+                self.paces.record(&usage.backend, answers, now);
+            }
+        }
         self.parts.apply(&report.host, &report.parts, now);
         if now.since(self.settled_at) >= SETTLE_INTERVAL {
             self.settled_at = now;
             self.leaving = table.leaving_unlisted();
             self.limit_notices = table.limit_notices(Duration::MAX, now);
             self.settle_parts(now);
+            self.settle_paces(&table, now);
         }
+        let inherited = self.paces.inherit(&report.paces, now);
+        self.apply_paces(&table, &inherited);
         for used in &report.models {
             self.watch.record(used, now);
             if used.count == 0 {
@@ -319,6 +293,8 @@
             store_outage: relayed_outage(&self.state),
             leaving: self.leaving.clone(),
             limits: self.limits_known(now),
+            cold: self.cold_known(now),
+            paces: self.paces.notices(),
             blocked: self.parts.changes_since(report.parts.blocked_version, now),
         }
     }
@@ -415,13 +391,11 @@
         }
     }
 
-    /// Decides when a host may send a request to a backend server that limits requests.
-    pub(crate) fn slot(&self, request: &SlotRequest, now: MonotonicTime) -> SlotReply {
-        if self.fence(now).is_none() {
-            return SlotReply::NotHolder;
-        }
-        let decided = self.with(|coordinator| coordinator.slot(request, now));
-        decided.unwrap_or(SlotReply::NotHolder)
+    /// Decides when a host may send a request to a backend server that limits requests; `None` if this host does not
+    /// coordinate.
+    pub(crate) fn slot(&self, request: &SlotRequest, now: MonotonicTime) -> Option<SlotDecision> {
+        self.fence(now)?;
+        self.with(|coordinator| coordinator.slot(request, now))
     }
 
     /// Decides for a host to which backend server a request can go. Holds the answer while an order may still make room,
--- a/crates/types/src/slot_message.rs
+++ b/crates/types/src/slot_message.rs
@@ -30,34 +30,41 @@
 pub struct SlotRequest {
     /// Host that sends this.
     pub host: HostId,
-    /// The limit as the sender knows it.
+    /// The limit as the sender knows it; of an age from before all other statements if it knows none.
     pub notice: LimitNotice,
+    /// Requests a second that the sender keeps to for another reason than the limit; `None` if only the limit counts.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rate_per_s: Option<f64>,
+    /// Time for which the backend server stays cold, as far as the sender knows.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde_as(as = "Option<DurationMicroSeconds<u64>>")]
+    #[serde(rename = "cold_left_us")]
+    pub cold_left: Option<Duration>,
     /// Longest time that the request can wait.
     #[serde_as(as = "DurationMicroSeconds<u64>")]
     #[serde(rename = "max_wait_us")]
     pub max_wait: Duration,
 }
 
-/// Answers a [`SlotRequest`].
+/// Result of asking for a slot in the schedule of a backend server. A host that is not the coordinator answers a
+/// [`SlotRequest`] with `None`.
 #[serde_as]
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum SlotReply {
-    /// The receiver is not the coordinator.
-    NotHolder,
-    /// The request may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SlotDecision {
+    /// The request has a slot.
     Granted {
-        /// Time until then.
+        /// Time until the slot.
         #[serde_as(as = "DurationMicroSeconds<u64>")]
         #[serde(rename = "wait_us")]
         wait: Duration,
-        /// Time until the next request may be sent by any host.
+        /// Time until the slot after it, for the next request of any host.
         #[serde_as(as = "DurationMicroSeconds<u64>")]
         #[serde(rename = "next_in_us")]
         next_in: Duration,
     },
-    /// The request would have to wait longer than it can.
+    /// The next slot is later than the request can wait for; none was reserved.
     Refused {
-        /// Time until the next request may be sent.
+        /// Time until the next slot.
         #[serde_as(as = "DurationMicroSeconds<u64>")]
         #[serde(rename = "again_in_us")]
         again_in: Duration,
