Serving: bar servers of evacuated data centres; place models within homes

Cause: hosts didn't read the operator's evacuations, so requests went on to servers that must get none, and nothing kept a request within the regions of its route and account.

Evacuated places are found by the one look-up of bars, so choice, permits, waits and sends all meet them. The planner counts engines there as not accepting and keeps their records; views stay, so that hosts use the servers at once when the place is taken back. Requests that wait for a placement ask again when the evacuated places change. Placement requests name the allowed regions, and only where homes are configured.

Ruled out: removing the servers from the table, which loses their loads and runs.

--- a/crates/host/src/backend_send.rs
+++ b/crates/host/src/backend_send.rs
@@ -94,7 +94,7 @@
     resume_after: Option<&str>,
     deadline: Instant,
 ) -> Result<BackendResponse, BackendSendError> {
-    match SendBar::find(&target.entry, &target.load, state.now()) {
+    match state.bar(target) {
         // The permit covers this send; the bar is for the next one.
         None | Some(SendBar::Limited { .. }) => {}
         Some(bar) => return Err(BackendSendError::Barred(bar)),
--- a/crates/host/src/change_applier.rs
+++ b/crates/host/src/change_applier.rs
@@ -6,6 +6,7 @@
 use zinniahinge_peer::KeyRing;
 use zinniahinge_peer::SharedKeyRing;
 use zinniahinge_platform::CONFIG_KEY;
+use zinniahinge_platform::EVACUATION_PREFIX;
 use zinniahinge_platform::SERVERS_PREFIX;
 use zinniahinge_platform::StoreChange;
 use zinniahinge_platform::StoreItem;
@@ -53,6 +54,7 @@
         let now = state.now();
         state.update(|source| {
             let mut backends = Vec::new();
+            let mut evacuated = Vec::new();
             source.holder = None;
             source.hosts.clear();
             for item in items {
@@ -60,11 +62,15 @@
                     if let Some(entry) = self.decode_entry(source, id, &item.value) {
                         backends.push((entry, item.revision));
                     }
+                } else if let Some(place) = item.key.strip_prefix(EVACUATION_PREFIX) {
+                    evacuated.push(place.into());
                 } else {
                     self.apply_item(source, &item);
                 }
             }
             source.roster.replace(backends, revision, now);
+            let (begun, ended) = source.evacuations.replace(&evacuated, now);
+            self.log_evacuations(source, &begun, &ended, revision);
             source.log.restart(revision);
             source.is_listed = true;
             true
@@ -163,6 +169,10 @@
         revision: Revision,
         value: Option<Bytes>,
     ) {
+        if let Some(place) = key.strip_prefix(EVACUATION_PREFIX) {
+            self.apply_evacuation(source, place, value.is_some(), revision);
+            return;
+        }
         match value {
             Some(value) => {
                 let item = StoreItem {
@@ -186,6 +196,43 @@
         }
     }
 
+    /// Begins or ends the evacuation of a place.
+    fn apply_evacuation(
+        &self,
+        source: &mut TableSource,
+        place: &str,
+        is_evacuated: bool,
+        revision: Revision,
+    ) {
+        let place = Name::from(place);
+        let places = std::slice::from_ref(&place);
+        if is_evacuated && source.evacuations.begin(&place) {
+            self.log_evacuations(source, places, &[], revision);
+        } else if !is_evacuated && source.evacuations.end(&place, self.state.now()) {
+            self.log_evacuations(source, &[], places, revision);
+        }
+    }
+
+    /// Logs which evacuations began and ended, and counts the evacuated places.
+    fn log_evacuations(
+        &self,
+        source: &TableSource,
+        begun: &[Name],
+        ended: &[Name],
+        revision: Revision,
+    ) {
+        let logger = &self.state.logger;
+        for place in begun {
+            warn!(logger, "data centre evacuated, its servers get no requests";
+                "place" => &**place, "revision" => revision);
+        }
+        for place in ended {
+            info!(logger, "data centre taken back"; "place" => &**place, "revision" => revision);
+        }
+        let count = source.evacuations.count();
+        self.state.counters.evacuated_places.set(count as i64);
+    }
+
     /// Applies a value other than a backend server's entry. Values that can't be decoded are logged and ignored.
     fn apply_item(&self, source: &mut TableSource, item: &StoreItem) {
         let logger = &self.state.logger;
--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -16,7 +16,9 @@
 use zinniahinge_serving::FleetLedger;
 use zinniahinge_serving::LimitLedger;
 use zinniahinge_serving::PartLedger;
+use zinniahinge_serving::PlaceScope;
 use zinniahinge_serving::Placement;
+use zinniahinge_serving::PlacementQuery;
 use zinniahinge_serving::ResidencyPlanner;
 use zinniahinge_serving::ResidencySettings;
 use zinniahinge_serving::SlotDecision;
@@ -135,6 +137,7 @@
                 ResidencyPlanner::new(spec.clone(), settings, first_version)
             });
             planner.set_spec(spec.clone());
+            planner.set_evacuated(&table.evacuated);
             let backends = table.backends(&service);
             for slot in backends {
                 if slot.leaves_unlisted() {
@@ -434,6 +437,8 @@
         let until = state.now() + PLACE_HOLD_LIMIT.min(Duration::from_millis(request.time_left_ms));
         let mut refused_by = request.refused_by.clone();
         let mut unreached = request.unreached.clone();
+        let regions = request.regions.as_deref();
+        let places = regions.map(|regions| state.places_in(regions));
         loop {
             let now = state.now();
             if self.fence(now).is_none() {
@@ -441,14 +446,20 @@
             }
             let placement = self.with(|coordinator| {
                 let planner = coordinator.planners.get_mut(&request.service)?;
-                let time_left = Duration::from_millis(request.time_left_ms);
-                let model = &request.model;
-                let adapter = request.adapter.as_ref();
-                let refused_by = refused_by.as_ref();
                 if let Some(unreached) = unreached.take() {
                     planner.record_unreachable(&unreached, now);
                 }
-                Some(planner.place(model, adapter, request.urgency, time_left, refused_by, now))
+                let query = PlacementQuery {
+                    model: &request.model,
+                    adapter: request.adapter.as_ref(),
+                    urgency: request.urgency,
+                    time_left: Duration::from_millis(request.time_left_ms),
+                    refused_by: refused_by.as_ref(),
+                    scope: PlaceScope {
+                        places: places.as_deref(),
+                    },
+                };
+                Some(planner.place_within(&query, now))
             });
             refused_by = None;
             let Some(Some(placement)) = placement else {
--- a/crates/host/src/fleet_table.rs
+++ b/crates/host/src/fleet_table.rs
@@ -10,6 +10,7 @@
 use zinniahinge_serving::BackendEntry;
 use zinniahinge_serving::BackendLoad;
 use zinniahinge_serving::BackendPhase;
+use zinniahinge_serving::EvacuatedPlaces;
 use zinniahinge_serving::SendBar;
 use zinniahinge_serving::ServingConfig;
 use zinniahinge_types::BackendRun;
@@ -66,12 +67,14 @@
     pub(crate) is_listed: bool,
     /// Models that requests can use there, each with its loaded adapters.
     pub(crate) models: Arc<HashMap<Name, Vec<Name>>>,
+    /// Evacuated places, the same for all servers of a table.
+    pub(crate) evacuated: Arc<EvacuatedPlaces>,
 }
 
 impl BackendSlot {
     /// Why no request may be sent to it now; `None` if one may.
     pub(crate) fn bar(&self, now: MonotonicTime) -> Option<SendBar> {
-        SendBar::find(&self.entry, &self.load, now)
+        SendBar::find(&self.entry, &self.load, &self.evacuated, now)
     }
 
     /// Names its run.
@@ -109,6 +112,8 @@
     pub(crate) blocked: Arc<BlockedParts>,
     /// When this host learned of them.
     pub(crate) blocked_at: MonotonicTime,
+    /// Places whose servers get no requests.
+    pub(crate) evacuated: Arc<EvacuatedPlaces>,
 }
 
 /// Empty table for the time before the first configuration.
--- a/crates/host/src/forward.rs
+++ b/crates/host/src/forward.rs
@@ -321,9 +321,7 @@
     status: StatusCode,
 ) -> Duration {
     let backend = &target.entry.id;
-    if let Some(bar @ SendBar::Paused { .. }) =
-        SendBar::find(&target.entry, &target.load, state.now())
-    {
+    if let Some(bar @ SendBar::Paused { .. }) = state.bar(target) {
         history.record_bar(backend, bar);
         return Duration::ZERO;
     }
--- a/crates/host/src/host_counters.rs
+++ b/crates/host/src/host_counters.rs
@@ -21,6 +21,8 @@
     pub(crate) slots: IntCounterVec,
     /// Backend servers that limit requests, as this host knows.
     pub(crate) limited_servers: IntGauge,
+    /// Data centres that are evacuated, as this host knows.
+    pub(crate) evacuated_places: IntGauge,
     /// Questions to engines whether they still work on a request, by what the answer shows and whether the request may go
     /// on at another server.
     pub(crate) run_lookups: IntCounterVec,
@@ -73,6 +75,10 @@
                 "host_limited_servers",
                 "Backend servers that limit the requests of all hosts together",
             )?,
+            evacuated_places: registry.gauge(
+                "host_evacuated_places",
+                "Data centres whose servers get no requests",
+            )?,
             run_lookups: registry.counter_vec(
                 "host_run_lookups_total",
                 "Runs looked up at engines by evidence and permission to go on elsewhere",
--- a/crates/host/src/host_state.rs
+++ b/crates/host/src/host_state.rs
@@ -12,10 +12,12 @@
 use zinniahinge_platform::FleetBounds;
 use zinniahinge_platform::StartupSettings;
 use zinniahinge_serving::AccountMeter;
+use zinniahinge_serving::BackendCandidate;
 use zinniahinge_serving::ConfigFreshness;
 use zinniahinge_serving::LimitShares;
 use zinniahinge_serving::LimitStatement;
 use zinniahinge_serving::MeterSettings;
+use zinniahinge_serving::SendBar;
 use zinniahinge_serving::SilentHosts;
 use zinniahinge_serving::StandInMeter;
 use zinniahinge_serving::WatchPace;
@@ -28,6 +30,7 @@
 use zinniahinge_types::HostId;
 use zinniahinge_types::LimitNotice;
 use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::Name;
 
 use crate::engine_timings::EngineTimings;
 use crate::fleet_table::FleetTable;
@@ -87,6 +90,19 @@
         self.clock.now()
     }
 
+    /// Why no request may be sent to the server of an earlier choice now; `None` if one may.
+    pub(crate) fn bar(&self, target: &BackendCandidate) -> Option<SendBar> {
+        let evacuated = &self.table.load().evacuated;
+        SendBar::find(&target.entry, &target.load, evacuated, self.now())
+    }
+
+    /// Data centres in `regions`.
+    pub(crate) fn places_in(&self, regions: &[Name]) -> Vec<Name> {
+        let places = self.startup.regions.iter();
+        let places = places.filter(|(_, region)| regions.contains(region));
+        places.map(|(place, _)| place.clone()).collect()
+    }
+
     /// Locks the meter of client accounts.
     pub(crate) fn meter(&self) -> MutexGuard<'_, AccountMeter> {
         self.meter.lock().unwrap_or_else(PoisonError::into_inner)
@@ -182,7 +198,10 @@
     pub(crate) fn watch_pace(&self) -> WatchPace {
         let bounds = &self.startup.bounds;
         WatchPace {
-            deadline: bounds.config_deadline.min(bounds.drain_deadline),
+            deadline: bounds
+                .config_deadline
+                .min(bounds.drain_deadline)
+                .min(bounds.evacuation_deadline.unwrap_or(Duration::MAX)),
         }
     }
 
--- a/crates/host/src/request_context.rs
+++ b/crates/host/src/request_context.rs
@@ -7,6 +7,7 @@
 use http::Uri;
 use tokio::time::Instant;
 use zinniahinge_serving::AccountSpec;
+use zinniahinge_serving::HomeRule;
 use zinniahinge_serving::KeyDigest;
 use zinniahinge_serving::RequestFacts;
 use zinniahinge_serving::RouteRule;
@@ -44,6 +45,15 @@
         priority.unwrap_or(self.rule.priority)
     }
 
+    /// Regions in which the request may run.
+    pub(crate) fn homes(&self) -> HomeRule<'_> {
+        let account = self.account.as_ref();
+        HomeRule {
+            route: &self.rule.homes,
+            account: account.map_or(&[], |(account, _)| &account.homes),
+        }
+    }
+
     /// Time until the deadline; zero after it.
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/host/src/request_wait.rs
+++ b/crates/host/src/request_wait.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+use zinniahinge_serving::EvacuatedPlaces;
 
 use crate::caller_response::Refusal;
 use crate::caller_response::RefusalKind;
@@ -63,6 +64,46 @@
     waited.ok_or_else(stopping_refusal)
 }
 
+/// Waits as [`wait_until`] does. Returns true, early, once the evacuated places are others than `known`, which makes
+/// earlier decisions outdated.
+pub(crate) async fn wait_until_evacuation(
+    state: &HostState,
+    context: &RequestContext,
+    until: Instant,
+    known: &EvacuatedPlaces,
+) -> Result<bool> {
+    tokio::select! {
+        biased;
+        () = evacuation_change(state, known) => Ok(true),
+        waited = wait_until(state, context, until) => waited.map(|()| false),
+    }
+}
+
+/// Waits as [`wait_interval`] does, at most until the evacuated places are others than `known`.
+pub(crate) async fn wait_interval_or_evacuation(
+    state: &HostState,
+    interval: Duration,
+    known: &EvacuatedPlaces,
+) -> Result<()> {
+    tokio::select! {
+        waited = wait_interval(state, interval) => waited,
+        () = evacuation_change(state, known) => Ok(()),
+    }
+}
+
+/// Completes when this host knows of other evacuated places than `known`; never where the platform evacuates nothing.
+async fn evacuation_change(state: &HostState, known: &EvacuatedPlaces) {
+    if state.startup.bounds.evacuation_deadline.is_none() {
+        return std::future::pending().await;
+    }
+    let mut tables = state.table_version.subscribe();
+    while *state.table.load().evacuated == *known {
+        if tables.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+    }
+}
+
 /// Latest end of a request's wait in a host that shuts down; `None` before that.
 fn latest_wait_end(state: &HostState, context: &RequestContext) -> Option<Instant> {
     let started_at = state.stop.started_at()?;
--- a/crates/host/src/send_permit.rs
+++ b/crates/host/src/send_permit.rs
@@ -81,7 +81,7 @@
     history: &SendHistory,
     target: &BackendCandidate,
 ) -> Result<SendPermit, PermitError> {
-    match SendBar::find(&target.entry, &target.load, state.now()) {
+    match state.bar(target) {
         None | Some(SendBar::Limited { .. }) => {}
         Some(bar) => return Err(PermitError::Barred(bar)),
     }
--- a/crates/host/src/table_source.rs
+++ b/crates/host/src/table_source.rs
@@ -9,6 +9,7 @@
 use zinniahinge_serving::BackendLoad;
 use zinniahinge_serving::BackendRoster;
 use zinniahinge_serving::ChangeLog;
+use zinniahinge_serving::EvacuatedPlaces;
 use zinniahinge_serving::ServingConfig;
 use zinniahinge_serving::candidate_order;
 use zinniahinge_types::BackendRun;
@@ -61,6 +62,8 @@
     pub(crate) has_peer_keys: bool,
     /// Last decode error of each backend server's entry that can't be read, so that it is logged only once.
     pub(crate) unreadable: HashMap<Name, String>,
+    /// Places whose servers get no requests.
+    pub(crate) evacuations: EvacuatedPlaces,
     /// Newest changes of the store, which the coordinator relays.
     pub(crate) log: ChangeLog,
     /// True after the first complete listing of the store.
@@ -87,6 +90,7 @@
             hosts: HashMap::new(),
             has_peer_keys: false,
             unreadable: HashMap::new(),
+            evacuations: EvacuatedPlaces::default(),
             log: ChangeLog::default(),
             is_listed: false,
             views: HashMap::new(),
@@ -193,6 +197,7 @@
         self.roster.expire(now);
         let mut services: HashMap<Name, Vec<BackendSlot>> = HashMap::new();
         let mut alive = HashSet::new();
+        let evacuated = Arc::new(self.evacuations.clone());
         for (entry, is_listed) in self.roster.entries() {
             let run = (entry.id.clone(), entry.born_ms);
             let load = self.loads.entry(run.clone()).or_default().clone();
@@ -213,6 +218,7 @@
                 load,
                 is_listed,
                 models: Arc::new(models),
+                evacuated: evacuated.clone(),
             });
         }
         // A run that leaves, pauses or limits requests may be listed again.
@@ -231,6 +237,7 @@
             holder: self.holder.clone(),
             blocked: self.blocked.0.clone(),
             blocked_at: self.blocked.1,
+            evacuated,
         }
     }
 }
--- a/crates/host/src/target_choice.rs
+++ b/crates/host/src/target_choice.rs
@@ -15,11 +15,13 @@
 use crate::caller_response::RefusalKind;
 use crate::caller_response::Result;
 use crate::fleet_table::BackendSlot;
+use crate::fleet_table::FleetTable;
 use crate::host_state::HostState;
 use crate::request_context::RequestContext;
 use crate::request_wait::check_stop;
-use crate::request_wait::wait_interval;
+use crate::request_wait::wait_interval_or_evacuation;
 use crate::request_wait::wait_until;
+use crate::request_wait::wait_until_evacuation;
 use crate::send_history::SendHistory;
 use crate::send_permit::longest_slot_wait;
 
@@ -68,7 +70,7 @@
                 check_slot_wait(state, context, history, until)?;
                 return Ok(target);
             }
-            Some((SendBar::Draining | SendBar::Leaving, _)) | None => break,
+            Some((SendBar::Draining | SendBar::Leaving | SendBar::Evacuated, _)) | None => break,
         }
     }
     match model {
@@ -77,6 +79,27 @@
     }
 }
 
+/// Backend servers of the request's service in the regions in which it may run.
+fn home_slots<'a>(
+    state: &'a HostState,
+    context: &'a RequestContext,
+    table: &'a FleetTable,
+) -> impl Iterator<Item = &'a BackendSlot> {
+    let homes = context.homes();
+    let regions = &state.startup.regions;
+    let slots = table.backends(&context.service).iter();
+    slots.filter(move |slot| homes.is_open() || homes.allows(regions.get(&slot.entry.place)))
+}
+
+/// True if all servers of the service are evacuated or outside the request's homes, so that waiting is of no use.
+fn is_out_of_places(state: &HostState, context: &RequestContext) -> bool {
+    let table = state.table.load();
+    let now = state.now();
+    let mut slots = home_slots(state, context, &table);
+    !table.backends(&context.service).is_empty()
+        && slots.all(|slot| slot.bar(now) == Some(SendBar::Evacuated))
+}
+
 /// Server that could run the request and is the first one whose pause ends or that has a free slot, and its bar; `None` if a
 /// server could be sent to, or none pauses or limits requests.
 fn first_bar_end(
@@ -87,7 +110,7 @@
     let table = state.table.load();
     let now = state.now();
     let facts = &context.facts;
-    let slots = table.backends(&context.service).iter();
+    let slots = home_slots(state, context, &table);
     let able = slots.filter(|slot| {
         let model = facts.model.as_ref();
         model.is_none_or(|model| slot.has(model, facts.adapter.as_deref()))
@@ -104,7 +127,7 @@
                     first = Some((until, bar, slot));
                 }
             }
-            Some(SendBar::Draining | SendBar::Leaving) => {}
+            Some(SendBar::Draining | SendBar::Leaving | SendBar::Evacuated) => {}
         }
     }
     first.map(|(_, bar, slot)| (bar, candidate(state, slot)))
@@ -156,8 +179,7 @@
 ) -> Option<BackendCandidate> {
     let table = state.table.load();
     let now = state.now();
-    let slots = table.backends(&context.service);
-    let accepting = || slots.iter().filter(|slot| slot.bar(now).is_none());
+    let accepting = || home_slots(state, context, &table).filter(|slot| slot.bar(now).is_none());
     let mut candidates = not_excluded(state, accepting(), history);
     if candidates.is_empty() {
         history.clear_excluded();
@@ -175,7 +197,7 @@
 ) -> Option<BackendCandidate> {
     let table = state.table.load();
     let now = state.now();
-    let slots = table.backends(&context.service).iter();
+    let slots = home_slots(state, context, &table);
     let adapter = context.facts.adapter.as_deref();
     let with_model = slots.filter(|slot| slot.bar(now).is_none() && slot.has(model, adapter));
     let candidates = not_excluded(state, with_model, history);
@@ -241,6 +263,10 @@
             return Err(unplaced);
         }
         check_stop(state, context)?;
+        if is_out_of_places(state, context) {
+            return Err(unplaced);
+        }
+        let evacuated = state.table.load().evacuated.clone();
         let reply = request_placement(state, context, model, history).await;
         if !matches!(reply, None | Some(PlacementReply::NotHolder)) {
             last_reply_at = Instant::now();
@@ -256,7 +282,10 @@
                 if now + ready_in + FIRST_RESPONSE_MARGIN >= response_deadline {
                     return Err(unplaced.retry_after(ready_in));
                 }
-                wait_until(state, context, Instant::now() + ready_in).await?;
+                let ready_at = Instant::now() + ready_in;
+                if wait_until_evacuation(state, context, ready_at, &evacuated).await? {
+                    continue;
+                }
                 let table = state.table.load();
                 let slot = table.backend(&context.service, &backend);
                 let bar = slot.and_then(|slot| slot.bar(state.now()));
@@ -266,9 +295,9 @@
                         wait_for_pause_end(state, context, history, until).await?;
                         continue;
                     }
-                    // The server is leaving, or this request could not reach it a moment ago.
+                    // The server is leaving or evacuated, or this request could not reach it a moment ago.
                     _ if is_unreachable => false,
-                    Some(SendBar::Draining | SendBar::Leaving) => false,
+                    Some(SendBar::Draining | SendBar::Leaving | SendBar::Evacuated) => false,
                     Some(SendBar::Limited { until }) => {
                         check_slot_wait(state, context, history, until)?;
                         true
@@ -295,7 +324,8 @@
             Some(PlacementReply::NotHolder) | None => PLACEMENT_POLL_INTERVAL,
         };
         let next = (now + pause).min(wait_end);
-        wait_interval(state, next.saturating_duration_since(Instant::now())).await?;
+        let rest = next.saturating_duration_since(Instant::now());
+        wait_interval_or_evacuation(state, rest, &evacuated).await?;
         // Meanwhile another server may have loaded the model.
         if let Some(target) = target_with_model(state, context, model, history) {
             return Ok(target);
@@ -321,6 +351,7 @@
         time_left_ms: context.time_left().as_millis() as u64,
         refused_by: history.missing_model_at.take(),
         unreached: history.unreported_unreachable.take(),
+        regions: context.homes().regions(),
     };
     let reply = state.link.place(&holder, &request, state).await;
     info!(state.logger, "placement"; "id" => &*context.facts.attempt_id, "model" => &**model,
--- a/crates/serving/src/accounts/account_spec.rs
+++ b/crates/serving/src/accounts/account_spec.rs
@@ -1,3 +1,4 @@
+use smallvec::SmallVec;
 use zinniahinge_types::Name;
 
 /// Unit in which a client account's rate is counted.
@@ -25,6 +26,8 @@
     pub rate_per_s: u64,
     /// Units that may be used at once after a period without use.
     pub burst: u64,
+    /// Regions in which the account's requests may run; empty for all.
+    pub homes: SmallVec<[Name; 2]>,
 }
 
 impl AccountSpec {
--- a/crates/serving/src/residency/engine_record.rs
+++ b/crates/serving/src/residency/engine_record.rs
@@ -19,9 +19,11 @@
 pub(crate) struct EngineRecord {
     pub(crate) id: Name,
     pub(crate) address: SocketAddr,
+    /// Data centre of the engine.
+    pub(crate) place: Name,
     /// Start of the engine's run, milliseconds since the Unix epoch.
     pub(crate) born_ms: u64,
-    /// False while the engine is draining, or another server has answered at its address.
+    /// False while the engine is draining or its data centre evacuated, or another server has answered at its address.
     pub(crate) is_accepting: bool,
     /// Number of orders that the engine has accepted; `None` until a report states it.
     pub(crate) sequence: Option<u64>,
@@ -171,6 +173,7 @@
         let mut record = Self {
             id: entry.id.clone(),
             address: entry.address,
+            place: entry.place.clone(),
             born_ms: entry.born_ms,
             is_accepting: entry.phase == BackendPhase::Ready,
             sequence: None,
--- a/crates/serving/src/residency/residency_adapters.rs
+++ b/crates/serving/src/residency/residency_adapters.rs
@@ -23,20 +23,19 @@
     /// of another adapter there. Engines that get more requests than their limit come last.
     pub(crate) fn plan_adapter(
         &mut self,
-        model: &Name,
+        key: &LoadKey,
         adapter: &Name,
         now: MonotonicTime,
     ) -> Result<EngineOrder> {
-        let key = LoadKey {
-            model: model.clone(),
-            adapter: Some(adapter.clone()),
-        };
-        let request = self.load_requests.get(&key);
+        let model = &key.model;
+        let request = self.load_requests.get(key);
         let is_starving = request.is_some_and(|request| is_starving(request, now));
         let needed = adapter_mb(&self.spec, model);
         let spec = &self.spec;
         let short = self.short_engines(now);
+        let scope = key.scope();
         let engines = self.engines.values();
+        let engines = engines.filter(|record| scope.contains(&record.place));
         let able = engines.filter(|record| record.is_free(now) && record.is_ready(model, now));
         let ranked = able.map(|record| {
             let count = record.adapter_count(now);
--- a/crates/serving/src/residency/residency_background.rs
+++ b/crates/serving/src/residency/residency_background.rs
@@ -141,7 +141,7 @@
         &mut self,
         model: &Name,
         saved: f64,
-        limit: LoadLimit,
+        limit: LoadLimit<'_>,
         snapshot: &PlanSnapshot,
         now: MonotonicTime,
     ) -> Result<EngineOrder, LoadHold> {
--- a/crates/serving/src/residency/residency_demand.rs
+++ b/crates/serving/src/residency/residency_demand.rs
@@ -4,6 +4,7 @@
 use zinniahinge_types::Name;
 
 use crate::LoadHold;
+use crate::PlaceScope;
 
 /// Sources of a model's weights, the fastest first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -140,6 +141,16 @@
 pub(crate) struct LoadKey {
     pub(crate) model: Name,
     pub(crate) adapter: Option<Name>,
+    /// Data centres in which the requests may run; `None` for all.
+    pub(crate) places: Option<Vec<Name>>,
+}
+
+impl LoadKey {
+    pub(crate) fn scope(&self) -> PlaceScope<'_> {
+        PlaceScope {
+            places: self.places.as_deref(),
+        }
+    }
 }
 
 /// Requests that wait until a model or an adapter is loaded.
--- a/crates/serving/src/residency/residency_load.rs
+++ b/crates/serving/src/residency/residency_load.rs
@@ -7,6 +7,7 @@
 
 use crate::EngineOrder;
 use crate::LoadHold;
+use crate::PlaceScope;
 use crate::ResidencyAction;
 use crate::ResidencyPlanner;
 use crate::residency::engine_record::AdapterRecord;
@@ -41,18 +42,21 @@
 
 /// Upper bounds of what a load may cost.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct LoadLimit {
+pub(crate) struct LoadLimit<'a> {
     /// Largest cost, seconds.
     pub(crate) cost_s: f64,
     /// Slowest source to load from.
     pub(crate) source: WeightSource,
+    /// Data centres whose engines may load.
+    pub(crate) scope: PlaceScope<'a>,
 }
 
-impl LoadLimit {
+impl LoadLimit<'_> {
     /// No bounds.
     pub(crate) const NONE: Self = Self {
         cost_s: f64::INFINITY,
         source: WeightSource::Store,
+        scope: PlaceScope::ALL,
     };
 }
 
@@ -82,7 +86,10 @@
         keys.sort();
         let mut orders = Vec::new();
         let mut snapshot = None;
-        if keys.iter().any(|(_, _, key)| !self.is_held(&key.model)) {
+        if keys
+            .iter()
+            .any(|(_, _, key)| !self.is_held(&key.model, key.scope()))
+        {
             let current = self.snapshot(now);
             match self.plan_urgent_replica(&current, now) {
                 Some(order) => orders.push(self.mark_sent(order)),
@@ -91,12 +98,12 @@
         }
         for (_, _, key) in keys {
             let planned = match &key.adapter {
-                Some(adapter) if self.is_held(&key.model) => {
-                    self.plan_adapter(&key.model, adapter, now)
+                Some(adapter) if self.is_held(&key.model, key.scope()) => {
+                    self.plan_adapter(&key, adapter, now)
                 }
                 _ => {
                     let snapshot = snapshot.get_or_insert_with(|| self.snapshot(now));
-                    self.plan_requested(&key.model, snapshot, now)
+                    self.plan_requested(&key, snapshot, now)
                 }
             };
             if let Some(request) = self.load_requests.get_mut(&key) {
@@ -135,6 +142,7 @@
                     .get(&key.model)
                     .filter(|held| !held.is_unloading);
                 record.is_accepting
+                    && key.scope().contains(&record.place)
                     && held.is_some_and(|held| {
                         if held.ready_at.since(now) > SLOW_LOAD_TIME {
                             return false;
@@ -172,35 +180,39 @@
     // Models
 
     /// True if an engine has the model loaded or loading.
-    pub(crate) fn is_held(&self, model: &Name) -> bool {
-        let mut engines = self.engines.values().filter(|record| record.is_accepting);
-        engines.any(|record| record.keeps(model))
+    pub(crate) fn is_held(&self, model: &Name, scope: PlaceScope<'_>) -> bool {
+        self.accepting(scope).any(|record| record.keeps(model))
+    }
+
+    /// Engines that accept requests and orders, in the data centres of `scope`.
+    pub(crate) fn accepting<'a>(
+        &'a self,
+        scope: PlaceScope<'a>,
+    ) -> impl Iterator<Item = &'a EngineRecord> {
+        let engines = self.engines.values();
+        engines.filter(move |record| record.is_accepting && scope.contains(&record.place))
     }
 
     /// Returns the next order for a model that requests wait for; beside a slow load, only for a faster copy.
     fn plan_requested(
         &mut self,
-        model: &Name,
+        key: &LoadKey,
         snapshot: &PlanSnapshot,
         now: MonotonicTime,
     ) -> Result<EngineOrder> {
-        let limit = match self.time_until_replica(model, now) {
-            None => LoadLimit::NONE,
+        let scope = key.scope();
+        let limit = match self.time_until_replica(&key.model, scope, now) {
+            None => LoadLimit {
+                scope,
+                ..LoadLimit::NONE
+            },
             Some(ready_in) => LoadLimit {
                 cost_s: ready_in.as_secs_f64(),
                 source: WeightSource::Disk,
+                scope,
             },
         };
-        self.plan_model(model, limit, snapshot, now)
-    }
-
-    /// Time until the first replica is ready; `None` if the model is neither loaded nor loading.
-    pub(crate) fn time_until_replica(&self, model: &Name, now: MonotonicTime) -> Option<Duration> {
-        let engines = self.engines.values().filter(|record| record.is_accepting);
-        let held = engines
-            .filter(|record| record.keeps(model))
-            .filter_map(|record| record.held.get(model));
-        held.map(|held| held.ready_at.since(now)).min()
+        self.plan_model(&key.model, limit, snapshot, now)
     }
 
     /// Returns the next order towards a new replica of the model within `limit`: its load, or an eviction that makes
@@ -208,13 +220,13 @@
     pub(crate) fn plan_model(
         &mut self,
         model: &Name,
-        limit: LoadLimit,
+        limit: LoadLimit<'_>,
         snapshot: &PlanSnapshot,
         now: MonotonicTime,
     ) -> Result<EngineOrder> {
-        let claimed = self.engines.values().find(|record| {
+        let claimed = self.accepting(limit.scope).find(|record| {
             let claim = record.claim.as_ref();
-            record.is_accepting && claim.is_some_and(|claim| claim.model == *model)
+            claim.is_some_and(|claim| claim.model == *model)
         });
         let target = match claimed {
             Some(record) => self.target(record, model, snapshot, now),
@@ -253,7 +265,7 @@
     }
 
     /// Why no engine can load a model within `limit`.
-    pub(crate) fn no_target(&self, limit: LoadLimit, now: MonotonicTime) -> LoadHold {
+    pub(crate) fn no_target(&self, limit: LoadLimit<'_>, now: MonotonicTime) -> LoadHold {
         if limit.source == WeightSource::Store {
             return LoadHold::NoTarget;
         }
@@ -267,11 +279,11 @@
     pub(crate) fn best_target(
         &self,
         model: &Name,
-        limit: LoadLimit,
+        limit: LoadLimit<'_>,
         snapshot: &PlanSnapshot,
         now: MonotonicTime,
     ) -> Option<LoadTarget> {
-        let engines = self.engines.values();
+        let engines = self.accepting(limit.scope);
         let engines = engines.filter(|record| record.source_of(model) <= limit.source);
         let targets = engines.filter_map(|record| self.target(record, model, snapshot, now));
         targets.min_by(|one, other| one.cost_s.total_cmp(&other.cost_s))
@@ -291,12 +303,7 @@
             .is_some_and(|claim| claim.model != *model);
         let is_paused = record.paused.get(model).is_some_and(|until| now < *until);
         let is_there = record.keeps(model);
-        if !record.is_accepting
-            || record.sequence.is_none()
-            || claimed_by_other
-            || is_paused
-            || is_there
-        {
+        if record.sequence.is_none() || claimed_by_other || is_paused || is_there {
             return None;
         }
         let needed = model_mb(&self.spec, model) + ROUNDING_MB;
@@ -434,41 +441,6 @@
             < self.full_speed_loads.max(MIN_CONCURRENT_LOADS) as usize
             && self.store_starts.len() + coming < allowed
     }
-
-    /// Time until an engine that doesn't hold the model could load it from a copy; `None` if there is no such copy.
-    fn copy_estimate(&self, model: &Name, now: MonotonicTime) -> Option<Duration> {
-        let engines = self.engines.values().filter(|record| {
-            record.is_accepting
-                && !record.keeps(model)
-                && record.source_of(model) < WeightSource::Store
-        });
-        let times = engines.map(|record| record.wait(now) + self.load_time(&record.id, model, now));
-        times.min()
-    }
-
-    /// Time to load the model from a copy, if that ends before the slow load that is ready in `ready_in`.
-    pub(crate) fn faster_copy_time(
-        &self,
-        model: &Name,
-        ready_in: Duration,
-        now: MonotonicTime,
-    ) -> Option<Duration> {
-        let from_copy = self.copy_estimate(model, now)?;
-        (ready_in > SLOW_LOAD_TIME && from_copy < ready_in).then_some(from_copy)
-    }
-
-    /// Estimated time until a request for the model could be served; `None` if no engine is accepting or the model fits
-    /// into none.
-    pub(crate) fn estimate(&self, model: &Name, now: MonotonicTime) -> Option<Duration> {
-        if self.is_held(model) {
-            return Some(Duration::ZERO);
-        }
-        let engines = self.engines.values().filter(|record| record.is_accepting);
-        let times = engines.map(|record| record.wait(now) + self.load_time(&record.id, model, now));
-        let time = times.min()?;
-        let fits = model_mb(&self.spec, model) <= self.spec.memory_mb;
-        fits.then_some(time)
-    }
 }
 
 /// Creates an order; `None` if the engine's number of accepted orders is unknown.
--- a/crates/serving/src/residency/residency_observation.rs
+++ b/crates/serving/src/residency/residency_observation.rs
@@ -8,6 +8,7 @@
 use crate::BackendEntry;
 use crate::BackendPhase;
 use crate::EngineReport;
+use crate::EvacuatedPlaces;
 use crate::ResidencyAction;
 use crate::ResidencyPlanner;
 use crate::residency::engine_record::EngineRecord;
@@ -23,11 +24,22 @@
 const REPORT_INTERVAL_PER_ENGINE: Duration = Duration::from_millis(25);
 
 impl ResidencyPlanner {
+    /// Replaces the evacuated places, before the entries are observed. Nothing is loaded on engines there, and their models
+    /// count as missing; the engines' state is kept for the end of the evacuation.
+    pub fn set_evacuated(&mut self, evacuated: &EvacuatedPlaces) {
+        if self.evacuated != *evacuated {
+            self.evacuated = evacuated.clone();
+        }
+    }
+
     /// Adds an engine that the store lists, or updates its address and phase. A later start time resets its state; an
     /// entry of an earlier run is ignored.
     pub fn observe_entry(&mut self, entry: &BackendEntry, now: MonotonicTime) {
+        let is_evacuated = self.evacuated.contains(&entry.place);
+        let is_accepting = entry.phase == BackendPhase::Ready && !is_evacuated;
         let Some(record) = self.engines.get_mut(&entry.id) else {
-            let record = EngineRecord::new(entry, now);
+            let mut record = EngineRecord::new(entry, now);
+            record.is_accepting = is_accepting;
             self.engines.insert(entry.id.clone(), record);
             self.assume_demand(entry, now);
             return;
@@ -39,7 +51,11 @@
             return;
         }
         record.address = entry.address;
-        record.is_accepting = entry.phase == BackendPhase::Ready;
+        record.is_accepting = is_accepting;
+        if is_evacuated {
+            // Frees the weight store's bandwidth for loads elsewhere.
+            record.claim = None;
+        }
     }
 
     /// Removes the engines for which `keep` returns false, and their views.
--- a/crates/serving/src/residency/residency_planner.rs
+++ b/crates/serving/src/residency/residency_planner.rs
@@ -11,7 +11,11 @@
 
 use crate::EngineSpec;
 use crate::EngineSpeed;
+use crate::EvacuatedPlaces;
 use crate::LoadHold;
+use crate::PlaceScope;
+use crate::Placement;
+use crate::PlacementQuery;
 use crate::ReadyModel;
 use crate::ResidencySettings;
 use crate::ResidencyView;
@@ -45,33 +49,6 @@
 /// Shortest time between two refreshes of the views, whatever the number of hosts that read them.
 const VIEW_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Where a request can be sent, or when to ask again.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Placement {
-    /// A backend server has the model, and the adapter if one is requested.
-    Ready {
-        /// Id of the server.
-        backend: Name,
-    },
-    /// A backend server is loading the model or the adapter.
-    Loading {
-        /// Id of the server.
-        backend: Name,
-        /// Estimated time until the load ends.
-        ready_in: Duration,
-    },
-    /// No server can be named yet.
-    Wait {
-        /// Time after which to ask again.
-        again_in: Duration,
-    },
-    /// The model can't be loaded before the request's deadline, or is not defined.
-    Refused {
-        /// Time after which a request could succeed; `None` if it never can.
-        retry_after: Option<Duration>,
-    },
-}
-
 /// Decides which models and adapters are loaded on the engines of one service.
 ///
 /// The planner performs no I/O. Callers pass in reports and the outcomes of orders; [`Self::plan`] returns the orders
@@ -81,6 +58,8 @@
     pub(crate) settings: ResidencySettings,
     pub(crate) spec: EngineSpec,
     pub(crate) engines: BTreeMap<Name, EngineRecord>,
+    /// Places in which no engine accepts anything.
+    pub(crate) evacuated: EvacuatedPlaces,
     pub(crate) demand: HashMap<Name, ModelDemand>,
     pub(crate) speed: EngineSpeed,
     pub(crate) runs: OpenRuns,
@@ -113,6 +92,7 @@
             settings,
             spec,
             engines: BTreeMap::new(),
+            evacuated: EvacuatedPlaces::default(),
             demand: HashMap::new(),
             speed: EngineSpeed::default(),
             runs: OpenRuns::default(),
@@ -176,11 +156,7 @@
     // ---------------------------------------------------------------------------------------------
     // Requests
 
-    /// Returns where a request for a model, or an adapter of it, can be sent. What is not loaded or loading becomes a
-    /// load request for the next [`Self::plan`].
-    ///
-    /// `urgency` is a priority, 0 the most urgent. `time_left` is the time to the request's deadline. `refused_by` is a
-    /// server that has just answered that it doesn't have the model or the adapter.
+    /// Answers as [`Self::place_within`] does for a request that may run in every data centre.
     pub fn place(
         &mut self,
         model: &Name,
@@ -190,25 +166,47 @@
         refused_by: Option<&Name>,
         now: MonotonicTime,
     ) -> Placement {
+        let query = PlacementQuery {
+            model,
+            adapter,
+            urgency,
+            time_left,
+            refused_by,
+            scope: PlaceScope::ALL,
+        };
+        self.place_within(&query, now)
+    }
+
+    /// Returns where a request for a model, or an adapter of it, can be sent. What is not loaded or loading becomes a
+    /// load request for the next [`Self::plan`].
+    pub fn place_within(&mut self, query: &PlacementQuery<'_>, now: MonotonicTime) -> Placement {
+        let PlacementQuery {
+            model,
+            adapter,
+            time_left,
+            refused_by,
+            scope,
+            ..
+        } = *query;
         if !self.is_defined(model, adapter) {
             return Placement::Refused { retry_after: None };
         }
         if let Some(backend) = refused_by {
             self.record_refusal(backend, model, adapter, now);
         }
-        if let Some(backend) = self.ready_engine(model, adapter, now) {
+        if let Some(backend) = self.ready_engine(model, adapter, scope, now) {
             return Placement::Ready { backend };
         }
         let time_until_replica = self
-            .time_until_replica(model, now)
+            .time_until_replica(model, scope, now)
             .filter(|time| !time.is_zero());
         let faster_copy_time =
-            time_until_replica.and_then(|time| self.faster_copy_time(model, time, now));
+            time_until_replica.and_then(|time| self.faster_copy_time(model, time, scope, now));
         if let Some(again_in) = faster_copy_time {
-            self.request_load(model, None, urgency, time_left, now);
+            self.request_load(query, None, now);
             return Placement::Wait { again_in };
         }
-        match self.loading_engine(model, adapter, now) {
+        match self.loading_engine(model, adapter, scope, now) {
             Some((backend, Some(ready_in))) => return Placement::Loading { backend, ready_in },
             Some((_, None)) => {
                 return Placement::Wait {
@@ -217,7 +215,7 @@
             }
             None => {}
         }
-        let estimate = self.estimate(model, now);
+        let estimate = self.estimate(model, scope, now);
         match estimate {
             Some(estimate) if estimate < time_left => {}
             _ => {
@@ -230,7 +228,7 @@
             // Adapters can only be loaded once their model is.
             return Placement::Wait { again_in };
         }
-        self.request_load(model, adapter, urgency, time_left, now);
+        self.request_load(query, adapter, now);
         Placement::Wait {
             again_in: LOAD_ORDER_PAUSE,
         }
@@ -239,15 +237,21 @@
     /// Adds a load request, or extends one and raises its urgency.
     fn request_load(
         &mut self,
-        model: &Name,
+        query: &PlacementQuery<'_>,
         adapter: Option<&Name>,
-        urgency: u8,
-        time_left: Duration,
         now: MonotonicTime,
     ) {
+        let PlacementQuery {
+            model,
+            urgency,
+            time_left,
+            scope,
+            ..
+        } = *query;
         let key = LoadKey {
             model: model.clone(),
             adapter: adapter.cloned(),
+            places: scope.places.map(<[Name]>::to_vec),
         };
         let request = self.load_requests.entry(key).or_insert(LoadRequest {
             urgency,
@@ -278,11 +282,12 @@
         &mut self,
         model: &Name,
         adapter: Option<&Name>,
+        scope: PlaceScope<'_>,
         now: MonotonicTime,
     ) -> Option<Name> {
         let engines = self.engines.values();
         let mut ready: Vec<&Name> = engines
-            .filter(|record| record.is_ready(model, now))
+            .filter(|record| scope.contains(&record.place) && record.is_ready(model, now))
             .filter(|record| adapter.is_none_or(|adapter| has_adapter(record, model, adapter, now)))
             .map(|record| &record.id)
             .collect();
@@ -304,11 +309,13 @@
         &self,
         model: &Name,
         adapter: Option<&Name>,
+        scope: PlaceScope<'_>,
         now: MonotonicTime,
     ) -> Option<(Name, Option<Duration>)> {
         let engines = self.engines.values();
-        let engines =
-            engines.filter(|record| record.is_accepting && record.unreachable_until <= now);
+        let engines = engines.filter(|record| {
+            record.is_accepting && record.unreachable_until <= now && scope.contains(&record.place)
+        });
         let coming = engines.filter_map(|record| {
             let held = record.held.get(model).filter(|held| !held.is_unloading)?;
             if held.is_unverified {
@@ -422,7 +429,10 @@
     }
 
     fn refresh_views(&mut self, now: MonotonicTime) {
-        for record in self.engines.values() {
+        let evacuated = &self.evacuated;
+        // Hosts send nothing to evacuated engines, and need their models at once after the end.
+        let engines = self.engines.values();
+        for record in engines.filter(|record| !evacuated.contains(&record.place)) {
             let models = ready_models(record, now);
             let known = self.views.get(&record.id);
             if known.is_none_or(|view| view.models != models || view.born_ms != record.born_ms) {
--- a/crates/serving/src/routing/route_rule.rs
+++ b/crates/serving/src/routing/route_rule.rs
@@ -68,6 +68,8 @@
     pub max_backends: u32,
     /// True if callers need no key.
     pub is_open: bool,
+    /// Regions in which the requests may run; empty for all.
+    pub homes: SmallVec<[Name; 2]>,
 }
 
 /// Shortest time for which callers wait for the first event. They wait for the longest of this and the multiples of the
--- a/crates/serving/tests/account_fleet.rs
+++ b/crates/serving/tests/account_fleet.rs
@@ -82,6 +82,7 @@
         unit: QuotaUnit::Tokens { unstated: 200 },
         rate_per_s: rate,
         burst: rate,
+        homes: Default::default(),
     }
 }
 
--- a/crates/serving/tests/account_usage.rs
+++ b/crates/serving/tests/account_usage.rs
@@ -26,6 +26,7 @@
         unit: QuotaUnit::Tokens { unstated: 200 },
         rate_per_s: RATE,
         burst: BURST,
+        homes: Default::default(),
     }
 }
 
--- a/crates/serving/tests/send_bar.rs
+++ b/crates/serving/tests/send_bar.rs
@@ -6,6 +6,7 @@
 use zinniahinge_serving::BackendEntry;
 use zinniahinge_serving::BackendLoad;
 use zinniahinge_serving::BackendPhase;
+use zinniahinge_serving::EvacuatedPlaces;
 use zinniahinge_serving::LimitStatement;
 use zinniahinge_serving::SendBar;
 use zinniahinge_types::MonotonicTime;
@@ -137,7 +138,12 @@
             }
         }
         load.pause(at(case.pause_ms));
-        let bar = SendBar::find(&entry(BackendPhase::Ready), &load, at(1000));
+        let bar = SendBar::find(
+            &entry(BackendPhase::Ready),
+            &load,
+            &EvacuatedPlaces::default(),
+            at(1000),
+        );
         assert_that!(bar, eq(case.bar), "{}", case.name);
         assert_that!(load.limit_per_s(), eq(case.limit_per_s), "{}", case.name);
         let statement = load.limit_statement();
@@ -213,7 +219,12 @@
         for until_ms in case.pauses_ms {
             load.pause(at(*until_ms));
         }
-        let bar = SendBar::find(&entry(case.phase), &load, at(1000));
+        let bar = SendBar::find(
+            &entry(case.phase),
+            &load,
+            &EvacuatedPlaces::default(),
+            at(1000),
+        );
         assert_that!(bar, eq(case.bar), "{}", case.name);
     }
     let pause = Duration::from_millis(1);
--- a/crates/types/src/fleet_message.rs
+++ b/crates/types/src/fleet_message.rs
@@ -285,6 +285,9 @@
     pub refused_by: Option<Name>,
     /// Backend server that the sender just failed to connect to.
     pub unreached: Option<Name>,
+    /// Regions in which the request may run; `None` for all.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub regions: Option<Vec<Name>>,
 }
 
 /// Answers a [`PlacementRequest`].
