Tests: evacuations and homes with real hosts and in the planner

Cause: nothing replayed the loss of a data centre by the operator's order.

The tests found that a request which waits at the coordinator as its last place is evacuated was refused without a time to come back; the planner now states one.

--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -92,6 +92,15 @@
     }
 
     pub async fn with_config(config: &ConfigText) -> Outcome<Self> {
+        Self::in_places(config, false).await
+    }
+
+    /// Places the second server of each service in the data centre b, region west; the others and the host are in a, east.
+    pub async fn in_two_places(config: &ConfigText) -> Outcome<Self> {
+        Self::in_places(config, true).await
+    }
+
+    async fn in_places(config: &ConfigText, is_divided: bool) -> Outcome<Self> {
         let store = PlatformStore::start().await?;
         store.put_config(config.to_text());
         let plain = vec![
@@ -104,6 +113,11 @@
         ];
         let program = env!("CARGO_BIN_EXE_zinniahinge-host");
         let mut fleet = HostFleet::new(program, &store)?;
+        if is_divided {
+            plain[1].relocate("b");
+            engines[1].relocate("b");
+            fleet.state_regions();
+        }
         let host = fleet.start("h1").await?;
         Ok(Self {
             store,
--- a/crates/serving/src/residency/residency_estimates.rs
+++ b/crates/serving/src/residency/residency_estimates.rs
@@ -11,7 +11,17 @@
 use crate::residency::residency_demand::WeightSource;
 use crate::residency::residency_load::SLOW_LOAD_TIME;
 
+/// Pause stated to a host while no engine that may serve the request accepts anything because of an evacuation, whose end
+/// is unknown.
+const EVACUATION_PAUSE: Duration = Duration::from_millis(1500);
+
 impl ResidencyPlanner {
+    /// Pause before a request that no engine can serve is worth another try; `None` if no evacuation is the cause.
+    pub(crate) fn evacuation_pause(&self, model: &Name) -> Option<Duration> {
+        let fits = model_mb(&self.spec, model) <= self.spec.memory_mb;
+        (fits && self.evacuated.count() > 0).then_some(EVACUATION_PAUSE)
+    }
+
     /// Time until the first replica is ready; `None` if the model is neither loaded nor loading.
     pub(crate) fn time_until_replica(
         &self,
--- a/crates/serving/src/residency/residency_planner.rs
+++ b/crates/serving/src/residency/residency_planner.rs
@@ -220,7 +220,7 @@
             Some(estimate) if estimate < time_left => {}
             _ => {
                 return Placement::Refused {
-                    retry_after: estimate,
+                    retry_after: estimate.or_else(|| self.evacuation_pause(model)),
                 };
             }
         }
