Soak: evacuate a data centre and take it back

Cause: the soak drew no evacuations. One server of each service is in a second data centre now; evacuations are drawn last, from a generator of their own, so the plans of the kept seeds stay as they are. The check finds requests that reach an evacuated server after the bound; it is stretched while other hosts are disturbed, as the platform's rules say.

--- a/crates/serving/tests/residency_evacuation.rs
+++ b/crates/serving/tests/residency_evacuation.rs
@@ -182,7 +182,6 @@
             // For requests without homes, of which the engine in a has the only copy.
             loads_at: Some("b"),
             is_refused: true,
-            ..case
         },
         ScopeCase {
             name: "no engine in the homes",
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -30,6 +30,12 @@
 /// Least and greatest limit, requests a second.
 const LIMIT_RANGE: (f64, f64) = (0.3, 20.0);
 
+/// Evacuations of the second data centre, a second.
+const EVACUATIONS_PER_S: f64 = 0.1;
+
+/// Makes the draws of these faults differ from the others'.
+const EVACUATIONS_SALT: u64 = 0xbf58_476d_1ce4_e5b9;
+
 /// Makes the draws of these faults differ from the others'.
 const LIMITS_SALT: u64 = 0x94d0_49bb_1331_11eb;
 
@@ -77,6 +83,8 @@
     LeaveByAnswer(usize),
     /// Backend servers name the first limit, the second one from the middle of the time, and then none.
     NameLimit(Range<usize>, [f64; 2]),
+    /// The second data centre is evacuated, and taken back.
+    Evacuate,
     /// The configuration gets another version.
     ChangeConfig,
     /// The second key of the account is withdrawn, or given again.
@@ -122,6 +130,7 @@
     faults.extend(plan_hidden_runs(seed, time, (plain, backends)));
     faults.extend(plan_refusal_copies(seed, time, (plain, backends)));
     faults.extend(plan_limits(seed, time, (plain, backends)));
+    faults.extend(plan_evacuations(seed, time));
     faults.sort_by_key(|fault| fault.at);
     faults
 }
@@ -218,6 +227,14 @@
     faults
 }
 
+/// Draws evacuations. Drawn apart, so that the other faults of a seed stay as they are.
+fn plan_evacuations(seed: u64, time: Duration) -> Vec<PlannedFault> {
+    let seed = seed ^ EVACUATIONS_SALT;
+    draw_faults(seed, EVACUATIONS_PER_S, time, 3_000..9_000, |_| {
+        FaultKind::Evacuate
+    })
+}
+
 /// Draws `per_s` faults a second, each with its time, its length from `lasts_ms` and then its kind.
 fn draw_faults(
     seed: u64,
--- a/crates/soak/src/fault_task.rs
+++ b/crates/soak/src/fault_task.rs
@@ -16,9 +16,11 @@
 use crate::PlannedFault;
 use crate::Result;
 use crate::SoakError;
+use crate::late_sends::STORE;
 use crate::soak_world::KEPT_KEY;
 use crate::soak_world::LinkedBackend;
 use crate::soak_world::REPORT_DELAY;
+use crate::soak_world::SECOND_PLACE;
 use crate::soak_world::SoakWorld;
 use crate::soak_world::TURNED_KEY;
 use crate::soak_world::locked;
@@ -65,15 +67,26 @@
             killed.into_iter().collect()
         }
         FaultKind::Store(kind) => {
+            let from = Instant::now();
             world.store.set_fault(kind);
             tokio::time::sleep(lasts).await;
             world.store.set_fault(StoreFault::None);
+            world.disturb(STORE, from, Instant::now());
             Ok(())
         }
         FaultKind::DropHistory => {
             world.store.drop_history();
             Ok(())
         }
+        FaultKind::Evacuate => {
+            let _turn = world.evacuating.lock().await;
+            world.store.evacuate(SECOND_PLACE);
+            let from = Instant::now();
+            tokio::time::sleep(lasts).await;
+            locked(&world.evacuations).push((from, Instant::now()));
+            world.store.take_back(SECOND_PLACE);
+            Ok(())
+        }
         FaultKind::StoreLink(host, mode) => {
             let slot = &world.hosts[host];
             let from = Instant::now();
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,6 +7,7 @@
 mod fault_plan;
 mod fault_task;
 mod ignored_requests;
+mod late_sends;
 mod link_proxy;
 mod overlapping_runs;
 mod promise_check;
--- a/crates/soak/src/promise_check.rs
+++ b/crates/soak/src/promise_check.rs
@@ -12,6 +12,7 @@
 use crate::call_index::CallIndex;
 use crate::exceeded_limits::exceeded_limits;
 use crate::ignored_requests::ignored_requests;
+use crate::late_sends::late_sends;
 use crate::overlapping_runs::overlapping_runs;
 
 /// A withdrawn key runs nothing after this time, on any host; from the hosts' settings.
@@ -59,6 +60,10 @@
     pub key_turns: Vec<(Instant, bool)>,
     /// What was done to hosts.
     pub disturbances: Vec<Disturbance>,
+    /// Servers in the second data centre.
+    pub second_place: Vec<String>,
+    /// Start and end of each evacuation of the second data centre.
+    pub evacuations: Vec<(Instant, Instant)>,
 }
 
 /// Every promise that the records show to be broken, in words.
@@ -104,6 +109,7 @@
     broken.extend(ignored_requests(records));
     broken.extend(exceeded_limits(records));
     broken.extend(overlapping_runs(records));
+    broken.extend(late_sends(records));
     for (engine, orders) in records.orders.iter().enumerate() {
         check_orders(engine, orders, &records.disturbances, &mut broken);
     }
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -175,6 +175,8 @@
         turned_key: TURNED_KEY,
         key_turns: locked(&world.key_turns).clone(),
         disturbances: locked(&world.disturbances).clone(),
+        second_place: world.second_place.clone(),
+        evacuations: locked(&world.evacuations).clone(),
     }
 }
 
--- a/crates/soak/src/soak_world.rs
+++ b/crates/soak/src/soak_world.rs
@@ -38,6 +38,9 @@
 /// The engine that closes the connections of streams that return to it.
 const LOSING_ENGINE: usize = 1;
 
+/// Data centre of the last server of each service; the others and the hosts are in the first one.
+pub(crate) const SECOND_PLACE: &str = "b";
+
 /// Key that is never withdrawn.
 pub(crate) const KEPT_KEY: &str = "key-1";
 
@@ -71,6 +74,12 @@
     /// When the second key was withdrawn (false) or given again (true).
     pub(crate) key_turns: Mutex<Vec<(Instant, bool)>>,
     pub(crate) disturbances: Mutex<Vec<Disturbance>>,
+    /// Servers in the second data centre.
+    pub(crate) second_place: Vec<String>,
+    /// Held while the second data centre is evacuated.
+    pub(crate) evacuating: tokio::sync::Mutex<()>,
+    /// Start and end of each evacuation of the second data centre.
+    pub(crate) evacuations: Mutex<Vec<(Instant, Instant)>>,
     /// Logs of processes that have ended.
     pub(crate) ended_logs: Mutex<Vec<(String, String)>>,
 }
@@ -96,8 +105,15 @@
             }
             backends.push(engine);
         }
+        let last = [PLAIN_SERVERS - 1, PLAIN_SERVERS + ENGINES.len() - 1];
+        let last = last.map(|index| &backends[index].server);
+        let second_place = last.map(|server| {
+            server.relocate(SECOND_PLACE);
+            server.id().to_owned()
+        });
         let mut fleet = HostFleet::new(&settings.program, &store)
             .map_err(SoakError::of("make a folder for the hosts"))?;
+        fleet.state_regions();
         let mut hosts = Vec::new();
         for number in 0..settings.hosts {
             let name = format!("h{number}");
@@ -129,6 +145,9 @@
             config: Mutex::new(config),
             key_turns: Mutex::default(),
             disturbances: Mutex::default(),
+            second_place: second_place.to_vec(),
+            evacuating: tokio::sync::Mutex::default(),
+            evacuations: Mutex::default(),
             ended_logs: Mutex::default(),
         })
     }
