--- a/crates/host/src/host_counters.rs
+++ b/crates/host/src/host_counters.rs
@@ -26,6 +26,8 @@
     pub(crate) cold_servers: IntGauge,
     /// Backend servers with a pace, as this host knows.
     pub(crate) paced_servers: IntGauge,
+    /// Data centres that are evacuated, as this host knows.
+    pub(crate) evacuated_places: IntGauge,
     /// Questions to engines whether they still work on a request, by what the answer shows and whether the request may go
     /// on at another server.
     pub(crate) run_lookups: IntCounterVec,
@@ -86,6 +88,10 @@
                 "host_paced_servers",
                 "Backend servers whose pace the coordinator finds out",
             )?,
+            evacuated_places: registry.gauge(
+                "host_evacuated_places",
+                "Data centres whose servers get no requests",
+            )?,
             run_lookups: registry.counter_vec(
                 "host_run_lookups_total",
                 "Runs looked up at engines by evidence and permission to go on elsewhere",
--- a/crates/host/src/send_permit.rs
+++ b/crates/host/src/send_permit.rs
@@ -87,7 +87,7 @@
     target: &BackendCandidate,
 ) -> Result<SendPermit, PermitError> {
     let mut has_waited = false;
-    let mut bar = SendBar::find(&target.entry, &target.load, state.now());
+    let mut bar = state.bar(target);
     // Requests a second under which the request has a slot.
     let mut slot_per_s: Option<f64> = None;
     loop {
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -35,6 +35,11 @@
 
 /// Makes the draws of these faults differ from the others'.
 const COLD_SALT: u64 = 0xbf58_476d_1ce4_e5b9;
+/// Evacuations of the second data centre, a second.
+const EVACUATIONS_PER_S: f64 = 0.1;
+
+/// Makes the draws of these faults differ from the others'.
+const EVACUATIONS_SALT: u64 = 0xa076_1d64_78bd_642f;
 
 /// Makes the draws of these faults differ from the others'.
 const LIMITS_SALT: u64 = 0x94d0_49bb_1331_11eb;
@@ -87,6 +92,8 @@
     BecomeCold(Range<usize>),
     /// Plain backend servers start again at once, cold.
     StartCold(Range<usize>),
+    /// The second data centre is evacuated, and taken back.
+    Evacuate,
     /// The configuration gets another version.
     ChangeConfig,
     /// The second key of the account is withdrawn, or given again.
@@ -133,6 +140,7 @@
     faults.extend(plan_refusal_copies(seed, time, (plain, backends)));
     faults.extend(plan_limits(seed, time, (plain, backends)));
     faults.extend(plan_cold_times(seed, time, (plain, backends)));
+    faults.extend(plan_evacuations(seed, time));
     faults.sort_by_key(|fault| fault.at);
     faults
 }
@@ -243,6 +251,14 @@
     })
 }
 
+/// Draws evacuations. Drawn apart, so that the other faults of a seed stay as they are.
+fn plan_evacuations(seed: u64, time: Duration) -> Vec<PlannedFault> {
+    let seed = seed ^ EVACUATIONS_SALT;
+    draw_faults(seed, EVACUATIONS_PER_S, time, 3_000..9_000, |_| {
+        FaultKind::Evacuate
+    })
+}
+
 /// Draws `per_s` faults a second, each with its time, its length from `lasts_ms` and then its kind.
 fn draw_faults(
     seed: u64,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,6 +8,7 @@
 mod fault_task;
 mod flooded_servers;
 mod ignored_requests;
+mod late_sends;
 mod link_proxy;
 mod overlapping_runs;
 mod promise_check;
--- a/crates/soak/src/promise_check.rs
+++ b/crates/soak/src/promise_check.rs
@@ -14,6 +14,7 @@
 use crate::exceeded_limits::exceeded_limits;
 use crate::flooded_servers::flooded_servers;
 use crate::ignored_requests::ignored_requests;
+use crate::late_sends::late_sends;
 use crate::overlapping_runs::overlapping_runs;
 
 /// A withdrawn key runs nothing after this time, on any host; from the hosts' settings.
@@ -63,6 +64,10 @@
     pub cold: Vec<ColdSpan>,
     /// What was done to hosts.
     pub disturbances: Vec<Disturbance>,
+    /// Servers in the second data centre.
+    pub second_place: Vec<String>,
+    /// Start and end of each evacuation of the second data centre.
+    pub evacuations: Vec<(Instant, Instant)>,
 }
 
 /// Every promise that the records show to be broken, in words.
@@ -109,6 +114,7 @@
     broken.extend(exceeded_limits(records));
     broken.extend(flooded_servers(records));
     broken.extend(overlapping_runs(records));
+    broken.extend(late_sends(records));
     for (engine, orders) in records.orders.iter().enumerate() {
         check_orders(engine, orders, &records.disturbances, &mut broken);
     }
