Serving: decide what holds when the store returns from a copy

Cause: revisions, leases and entries were taken as if the store's state only moves forward. Ruled out: dropping the known state and starting anew, which would stop service for as long as servers take to register again. Before: no notion of an era. After: positions ordered by era, fences from both, pauses for a lease lost with a copy, entries kept. Conclusion: decisions only; hosts don't read the era yet.

--- a/crates/serving/src/coordination/change_log.rs
+++ b/crates/serving/src/coordination/change_log.rs
@@ -3,6 +3,8 @@
 use zinniahinge_types::RelayedChange;
 use zinniahinge_types::RelayedValue;
 use zinniahinge_types::Revision;
+use zinniahinge_types::StoreEra;
+use zinniahinge_types::StorePosition;
 
 /// Largest number of changes kept. A host that is further behind reads the store itself.
 const MAX_CHANGES: usize = 2_000;
@@ -13,6 +15,8 @@
 /// The newest changes of the store without gaps, which a host passes on to other hosts.
 #[derive(Debug, Default)]
 pub struct ChangeLog {
+    /// Era of all revisions.
+    era: StoreEra,
     /// All changes after this revision that hosts need are kept.
     complete_after: Revision,
     /// Revision up to which every change is known.
@@ -23,18 +27,23 @@
 }
 
 impl ChangeLog {
-    /// Drops all changes after a listing at `revision`, before which changes may have been missed.
-    pub fn restart(&mut self, revision: Revision) {
+    /// Drops all changes after a listing at `position`, before which changes may have been missed.
+    pub fn restart(&mut self, position: StorePosition) {
+        let StorePosition { era, revision } = position;
         *self = Self {
+            era,
             complete_after: revision,
             revision,
             ..Self::default()
         };
     }
 
-    /// Revision up to which every change is known.
-    pub fn revision(&self) -> Revision {
-        self.revision
+    /// Position up to which every change is known.
+    pub fn position(&self) -> StorePosition {
+        StorePosition {
+            era: self.era,
+            revision: self.revision,
+        }
     }
 
     /// Adds a change. Call it in the order of revisions. Old changes are dropped if the log becomes too large.
@@ -50,14 +59,17 @@
         }
     }
 
-    /// Records that every change up to `revision` was added, or is not needed by hosts.
+    /// Records that every change up to `revision` of the log's era was added, or is not needed by hosts.
     pub fn advance(&mut self, revision: Revision) {
         self.revision = self.revision.max(revision);
     }
 
-    /// The changes after `revision`; `None` if some of them may be missing, or if this log is behind `revision`.
-    pub fn since(&self, revision: Revision) -> Option<impl Iterator<Item = &RelayedChange>> {
-        let is_complete = self.complete_after <= revision && revision <= self.revision;
+    /// The changes after `position`; `None` if some of them may be missing, if this log is behind it, or if it is of another
+    /// era.
+    pub fn since(&self, position: StorePosition) -> Option<impl Iterator<Item = &RelayedChange>> {
+        let StorePosition { era, revision } = position;
+        let is_complete =
+            era == self.era && self.complete_after <= revision && revision <= self.revision;
         let start = self
             .changes
             .partition_point(|change| change.revision <= revision);
--- a/crates/serving/src/coordination/coordinator_term.rs
+++ b/crates/serving/src/coordination/coordinator_term.rs
@@ -1,6 +1,10 @@
 use std::time::Duration;
 
 use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::StoreEra;
+use zinniahinge_types::StorePosition;
+
+use crate::HandoverWait;
 
 /// Timing of a coordinator's term.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,6 +28,12 @@
         (self.order_window + self.handover_gap + self.margin).saturating_sub(self.lease)
     }
 
+    /// Time for which a new coordinator sends no orders because its predecessor's lease may have been lost with a copy of the
+    /// store. The predecessor's last renewal was acknowledged before the new coordinator's term began.
+    pub fn lost_lease_pause(&self) -> Duration {
+        self.order_window + self.handover_gap + self.margin
+    }
+
     /// Time to wait between the last order of a coordinator that resigns and the release of its lease.
     pub fn resign_pause(&self) -> Duration {
         (self.handover_gap + self.margin).saturating_sub(self.handover_pause())
@@ -32,7 +42,7 @@
 
 /// Tracks whether this host may send orders as coordinator, and under which fencing number.
 ///
-/// The coordinator is named in a record of the store under a lease; the record's revision is the fencing number. All
+/// The coordinator is named in a record of the store under a lease; the record's position is the fencing number. All
 /// times count from when the last acknowledged renewal was sent.
 #[derive(Debug)]
 pub struct CoordinatorTerm {
@@ -43,7 +53,7 @@
 /// A term of this host that was started and not ended.
 #[derive(Debug)]
 struct HeldTerm {
-    fence: u64,
+    position: StorePosition,
     /// When the last acknowledged renewal was sent.
     renewed: MonotonicTime,
     /// Time from which orders may be sent.
@@ -56,23 +66,22 @@
         Self { times, held: None }
     }
 
-    /// Starts a term. `lease_sent` is when the lease was requested. Pass false as `had_predecessor` only if no host
-    /// ever was the coordinator, or this host was the last one; otherwise orders wait for
-    /// [`CoordinatorTimes::handover_pause`].
+    /// Starts a term claimed at `position`. `lease_sent` is when the lease was requested. Orders wait for the pause that
+    /// `wait` requires.
     pub fn start(
         &mut self,
-        fence: u64,
+        position: StorePosition,
         lease_sent: MonotonicTime,
         now: MonotonicTime,
-        had_predecessor: bool,
+        wait: HandoverWait,
     ) {
-        let pause = if had_predecessor {
-            self.times.handover_pause()
-        } else {
-            Duration::ZERO
+        let pause = match wait {
+            HandoverWait::None => Duration::ZERO,
+            HandoverWait::LeaseExpired => self.times.handover_pause(),
+            HandoverWait::LeaseLost => self.times.lost_lease_pause(),
         };
         self.held = Some(HeldTerm {
-            fence,
+            position,
             renewed: lease_sent,
             orders_from: now + pause,
         });
@@ -86,6 +95,15 @@
         }
     }
 
+    /// Ends the term if the store has been seen in an era newer than the term's, because the lease may be lost, and a renewal
+    /// may extend the lease of another host that got the same id. Returns true if it ended one.
+    pub fn observe_era(&mut self, newest: StoreEra) -> bool {
+        let held = self.held.take();
+        let is_started = held.is_some();
+        self.held = held.filter(|held| held.position.era >= newest);
+        is_started && self.held.is_none()
+    }
+
     /// Ends the term; no fencing number is valid afterwards.
     pub fn end(&mut self) {
         self.held = None;
@@ -100,7 +118,7 @@
     pub fn fence(&self, now: MonotonicTime) -> Option<u64> {
         let held = self.held.as_ref()?;
         let limit = self.times.lease.saturating_sub(self.times.margin);
-        (now.since(held.renewed) < limit).then_some(held.fence)
+        (now.since(held.renewed) < limit).then(|| held.position.fence())
     }
 
     /// Fencing number for an order sent at `now`; `None` if no order may be sent.
--- a/crates/serving/src/routing/backend_roster.rs
+++ b/crates/serving/src/routing/backend_roster.rs
@@ -14,6 +14,9 @@
 /// itself, so they cover the time until the coordinator's next failed call is relayed.
 const ANSWERED_CALLS: usize = 8;
 
+/// Time for which removed servers are remembered. A copy from which the store returns is some seconds old.
+const DEPARTURE_MEMORY: Duration = Duration::from_secs(60);
+
 /// The backend servers that exist, according to the store.
 ///
 /// During an outage of the store, entries of running servers may expire; they are written again shortly after it. An
@@ -21,6 +24,9 @@
 ///
 /// The store may also reject some hosts and serve the others. Servers' entries don't expire then, so an outage that only
 /// the coordinator had keeps no entry here.
+///
+/// When the store returns from a copy, what servers said last still holds, and entries that the copy lacks are kept like those
+/// that disappear around an outage.
 #[derive(Debug)]
 pub struct BackendRoster {
     /// Time within which running servers write their entries again after an outage.
@@ -28,6 +34,12 @@
     records: BTreeMap<Name, RosterRecord>,
     /// Revision at which an entry was removed, to ignore an older write of it that arrives late.
     removed: BTreeMap<Name, Revision>,
+    /// Last entries of servers removed lately, and when.
+    departed: BTreeMap<Name, (Arc<BackendEntry>, MonotonicTime)>,
+    /// Those that were removed before the store returned from a copy, which may still list them.
+    departed_before: BTreeMap<Name, Arc<BackendEntry>>,
+    /// When the first listing after the store's return from a copy was applied.
+    era_began_at: Option<MonotonicTime>,
     /// Outage that this host's own calls had.
     outage: Option<StoreOutage>,
     /// Outage that the coordinator relayed.
@@ -51,6 +63,9 @@
             return_time,
             records: BTreeMap::new(),
             removed: BTreeMap::new(),
+            departed: BTreeMap::new(),
+            departed_before: BTreeMap::new(),
+            era_began_at: None,
             outage: None,
             relayed_outage: None,
             answered: VecDeque::new(),
@@ -123,7 +138,21 @@
             !answered.any(|(sent, answered_at)| outage.includes(*sent, *answered_at))
         });
         let outages = [self.outage, relayed].into_iter().flatten();
-        outages.map(|outage| outage.until).max()
+        let outages = outages.map(|outage| outage.until);
+        outages.chain(self.era_began_at).max()
+    }
+
+    /// Prepares for the first listing of the store after it returned from a copy. Revisions start anew, and entries that the
+    /// copy lacks stay for the time within which running servers write them again.
+    pub fn start_era(&mut self, now: MonotonicTime) {
+        self.era_began_at = Some(now);
+        self.removed.clear();
+        let departed = std::mem::take(&mut self.departed).into_iter();
+        self.departed_before
+            .extend(departed.map(|(id, (entry, _))| (id, entry)));
+        for record in self.records.values_mut() {
+            record.revision = 0;
+        }
     }
 
     /// The entry of a server, listed or missing.
@@ -140,6 +169,10 @@
         {
             return;
         }
+        let departed = self.departed_before.get(&entry.id);
+        if departed.is_some_and(|departed| !departed.is_older_than(&entry)) {
+            return;
+        }
         if let Some(record) = self.records.get_mut(&entry.id) {
             if revision < record.revision {
                 return;
@@ -152,6 +185,7 @@
             return;
         }
         self.removed.remove(&entry.id);
+        self.departed_before.remove(&entry.id);
         let record = RosterRecord {
             entry: Arc::new(entry),
             revision,
@@ -175,9 +209,12 @@
         if keeps {
             record.missing_since.get_or_insert(now);
         } else {
-            let id = record.entry.id.clone();
-            self.records.remove(&id);
-            self.removed.insert(id, revision);
+            let entry = record.entry.clone();
+            self.records.remove(&entry.id);
+            self.removed.insert(entry.id.clone(), revision);
+            self.departed.insert(entry.id.clone(), (entry, now));
+            self.departed
+                .retain(|_, (_, at)| now.since(*at) < DEPARTURE_MEMORY);
         }
     }
 
@@ -208,6 +245,7 @@
             return_time,
             records,
             removed,
+            departed,
             ..
         } = self;
         records.retain(|id, record| {
@@ -220,6 +258,7 @@
             });
             if !stays {
                 removed.insert(id.clone(), record.revision);
+                departed.insert(id.clone(), (record.entry.clone(), now));
             }
             stays
         });
--- a/crates/serving/tests/change_log.rs
+++ b/crates/serving/tests/change_log.rs
@@ -6,6 +6,8 @@
 use zinniahinge_types::RelayedChange;
 use zinniahinge_types::RelayedValue;
 use zinniahinge_types::Revision;
+use zinniahinge_types::StoreEra;
+use zinniahinge_types::StorePosition;
 
 fn written(revision: Revision, bytes: usize) -> RelayedChange {
     RelayedChange {
@@ -15,8 +17,15 @@
     }
 }
 
+fn position(revision: Revision) -> StorePosition {
+    StorePosition {
+        era: StoreEra::default(),
+        revision,
+    }
+}
+
 fn revisions(log: &ChangeLog, after: Revision) -> Option<Vec<Revision>> {
-    let changes = log.since(after)?;
+    let changes = log.since(position(after))?;
     Some(changes.map(|change| change.revision).collect())
 }
 
@@ -30,7 +39,7 @@
 #[test]
 fn changes_are_passed_on_only_without_gaps() {
     let mut log = ChangeLog::default();
-    log.restart(10);
+    log.restart(position(10));
     for revision in [11, 14, 15] {
         log.push(written(revision, 10));
     }
@@ -77,7 +86,7 @@
 #[test]
 fn a_full_log_reports_what_it_has_dropped() {
     let mut log = ChangeLog::default();
-    log.restart(0);
+    log.restart(position(0));
     for revision in 1..=600 {
         log.push(written(revision, 1024));
         log.advance(revision);
--- a/crates/serving/tests/coordinator_term.rs
+++ b/crates/serving/tests/coordinator_term.rs
@@ -6,7 +6,11 @@
 use proptest::prelude::*;
 use zinniahinge_serving::CoordinatorTerm;
 use zinniahinge_serving::CoordinatorTimes;
+use zinniahinge_serving::HandoverWait;
 use zinniahinge_types::MonotonicTime;
+use zinniahinge_types::Revision;
+use zinniahinge_types::StoreEra;
+use zinniahinge_types::StorePosition;
 
 const TIMES: CoordinatorTimes = CoordinatorTimes {
     lease: Duration::from_millis(2000),
@@ -19,6 +23,13 @@
     MonotonicTime::from_millis(millis)
 }
 
+fn position(revision: Revision) -> StorePosition {
+    StorePosition {
+        era: StoreEra::default(),
+        revision,
+    }
+}
+
 struct OrderCase {
     name: &'static str,
     had_predecessor: bool,
@@ -76,7 +87,12 @@
     ];
     for case in cases {
         let mut term = CoordinatorTerm::new(TIMES);
-        term.start(7, at(1000), at(1010), case.had_predecessor);
+        let wait = if case.had_predecessor {
+            HandoverWait::LeaseExpired
+        } else {
+            HandoverWait::None
+        };
+        term.start(position(7), at(1000), at(1010), wait);
         term.renew(at(case.renewed));
         assert_that!(
             term.order_fence(at(case.now)).is_some(),
@@ -113,12 +129,12 @@
             ..TIMES
         };
         let mut former = CoordinatorTerm::new(times);
-        former.start(1, at(0), at(0), false);
+        former.start(position(1), at(0), at(0), HandoverWait::None);
         former.renew(at(renewed));
         let last_order = (renewed..renewed + 20_000).rev().find(|now| former.order_fence(at(*now)).is_some());
         let acquired = renewed + way + lease + delay;
         let mut next = CoordinatorTerm::new(times);
-        next.start(2, at(acquired), at(acquired), true);
+        next.start(position(2), at(acquired), at(acquired), HandoverWait::LeaseExpired);
         let first_order = (acquired..acquired + 20_000).find(|now| {
             next.renew(at(*now));
             next.order_fence(at(*now)).is_some()
@@ -134,7 +150,7 @@
     fn a_resignation_keeps_the_handover_gap(last_order in 0_u64..5_000, way in 0_u64..100) {
         let ended = last_order + TIMES.resign_pause().as_millis() as u64 + way;
         let mut next = CoordinatorTerm::new(TIMES);
-        next.start(2, at(ended), at(ended), true);
+        next.start(position(2), at(ended), at(ended), HandoverWait::LeaseExpired);
         let first_order = (ended..ended + 10_000).find(|now| {
             next.renew(at(*now));
             next.order_fence(at(*now)).is_some()
--- a/crates/types/src/fleet_message.rs
+++ b/crates/types/src/fleet_message.rs
@@ -13,6 +13,7 @@
 use crate::PartReport;
 use crate::RelayedOutage;
 use crate::Revision;
+use crate::StoreEra;
 use crate::StoreUpdate;
 
 /// Capacity that a host can spend on coordinating the fleet, in thousandths of a processor core.
@@ -34,6 +35,9 @@
     pub totals_version: u64,
     /// Revision of the platform's store up to which the sender knows every change; `None` before it has read the store.
     pub store_revision: Option<Revision>,
+    /// Newest era of the store that the sender has seen; `store_revision` is of this era.
+    #[serde(default, skip_serializing_if = "StoreEra::is_first")]
+    pub store_era: StoreEra,
     /// Usage of client accounts since the last acknowledged report.
     pub accounts: Vec<AccountUse>,
     /// Account levels that the sender recently received from an earlier coordinator. Sent only until the new
@@ -158,6 +162,8 @@
 pub enum FleetReply {
     /// The receiver is not the coordinator.
     NotHolder,
+    /// The receiver is not the coordinator, and has seen this era of the store, which is newer than the report's.
+    NotHolderInEra(StoreEra),
     /// State of the fleet, as far as it changed since the versions in the report.
     View(Box<FleetView>),
 }
@@ -183,6 +189,9 @@
     /// Changes of the platform's store since the report's revision; `None` if the coordinator no longer has all of
     /// them.
     pub store: Option<StoreUpdate>,
+    /// Newest era of the store that the coordinator has seen.
+    #[serde(default, skip_serializing_if = "StoreEra::is_first")]
+    pub store_era: StoreEra,
     /// Outage of the platform's store as the coordinator's own calls see it. Stated also if the receiver knows newer changes
     /// than the coordinator, as happens when the store rejects only the coordinator. Absent from earlier versions.
     #[serde(default)]
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -15,6 +15,7 @@
 mod resource_key;
 mod slot_message;
 mod store_message;
+mod store_position;
 
 pub use copy_message::KeepCopyRequest;
 pub use copy_message::ListCopiesReply;
@@ -101,3 +102,5 @@
 pub use store_message::RelayedOutage;
 pub use store_message::RelayedValue;
 pub use store_message::StoreUpdate;
+pub use store_position::StoreEra;
+pub use store_position::StorePosition;
--- a/crates/types/src/store_message.rs
+++ b/crates/types/src/store_message.rs
@@ -6,10 +6,14 @@
 use crate::Name;
 use crate::RecordBytes;
 use crate::Revision;
+use crate::StoreEra;
 
 /// Relays all changes of the store between two revisions, with the age of the sender's knowledge.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StoreUpdate {
+    /// Era of both revisions.
+    #[serde(default, skip_serializing_if = "StoreEra::is_first")]
+    pub era: StoreEra,
     /// Revision before the first of the changes.
     pub after: Revision,
     /// Revision up to which `changes` is complete.
@@ -49,6 +53,9 @@
 /// Asks the coordinator for the configuration, when the sender cannot read it from the store itself.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ConfigRequest {
+    /// Era of the revision.
+    #[serde(default, skip_serializing_if = "StoreEra::is_first")]
+    pub era: StoreEra,
     /// Lowest acceptable revision: that of the change that the sender was told of.
     pub revision: Revision,
 }
