Host: hold what comes from the store against its era

Cause: cursors, claims and renewals ignored that the store may return from a copy. Ruled out: comparing revisions alone; what is written again may pass the known revision before a host asks. Before: Store-Era unread. After: each answer is checked, cursors of another era are void, terms end, fences carry the era.

--- a/crates/host/src/change_applier.rs
+++ b/crates/host/src/change_applier.rs
@@ -12,6 +12,7 @@
 use zinniahinge_platform::decode_backend;
 use zinniahinge_platform::decode_config;
 use zinniahinge_serving::BackendEntry;
+use zinniahinge_serving::EraChange;
 use zinniahinge_types::BlockedParts;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
@@ -19,8 +20,9 @@
 use zinniahinge_types::RelayedChange;
 use zinniahinge_types::RelayedValue;
 use zinniahinge_types::Revision;
+use zinniahinge_types::StoreEra;
+use zinniahinge_types::StorePosition;
 
-use crate::fleet_table::LeaseHolder;
 use crate::fleet_table::LeaseRecord;
 use crate::fleet_table::TermRecord;
 use crate::host_state::HostState;
@@ -31,6 +33,7 @@
 use crate::record_keys::TERM_KEY;
 use crate::record_keys::read_host_record;
 use crate::table_source::KnownHost;
+use crate::table_source::REREGISTRATION_TIME;
 use crate::table_source::TableSource;
 
 /// Applies listings and changes of the store to the host's table, whether this host read them or the coordinator relayed
@@ -42,11 +45,12 @@
 }
 
 impl ChangeApplier {
-    /// Replaces all known state of the store by a listing of all keys at `revision`. `sent` is when the listing was requested.
+    /// Replaces all known state of the store by a listing of all keys at `position`. `sent` is when the listing was requested.
+    /// After a change of the store's era, keeps what the listing may lack.
     pub(crate) fn apply_listing(
         &self,
         items: Vec<StoreItem>,
-        revision: Revision,
+        position: StorePosition,
         sent: MonotonicTime,
     ) {
         let state = &self.state;
@@ -54,18 +58,24 @@
         state.update(|source| {
             let mut backends = Vec::new();
             source.holder = None;
-            source.hosts.clear();
+            let known_era = source.known_position().map(|known| known.era);
+            let change = EraChange::find(known_era, position.era, now);
+            match change {
+                Some(change) => self.start_era(source, change),
+                None => source.hosts.clear(),
+            }
+            state.counters.store_era.set(position.era.0 as i64);
             for item in items {
                 if let Some(id) = item.key.strip_prefix(SERVERS_PREFIX) {
                     if let Some(entry) = self.decode_entry(source, id, &item.value) {
                         backends.push((entry, item.revision));
                     }
                 } else {
-                    self.apply_item(source, &item);
+                    self.apply_item(source, &item, position.era);
                 }
             }
-            source.roster.replace(backends, revision, now);
-            source.log.restart(revision);
+            source.roster.replace(backends, position.revision, now);
+            source.log.restart(position);
             source.is_listed = true;
             true
         });
@@ -73,22 +83,44 @@
         state.confirmed.confirm(sent);
     }
 
-    /// Applies the changes after revision `after` up to `revision`, which was the newest at `read_at`. Skips changes that
-    /// are known already. Returns false and applies none if changes between the known revision and `after` may be missing.
+    /// Prepares the known state for the first listing of the store after it returned from a copy.
+    fn start_era(&self, source: &mut TableSource, change: EraChange) {
+        let state = &self.state;
+        source.roster.start_era(change.at);
+        source.era_began_at = change.at;
+        source.has_peer_keys = false;
+        state
+            .confirmed
+            .require_proof_from(change.proof_from(REREGISTRATION_TIME));
+        state.counters.era_changes.inc();
+        let dropped = source.log.position().revision;
+        let config = source.config.as_ref().map(|config| config.version);
+        warn!(state.logger, "store returned from a copy"; "era" => change.to.0, "before" => change.from.0,
+            "dropped_revision" => dropped, "kept_backends" => source.roster.entries().count(),
+            "kept_hosts" => source.hosts.len(), "kept_config" => config);
+    }
+
+    /// Applies the changes after revision `after` up to `until`, which was the newest at `read_at`. Skips changes that
+    /// are known already. Returns false and applies none if changes between the known revision and `after` may be missing, or
+    /// if the known state is of another era.
     pub(crate) fn apply(
         &self,
         changes: Vec<StoreChange>,
-        (after, revision): (Revision, Revision),
+        (after, until): (Revision, StorePosition),
         read_at: MonotonicTime,
     ) -> bool {
         let state = &self.state;
         let mut is_complete = false;
         state.update(|source| {
-            is_complete = source.known_revision().is_some_and(|known| after <= known);
+            let newest_era = state.eras.newest();
+            let known = source.known_position();
+            is_complete = known.is_some_and(|known| {
+                after <= known.revision && known.era == until.era && until.era == newest_era
+            });
             if !is_complete {
                 return false;
             }
-            let known = source.log.revision();
+            let known = source.log.position().revision;
             let mut is_changed = source.roster.has_missing();
             for change in changes {
                 if change.revision > known {
@@ -96,7 +128,7 @@
                     self.apply_change(source, change, read_at);
                 }
             }
-            source.log.advance(revision);
+            source.log.advance(until.revision);
             is_changed
         });
         if is_complete {
@@ -170,7 +202,11 @@
                     value,
                     revision,
                 };
-                self.apply_item(source, &item);
+                if *item.key == *CONFIG_KEY && self.is_newest_config(source, &item.value) {
+                    self.state.confirmed.accept_proof();
+                }
+                let era = source.log.position().era;
+                self.apply_item(source, &item, era);
             }
             None if *key == *LEASE_KEY => {
                 if let Some(holder) = source.holder.take() {
@@ -187,20 +223,19 @@
     }
 
     /// Applies a value other than a backend server's entry. Values that can't be decoded are logged and ignored.
-    fn apply_item(&self, source: &mut TableSource, item: &StoreItem) {
+    /// `era` is the store's era in which the item was read.
+    fn apply_item(&self, source: &mut TableSource, item: &StoreItem, era: StoreEra) {
         let logger = &self.state.logger;
         match &*item.key {
             CONFIG_KEY => {
                 self.apply_config(source, &item.value);
-                source.config_item = Some((item.revision, item.value.clone()));
+                let revision = item.revision;
+                let position = StorePosition { era, revision };
+                source.config_item = Some((position, item.value.clone()));
             }
             LEASE_KEY => match serde_json::from_slice::<LeaseRecord>(&item.value) {
                 Ok(record) => {
-                    let holder = LeaseHolder {
-                        host: record.host,
-                        address: record.address,
-                        fence: item.revision,
-                    };
+                    let holder = record.into_holder(item.revision);
                     if source.holder.as_ref() != Some(&holder) {
                         info!(logger, "coordinator known"; "host" => &*holder.host,
                             "fence" => holder.fence);
@@ -227,6 +262,7 @@
             },
             PEER_KEYS_KEY => {
                 source.has_peer_keys = true;
+                source.peer_keys = Some(item.value.clone());
                 self.apply_keys(&item.value);
             }
             key => {
@@ -243,6 +279,12 @@
         }
     }
 
+    /// True if a configuration that was written is no older than the one in force.
+    fn is_newest_config(&self, source: &TableSource, value: &[u8]) -> bool {
+        let known = source.config.as_ref().map(|config| config.version);
+        decode_config(value).is_ok_and(|config| known.is_none_or(|known| config.version >= known))
+    }
+
     /// Puts a configuration in force if it can be decoded and its version is newer.
     fn apply_config(&self, source: &mut TableSource, value: &[u8]) {
         let logger = &self.state.logger;
--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -14,12 +14,14 @@
 use zinniahinge_serving::CoordinatorTerm;
 use zinniahinge_serving::CoordinatorTimes;
 use zinniahinge_serving::FleetLedger;
+use zinniahinge_serving::HandoverWait;
 use zinniahinge_serving::LimitLedger;
 use zinniahinge_serving::PartLedger;
 use zinniahinge_serving::Placement;
 use zinniahinge_serving::ResidencyPlanner;
 use zinniahinge_serving::ResidencySettings;
 use zinniahinge_serving::SlotDecision;
+use zinniahinge_serving::StoreEraRecord;
 use zinniahinge_types::BackendRun;
 use zinniahinge_types::EngineModels;
 use zinniahinge_types::FleetCharge;
@@ -34,6 +36,7 @@
 use zinniahinge_types::PlacementRequest;
 use zinniahinge_types::SlotReply;
 use zinniahinge_types::SlotRequest;
+use zinniahinge_types::StorePosition;
 
 use crate::fleet_reporter::INTERVAL_PER_HOST;
 use crate::fleet_table::FleetTable;
@@ -63,6 +66,8 @@
 pub(crate) struct Coordinator {
     pub(crate) state: Arc<HostState>,
     pub(crate) fence: u64,
+    /// Position of the lease record in the store, from which the fencing number follows.
+    pub(crate) claimed_at: StorePosition,
     pub(crate) planners: HashMap<Name, ResidencyPlanner>,
     pub(crate) ledger: FleetLedger,
     /// Prompt parts that crash backend servers.
@@ -82,6 +87,8 @@
 pub(crate) struct CoordinatorCell {
     term: Mutex<CoordinatorTerm>,
     coordinator: Mutex<Option<Coordinator>>,
+    /// Newest era of the store; a term of an older one ends.
+    eras: Arc<StoreEraRecord>,
     /// Notified when orders may have become possible.
     pub(crate) work: Notify,
     /// Notified when an order for the model ended; by model.
@@ -90,7 +97,8 @@
 
 impl Coordinator {
     /// Starts with what this host granted as a stand-in. `is_first` is true if no host coordinated before.
-    pub(crate) fn new(state: Arc<HostState>, fence: u64, is_first: bool) -> Self {
+    pub(crate) fn new(state: Arc<HostState>, claimed_at: StorePosition, is_first: bool) -> Self {
+        let fence = claimed_at.fence();
         let settings = meter_settings(&state.startup.bounds);
         let now = state.now();
         let mut ledger = FleetLedger::new(settings, is_first, now);
@@ -100,6 +108,7 @@
         Self {
             state,
             fence,
+            claimed_at,
             planners: HashMap::new(),
             ledger,
             parts,
@@ -313,9 +322,11 @@
             totals_version,
             view_version,
             engines,
-            store: report
-                .store_revision
-                .and_then(|after| reading_since(&self.state, after)),
+            store: report.store_revision.and_then(|revision| {
+                let era = report.store_era;
+                reading_since(&self.state, StorePosition { era, revision })
+            }),
+            store_era: self.state.eras.newest(),
             store_outage: relayed_outage(&self.state),
             leaving: self.leaving.clone(),
             limits: self.limits_known(now),
@@ -325,10 +336,11 @@
 }
 
 impl CoordinatorCell {
-    pub(crate) fn new(times: CoordinatorTimes) -> Self {
+    pub(crate) fn new(times: CoordinatorTimes, eras: Arc<StoreEraRecord>) -> Self {
         Self {
             term: Mutex::new(CoordinatorTerm::new(times)),
             coordinator: Mutex::new(None),
+            eras,
             work: Notify::new(),
             progress: Mutex::default(),
         }
@@ -341,22 +353,24 @@
         progress.entry(model.clone()).or_default().clone()
     }
 
+    /// Locks the term; one of an older era than the newest has ended.
     fn term(&self) -> MutexGuard<'_, CoordinatorTerm> {
-        self.term.lock().unwrap_or_else(PoisonError::into_inner)
+        let mut term = self.term.lock().unwrap_or_else(PoisonError::into_inner);
+        term.observe_era(self.eras.newest());
+        term
     }
 
-    /// Starts a term under `fence`; its lease was requested at `sent`. With `had_predecessor`, orders are held back until
-    /// those of the previous coordinator are old.
+    /// Starts a term claimed at `position`; its lease was requested at `sent`. Orders are held back as `wait` requires.
     pub(crate) fn start_term(
         &self,
         coordinator: Coordinator,
-        fence: u64,
+        position: StorePosition,
         sent: MonotonicTime,
         now: MonotonicTime,
-        had_predecessor: bool,
+        wait: HandoverWait,
     ) {
         *self.lock() = Some(coordinator);
-        self.term().start(fence, sent, now, had_predecessor);
+        self.term().start(position, sent, now, wait);
         self.work.notify_one();
     }
 
@@ -394,11 +408,14 @@
 
     /// Answers a host's report, or says that this host does not coordinate.
     pub(crate) fn report(&self, report: &FleetReport, now: MonotonicTime) -> FleetReply {
-        if self.fence(now).is_none() {
-            return FleetReply::NotHolder;
-        }
-        match self.with(|coordinator| coordinator.report(report, now)) {
+        self.eras.observe(report.store_era);
+        let view = self
+            .fence(now)
+            .and_then(|_| self.with(|coordinator| coordinator.report(report, now)));
+        let newest = self.eras.newest();
+        match view {
             Some(view) => FleetReply::View(Box::new(view)),
+            None if newest > report.store_era => FleetReply::NotHolderInEra(newest),
             None => FleetReply::NotHolder,
         }
     }
--- a/crates/host/src/coordinator_election.rs
+++ b/crates/host/src/coordinator_election.rs
@@ -5,17 +5,22 @@
 use slog::info;
 use slog::warn;
 use tokio_util::sync::CancellationToken;
+use zinniahinge_platform::LeaseGrant;
 use zinniahinge_platform::StartupSettings;
 use zinniahinge_platform::StoreClient;
 use zinniahinge_platform::StoreCondition;
+use zinniahinge_platform::StoreError;
 use zinniahinge_platform::StoreResult;
 use zinniahinge_platform::StoreWrite;
 use zinniahinge_platform::TransactionOutcome;
 use zinniahinge_serving::CoordinatorTimes;
+use zinniahinge_serving::HandoverWait;
 use zinniahinge_types::HostId;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 use zinniahinge_types::Revision;
+use zinniahinge_types::StoreEra;
+use zinniahinge_types::StorePosition;
 
 use crate::coordinator::Coordinator;
 use crate::coordinator::CoordinatorCell;
@@ -25,6 +30,7 @@
 use crate::record_keys::BLOCKED_PARTS_KEY;
 use crate::record_keys::LEASE_KEY;
 use crate::record_keys::TERM_KEY;
+use crate::table_source::TableSource;
 
 /// Time to live of the coordinator lease. A longer lease delays the successor of a failed coordinator; with a shorter one,
 /// a slow store ends the term.
@@ -84,7 +90,7 @@
 impl CoordinatorElection {
     /// Runs until `token` is cancelled, then releases the lease if this host holds it.
     pub(crate) async fn run(self, token: CancellationToken) {
-        let mut lease = None;
+        let mut lease: Option<LeaseGrant> = None;
         // Hosts to which this one has handed over. One that did not claim the lease then is assumed to be dead and gets no
         // second offer.
         let mut offered = HashSet::new();
@@ -106,11 +112,15 @@
     }
 
     /// Ends the term and releases the lease, after a pause that keeps the successor's first order clear of this host's last.
-    async fn release(&self, lease: u64) {
+    async fn release(&self, held: LeaseGrant) {
         self.cell.end_term();
         // The successor relies on a lease time having passed since the last renewal, which an early release would cut short.
         tokio::time::sleep(lease_times(&self.state.startup).resign_pause()).await;
-        let ended = self.store.end_lease(lease).await;
+        if self.store.newest_era() != held.era {
+            // The id may name the lease of another host now.
+            return;
+        }
+        let ended = self.store.in_era(held.era).end_lease(held.lease).await;
         info!(self.state.logger, "coordinator lease released"; "answered" => ended.is_ok());
     }
 
@@ -138,10 +148,10 @@
         order.find(|host| !offered.contains(host) && reports(host))
     }
 
-    /// Waits for a free lease and tries to claim it once; returns the id of the store lease on success.
-    async fn wait_for_lease(&self) -> Option<u64> {
+    /// Waits for a free lease and tries to claim it once; returns the store lease on success.
+    async fn wait_for_lease(&self) -> Option<LeaseGrant> {
         let mut tables = self.state.table_version.subscribe();
-        if self.claimable_revision().is_none() {
+        if self.claimable_position().is_none() {
             let _ = tokio::time::timeout(VACANCY_CHECK_INTERVAL, tables.changed()).await;
             return None;
         }
@@ -149,8 +159,8 @@
         if !is_own_claim {
             let _ = tokio::time::timeout(self.claim_delay(), self.wait_until_claimed()).await;
         }
-        let revision = self.claimable_revision()?;
-        match self.acquire(revision).await {
+        let position = self.claimable_position()?;
+        match self.acquire(position).await {
             Ok(lease) => lease,
             Err(error) => {
                 warn!(self.state.logger, "coordinator lease not acquired"; "error" => %error);
@@ -174,50 +184,59 @@
     /// Waits until another host holds the lease.
     async fn wait_until_claimed(&self) {
         let mut tables = self.state.table_version.subscribe();
-        while self.claimable_revision().is_some() {
+        while self.claimable_position().is_some() {
             if tables.changed().await.is_err() {
                 std::future::pending::<()>().await;
             }
         }
     }
 
-    /// Revision of the lease record on which a claim by this host is conditional: 0 if there is no record. `None` if this
-    /// host must not claim the lease now. A record of an earlier process of this host can be claimed, because that process
-    /// has ended.
-    fn claimable_revision(&self) -> Option<Revision> {
+    /// Position of the lease record on which a claim by this host is conditional, with revision 0 if there is no record.
+    /// `None` if this host must not claim the lease now. A record of an earlier process of this host, or of its term in an
+    /// earlier era of the store, can be claimed, because that process or term has ended.
+    fn claimable_position(&self) -> Option<StorePosition> {
         let state = &self.state;
         let table = state.table.load();
         let is_stopping = state.stop.started.is_cancelled();
         if table.config.is_none() || is_stopping || !state.has_fresh_keys() {
             return None;
         }
-        match &table.holder {
-            None => Some(0),
-            Some(holder) => (holder.host == state.startup.host).then_some(holder.fence),
+        let era = state.with_source(TableSource::known_position)?.era;
+        if era != self.store.newest_era() {
+            return None;
         }
+        let revision: Option<Revision> = match &table.holder {
+            None => Some(0),
+            Some(holder) => (holder.host == state.startup.host).then_some(holder.revision),
+        };
+        revision.map(|revision| StorePosition { era, revision })
     }
 
-    /// Claims the lease in the store, provided that its record still has `revision`, and starts a term. Returns the id of
-    /// the store lease, or `None` if another host was first or the lease expired meanwhile.
-    async fn acquire(&self, revision: Revision) -> StoreResult<Option<u64>> {
+    /// Claims the lease in the store, provided that its record still has the revision of `known`, and starts a term. Returns
+    /// the store lease, or `None` if another host was first or the lease expired meanwhile. Fails if the store is not in the era
+    /// of `known` throughout, since the record names the era from which all hosts compute the fencing number.
+    async fn acquire(&self, known: StorePosition) -> StoreResult<Option<LeaseGrant>> {
         let state = &self.state;
         let startup = &state.startup;
         let sent = state.now();
-        let grant = self.store.grant_lease(lease_times(startup).lease).await?;
+        let era = known.era;
+        let store = self.store.in_era(era);
+        let grant = store.grant_lease(lease_times(startup).lease).await?;
         let record = LeaseRecord {
             host: startup.host.clone(),
             address: startup.peers,
             nonce: rand::random(),
+            era,
         };
         let last_term = state.with_source(|source| source.last_term.clone());
         let is_first = last_term.is_none() && startup.is_first_start;
-        let had_predecessor =
-            last_term.is_some_and(|last| last.requires_handover_pause(&startup.host));
+        let prior = last_term.map(|last| last.to_prior(&startup.host));
+        let wait = HandoverWait::find(prior, era, state.eras.has_risen());
         let value = serde_json::to_vec(&record).unwrap_or_default();
         let lease_key = Name::from(LEASE_KEY);
         let condition = StoreCondition {
             key: lease_key.clone(),
-            revision,
+            revision: known.revision,
         };
         let writes = [
             StoreWrite {
@@ -225,10 +244,10 @@
                 value: value.into(),
                 lease: Some(grant.lease),
             },
-            self.term_write(!had_predecessor),
+            self.term_write(wait == HandoverWait::None, era),
         ];
-        let fence = match self.store.transact(&[condition], &writes, &[]).await {
-            Ok(TransactionOutcome::Done { revision }) => revision,
+        let position = match store.transact(&[condition], &writes, &[]).await {
+            Ok(TransactionOutcome::Done { position }) => position,
             Ok(TransactionOutcome::LeaseExpired) => return Ok(None),
             Ok(TransactionOutcome::Conflict { .. }) => {
                 info!(
@@ -238,29 +257,32 @@
                 tokio::time::sleep(VACANCY_CHECK_INTERVAL).await;
                 return Ok(None);
             }
+            Err(error @ StoreError::OtherEra { .. }) => return Err(error),
             Err(error) => match self.read_own_claim(&record).await? {
-                Some(fence) => fence,
+                Some(position) => position,
                 None => return Err(error),
             },
         };
+        let fence = position.fence();
         let now = state.now();
         self.cell.start_term(
-            Coordinator::new(state.clone(), fence, is_first),
-            fence,
+            Coordinator::new(state.clone(), position, is_first),
+            position,
             sent,
             now,
-            had_predecessor,
+            wait,
         );
         info!(state.logger, "coordinator lease acquired"; "fence" => fence, "lease" => grant.lease,
-            "waits" => had_predecessor);
-        Ok(Some(grant.lease))
+            "waits" => wait != HandoverWait::None);
+        Ok(Some(grant))
     }
 
     /// Returns the write of the term record for this host.
-    fn term_write(&self, is_settled: bool) -> StoreWrite {
+    fn term_write(&self, is_settled: bool, era: StoreEra) -> StoreWrite {
         let record = TermRecord {
             host: self.state.startup.host.clone(),
             is_settled,
+            era,
         };
         StoreWrite {
             key: TERM_KEY.into(),
@@ -276,12 +298,16 @@
         let Some(fence) = self.cell.order_fence(state.now()) else {
             return false;
         };
+        let Some(claimed) = self.cell.with(|coordinator| coordinator.claimed_at) else {
+            return false;
+        };
         let condition = StoreCondition {
             key: LEASE_KEY.into(),
-            revision: fence,
+            revision: claimed.revision,
         };
-        let writes = [self.term_write(true)];
-        match self.store.transact(&[condition], &writes, &[]).await {
+        let writes = [self.term_write(true, claimed.era)];
+        let store = self.store.in_era(claimed.era);
+        match store.transact(&[condition], &writes, &[]).await {
             Ok(outcome) => {
                 info!(state.logger, "term recorded as settled"; "fence" => fence,
                     "recorded" => matches!(outcome, TransactionOutcome::Done { .. }));
@@ -301,21 +327,22 @@
         let now = state.now();
         let unstored = self.cell.with(|coordinator| {
             let blocked = coordinator.parts.unstored(now)?;
-            Some((coordinator.fence, blocked))
+            Some((coordinator.claimed_at, blocked))
         });
-        let Some(Some((fence, blocked))) = unstored else {
+        let Some(Some((claimed, blocked))) = unstored else {
             return;
         };
         let condition = StoreCondition {
             key: LEASE_KEY.into(),
-            revision: fence,
+            revision: claimed.revision,
         };
         let write = StoreWrite {
             key: BLOCKED_PARTS_KEY.into(),
             value: serde_json::to_vec(&blocked).unwrap_or_default().into(),
             lease: None,
         };
-        match self.store.transact(&[condition], &[write], &[]).await {
+        let store = self.store.in_era(claimed.era);
+        match store.transact(&[condition], &[write], &[]).await {
             Ok(outcome) => {
                 let is_written = matches!(outcome, TransactionOutcome::Done { .. });
                 info!(state.logger, "blocked prompt parts stored"; "version" => blocked.version,
@@ -332,24 +359,36 @@
         }
     }
 
-    /// Checks whether a claim without an answer succeeded all the same; returns its fencing number if the store holds
-    /// `record`.
-    async fn read_own_claim(&self, record: &LeaseRecord) -> StoreResult<Option<u64>> {
-        let item = self.store.get(LEASE_KEY).await?;
+    /// Checks whether a claim without an answer succeeded all the same; returns its position if the store, still in the era of
+    /// the claim, holds `record`.
+    async fn read_own_claim(&self, record: &LeaseRecord) -> StoreResult<Option<StorePosition>> {
+        let era = record.era;
+        let item = self.store.in_era(era).get(LEASE_KEY).await?;
         let ours = item.filter(|item| {
             let stored = serde_json::from_slice::<LeaseRecord>(&item.value);
             stored.is_ok_and(|stored| stored == *record)
         });
-        Ok(ours.map(|item| item.revision))
+        Ok(ours.map(|item| StorePosition {
+            era,
+            revision: item.revision,
+        }))
     }
 
     /// Renews the lease until it has expired in the store or was released to a stronger host.
-    async fn renew_until_lost(&self, lease: u64, offered: &mut HashSet<HostId>) {
+    async fn renew_until_lost(&self, held: LeaseGrant, offered: &mut HashSet<HostId>) {
+        let lease = held.lease;
+        let store = self.store.in_era(held.era);
         let mut pause = RENEW_INTERVAL;
         let mut is_expired = false;
-        let mut is_settled = self.is_settled();
+        let mut is_settled = self.is_settled(held.era);
         loop {
             tokio::time::sleep(pause).await;
+            if self.store.newest_era() != held.era {
+                info!(self.state.logger, "coordinator term ended, the store returned from a copy"; "lease" => lease,
+                    "era" => held.era.0);
+                self.cell.end_term();
+                return;
+            }
             if !is_settled {
                 is_settled = self.record_settled_term().await;
             }
@@ -357,11 +396,11 @@
                 info!(self.state.logger, "coordinator lease released to a stronger host"; "to" => &*stronger,
                     "lease" => lease);
                 offered.insert(stronger);
-                self.release(lease).await;
+                self.release(held).await;
                 return;
             }
             let sent = self.state.now();
-            match self.store.renew_lease(lease).await {
+            match store.renew_lease(lease).await {
                 Ok(true) => {
                     self.state.record_store_answer(sent);
                     self.cell.renew(sent);
@@ -377,6 +416,8 @@
                     self.cell.end_term();
                     return;
                 }
+                // Ends the term at the next check.
+                Err(StoreError::OtherEra { era }) if era > held.era => pause = Duration::ZERO,
                 Err(error) => {
                     self.state.update(|source| {
                         source.roster.record_failed_renewal(sent);
@@ -394,11 +435,12 @@
     }
 
     /// True if the store's record of the last term shows that this host need not wait before it sends orders.
-    fn is_settled(&self) -> bool {
+    fn is_settled(&self, era: StoreEra) -> bool {
         let state = &self.state;
         state.with_source(|source| {
             let term = source.last_term.as_ref();
-            term.is_some_and(|term| !term.requires_handover_pause(&state.startup.host))
+            let prior = term.map(|term| term.to_prior(&state.startup.host));
+            prior.is_some_and(|prior| prior.is_own && prior.is_settled && prior.era == era)
         })
     }
 
--- a/crates/host/src/fleet_reporter.rs
+++ b/crates/host/src/fleet_reporter.rs
@@ -162,6 +162,9 @@
                 self.apply(*view, &report, session, now);
             }
             answer => {
+                if let Ok(FleetReply::NotHolderInEra(era)) = answer {
+                    state.eras.observe(era);
+                }
                 state.meter().return_unreported(report.accounts);
                 state
                     .silent_hosts()
@@ -202,6 +205,10 @@
         } else {
             MAX_LIMIT_AGE
         };
+        let store_era = state.eras.newest();
+        // A cursor of an older era is void.
+        let position = state.with_source(TableSource::known_position);
+        let position = position.filter(|position| position.era == store_era);
         let table = state.table.load();
         let slots = table.services.values().flatten();
         let backends = slots.filter_map(|slot| {
@@ -221,7 +228,8 @@
             fence: session.fence,
             totals_version: session.totals_version,
             view_version: state.with_source(|source| source.view_version),
-            store_revision: state.with_source(TableSource::known_revision),
+            store_revision: position.map(|position| position.revision),
+            store_era,
             accounts,
             heard: prior_levels,
             backends: backends.collect(),
@@ -256,11 +264,13 @@
             view_version,
             engines,
             store,
+            store_era,
             store_outage,
             blocked,
             leaving,
             limits,
         } = view;
+        state.eras.observe(store_era);
         let known_hosts = state.with_source(|source| source.hosts.len() as u32);
         state.set_hosts(hosts.max(known_hosts));
         {
--- a/crates/host/src/fleet_table.rs
+++ b/crates/host/src/fleet_table.rs
@@ -10,6 +10,7 @@
 use zinniahinge_serving::BackendEntry;
 use zinniahinge_serving::BackendLoad;
 use zinniahinge_serving::BackendPhase;
+use zinniahinge_serving::PriorTerm;
 use zinniahinge_serving::SendBar;
 use zinniahinge_serving::ServingConfig;
 use zinniahinge_types::BackendRun;
@@ -18,6 +19,9 @@
 use zinniahinge_types::LimitNotice;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
+use zinniahinge_types::Revision;
+use zinniahinge_types::StoreEra;
+use zinniahinge_types::StorePosition;
 
 /// The coordinator: the host that holds the coordinator lease, from its record in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -26,8 +30,10 @@
     pub(crate) host: HostId,
     /// Address on which it accepts messages of other hosts.
     pub(crate) address: SocketAddr,
-    /// Fencing number of its term: the store revision at which it acquired the lease.
+    /// Fencing number of its term, from the era and the revision at which it acquired the lease.
     pub(crate) fence: u64,
+    /// Revision of its record, on which a new claim is conditional.
+    pub(crate) revision: Revision,
 }
 
 /// Stored record of the last term; unlike the lease record, it stays when the lease ends.
@@ -37,12 +43,19 @@
     pub(crate) host: HostId,
     /// True once the host may have sent orders in this term; all orders of earlier coordinators are old by then.
     pub(crate) is_settled: bool,
+    /// Era of the store in which the lease was acquired.
+    #[serde(default, skip_serializing_if = "StoreEra::is_first")]
+    pub(crate) era: StoreEra,
 }
 
 impl TermRecord {
-    /// True if `host`, as the next coordinator, must wait until the orders of another host are old.
-    pub(crate) fn requires_handover_pause(&self, host: &str) -> bool {
-        *self.host != *host || !self.is_settled
+    /// The term as the next claim by `host` sees it.
+    pub(crate) fn to_prior(&self, host: &str) -> PriorTerm {
+        PriorTerm {
+            era: self.era,
+            is_own: *self.host == *host,
+            is_settled: self.is_settled,
+        }
     }
 }
 
@@ -55,6 +68,25 @@
     pub(crate) address: SocketAddr,
     /// Random number of this claim. If the answer to the claim is lost, it tells whose claim succeeded.
     pub(crate) nonce: u64,
+    /// Era of the store for which the lease was granted.
+    #[serde(default, skip_serializing_if = "StoreEra::is_first")]
+    pub(crate) era: StoreEra,
+}
+
+impl LeaseRecord {
+    /// The holder that the record names, written at `revision`.
+    pub(crate) fn into_holder(self, revision: Revision) -> LeaseHolder {
+        let position = StorePosition {
+            era: self.era,
+            revision,
+        };
+        LeaseHolder {
+            host: self.host,
+            address: self.address,
+            fence: position.fence(),
+            revision,
+        }
+    }
 }
 
 /// A backend server with the state that requests use to choose it.
--- a/crates/host/src/host_counters.rs
+++ b/crates/host/src/host_counters.rs
@@ -32,6 +32,10 @@
     pub(crate) added: Histogram,
     /// Calls to the store without a usable answer.
     pub(crate) store_failures: IntCounter,
+    /// Era of the store as of the last listing.
+    pub(crate) store_era: IntGauge,
+    /// Returns of the store from a copy that this host saw.
+    pub(crate) era_changes: IntCounter,
     /// Orders to engines by outcome.
     pub(crate) orders: IntCounterVec,
     /// Models and adapters that were asked for in the last minute and not served, as of the last second in which this
@@ -93,6 +97,14 @@
                 "host_store_failures_total",
                 "Calls to the store without a usable answer",
             )?,
+            store_era: registry.gauge(
+                "host_store_era",
+                "Era of the store at the last listing, which rises with each return from a copy",
+            )?,
+            era_changes: registry.counter(
+                "host_store_era_changes_total",
+                "Returns of the store from a copy",
+            )?,
             orders: registry.counter_vec(
                 "host_orders_total",
                 "Orders to engines by outcome",
--- a/crates/host/src/host_process.rs
+++ b/crates/host/src/host_process.rs
@@ -33,6 +33,7 @@
 use zinniahinge_serving::AccountMeter;
 use zinniahinge_serving::ConfigFreshness;
 use zinniahinge_serving::StandInMeter;
+use zinniahinge_serving::StoreEraRecord;
 use zinniahinge_telemetry::BootClock;
 use zinniahinge_telemetry::MetricError;
 use zinniahinge_telemetry::MetricsRegistry;
@@ -188,14 +189,16 @@
     let ring = KeyRing::parse(&KeyRing::generate_text("unset")).map_err(HostError::PeerKeys)?;
     let keys = SharedKeyRing::in_memory(ring);
     let peer_counters = PeerCounters::register(&registry)?;
-    let cell = Arc::new(CoordinatorCell::new(lease_times(&startup)));
+    let eras = Arc::new(StoreEraRecord::default());
+    let cell = Arc::new(CoordinatorCell::new(lease_times(&startup), eras.clone()));
     let link = PeerLink {
         client: PeerClient::new(keys.clone(), peer_counters.clone())?,
         cell: cell.clone(),
     };
     let clock = BootClock::default();
     let meter = AccountMeter::new(meter_settings(&startup.bounds), startup.is_first_start);
-    let store = StoreClient::new(HttpPool::new(PoolSettings::default()), startup.store);
+    let store_pool = HttpPool::new(PoolSettings::default());
+    let store = StoreClient::new(store_pool, startup.store, eras.clone());
     let pool = HttpPool::new(BACKEND_POOL);
     let state = Arc::new(HostState {
         clock,
@@ -204,6 +207,7 @@
         table_version: watch::channel(0).0,
         source: Mutex::new(TableSource::new()),
         confirmed: ConfigFreshness::default(),
+        eras,
         engines: EngineClient::new(pool.clone()),
         pool,
         meter: Mutex::new(meter),
--- a/crates/host/src/host_state.rs
+++ b/crates/host/src/host_state.rs
@@ -18,6 +18,7 @@
 use zinniahinge_serving::MeterSettings;
 use zinniahinge_serving::SilentHosts;
 use zinniahinge_serving::StandInMeter;
+use zinniahinge_serving::StoreEraRecord;
 use zinniahinge_serving::WatchPace;
 use zinniahinge_serving::WatchRole;
 use zinniahinge_telemetry::BootClock;
@@ -58,6 +59,8 @@
     pub(crate) source: Mutex<TableSource>,
     /// Time at which the known store state was last confirmed to be the newest.
     pub(crate) confirmed: ConfigFreshness,
+    /// Newest era of the store, which the store and other hosts state.
+    pub(crate) eras: Arc<StoreEraRecord>,
     /// Connection pool to backend servers.
     pub(crate) pool: HttpPool,
     /// Usage of client accounts on this host.
--- a/crates/host/src/store_follower.rs
+++ b/crates/host/src/store_follower.rs
@@ -16,7 +16,7 @@
 use zinniahinge_platform::TransactionOutcome;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
-use zinniahinge_types::Revision;
+use zinniahinge_types::StorePosition;
 
 use crate::change_applier::ChangeApplier;
 use crate::host_state::HostState;
@@ -61,9 +61,9 @@
         token.run_until_cancelled(self.follow()).await;
     }
 
-    /// Lists the store, registers this host once, and watches; starts again with a listing when changes may be missing.
+    /// Lists the store, registers this host once in each era, and watches; starts again with a listing when changes may be missing.
     async fn follow(&self) {
-        let mut is_registered = false;
+        let mut registered_era = None;
         loop {
             let sent = self.state.now();
             if let Err(error) = self.list().await {
@@ -73,10 +73,11 @@
                 self.handle_failure(&error, sent).await;
                 continue;
             }
-            if !is_registered {
+            let era = self.known_position().era;
+            if registered_era != Some(era) {
                 let sent = self.state.now();
                 match self.register().await {
-                    Ok(()) => is_registered = true,
+                    Ok(()) => registered_era = Some(era),
                     Err(error) => {
                         self.handle_failure(&error, sent).await;
                         continue;
@@ -90,13 +91,18 @@
     /// Reads all keys and replaces all known state of the store.
     async fn list(&self) -> StoreResult<()> {
         let sent = self.state.now();
-        let (items, revision) = self.store.range(WATCHED_PREFIX).await?;
+        let (items, position) = self.store.range(WATCHED_PREFIX).await?;
         self.state.record_store_answer(sent);
-        self.changes.apply_listing(items, revision, sent);
-        self.log_known_state("listed the store", revision);
+        self.changes.apply_listing(items, position, sent);
+        self.log_known_state("listed the store", position);
         Ok(())
     }
 
+    /// Position of the last listing and the changes applied since.
+    fn known_position(&self) -> StorePosition {
+        self.state.with_source(|source| source.log.position())
+    }
+
     /// Watches for changes until some may be missing. Makes no calls while the coordinator's relayed readings are fresh.
     async fn watch(&self) {
         let mut is_store_lost = false;
@@ -105,30 +111,34 @@
                 tokio::time::sleep(rest.min(RELAY_CHECK_INTERVAL)).await;
                 continue;
             }
-            let revision = self.state.with_source(|source| source.log.revision());
+            let position = self.known_position();
+            let revision = position.revision;
+            if position.era != self.store.newest_era() {
+                return;
+            }
             let sent = self.state.now();
             let wait = if self.is_coordinator() {
                 COORDINATOR_WATCH_WAIT.min(self.watch_wait)
             } else {
                 self.watch_wait
             };
-            match self.store.watch(WATCHED_PREFIX, revision, wait).await {
+            match self.store.watch(WATCHED_PREFIX, position, wait).await {
                 Ok(answer) => {
                     self.failures.store(0, Ordering::Relaxed);
                     self.state.record_store_answer(sent);
                     if is_store_lost {
-                        info!(self.state.logger, "store reachable again"; "revision" => answer.revision);
+                        info!(self.state.logger, "store reachable again"; "revision" => answer.position.revision);
                         is_store_lost = false;
                     }
-                    let is_gap = answer.changes.is_empty() && answer.revision > revision;
+                    let is_gap = answer.changes.is_empty() && answer.position > position;
                     if is_gap {
                         // Each revision changes some key, and all keys are watched, so changes were not delivered.
                         warn!(self.state.logger, "watch skipped changes"; "from" => revision,
-                            "to" => answer.revision);
+                            "to" => answer.position.revision);
                         return;
                     }
                     let has_changes = !answer.changes.is_empty();
-                    let range = (revision, answer.revision);
+                    let range = (revision, answer.position);
                     self.changes.apply(answer.changes, range, sent);
                     if has_changes {
                         let role = self.state.watch_role();
@@ -136,6 +146,8 @@
                         tokio::time::sleep(pause).await;
                     }
                 }
+                // Reported when the listing is applied.
+                Err(StoreError::OtherEra { era }) if era > position.era => return,
                 Err(StoreError::HistoryCompacted) => {
                     info!(self.state.logger, "store dropped changes that are not known here, listing again";
                         "revision" => revision);
@@ -159,12 +171,15 @@
         holder.is_some_and(|holder| holder.host == self.state.startup.host)
     }
 
-    /// Writes this host's record to the store if its address changed, and generates the fleet's peer keys if there are none.
+    /// Writes this host's record to the store if it is missing or its address changed, and the fleet's peer keys if there are
+    /// none: the known ones, or new ones.
     async fn register(&self) -> StoreResult<()> {
         let startup = &self.state.startup;
-        let known = self
-            .state
-            .with_source(|source| source.hosts.get(&startup.host).map(|known| known.address));
+        let known = self.state.with_source(|source| {
+            let known = source.hosts.get(&startup.host);
+            let known = known.filter(|known| known.record_seen_at >= source.era_began_at);
+            known.map(|known| known.address)
+        });
         if known != Some(startup.peers) {
             let write = host_record(startup);
             self.store.transact(&[], &[write], &[]).await?;
@@ -172,7 +187,11 @@
         if self.state.with_source(|source| source.has_peer_keys) {
             return Ok(());
         }
-        let text = KeyRing::generate_text(&format!("k{:x}", rand::random::<u32>()));
+        let known = self.state.with_source(|source| source.peer_keys.clone());
+        let text = known.unwrap_or_else(|| {
+            let id = format!("k{:x}", rand::random::<u32>());
+            KeyRing::generate_text(&id).into()
+        });
         let key = Name::from(PEER_KEYS_KEY);
         let condition = StoreCondition {
             key: key.clone(),
@@ -180,7 +199,7 @@
         };
         let write = StoreWrite {
             key,
-            value: text.into(),
+            value: text,
             lease: None,
         };
         // On a conflict another host was first. The watch delivers the keys in either case.
@@ -208,11 +227,11 @@
     }
 
     /// Logs `message` with the known revision, number of backend servers and version of the configuration.
-    fn log_known_state(&self, message: &str, revision: Revision) {
+    fn log_known_state(&self, message: &str, position: StorePosition) {
         let table = self.state.table.load();
         let backends: usize = table.services.values().map(Vec::len).sum();
         let version = table.config.as_ref().map(|config| config.version);
-        info!(self.state.logger, "{message}"; "revision" => revision, "backends" => backends,
+        info!(self.state.logger, "{message}"; "revision" => position.revision, "backends" => backends,
             "config" => version);
     }
 }
--- a/crates/host/src/store_relay.rs
+++ b/crates/host/src/store_relay.rs
@@ -19,7 +19,8 @@
 use zinniahinge_types::RelayedChange;
 use zinniahinge_types::RelayedOutage;
 use zinniahinge_types::RelayedValue;
-use zinniahinge_types::Revision;
+use zinniahinge_types::StoreEra;
+use zinniahinge_types::StorePosition;
 use zinniahinge_types::StoreUpdate;
 
 use crate::change_applier::ChangeApplier;
@@ -82,7 +83,7 @@
             if change.value != RelayedValue::Omitted {
                 reading.changes.push(change.clone());
             } else if !later.any(|other| other.key == change.key) {
-                let value = self.read_value(change).await?;
+                let value = self.read_value(change, reading.era).await?;
                 reading.changes.push(RelayedChange {
                     value,
                     ..change.clone()
@@ -93,9 +94,10 @@
     }
 
     /// Reads an omitted value from the store. If that fails, asks the coordinator, but only for the configuration.
-    async fn read_value(&self, change: &RelayedChange) -> Option<RelayedValue> {
+    async fn read_value(&self, change: &RelayedChange, era: StoreEra) -> Option<RelayedValue> {
         let state = &self.changes.state;
-        let read = self.store.get_at_least(&change.key, change.revision);
+        let store = self.store.in_era(era);
+        let read = store.get_at_least(&change.key, change.revision);
         let error = match read.await {
             Ok(Some(item)) => {
                 return Some(RelayedValue::Written(RecordBytes(item.value.to_vec())));
@@ -108,6 +110,7 @@
             && let Some(holder) = holder
         {
             let request = ConfigRequest {
+                era,
                 revision: change.revision,
             };
             let reply = state.link.config(&holder, &request).await;
@@ -125,6 +128,7 @@
     /// Applies a reading without omitted values. Reports answered in the meantime may have left a gap before it.
     fn apply_complete_reading(&self, reading: StoreUpdate, asked_at: MonotonicTime) {
         let StoreUpdate {
+            era,
             after,
             revision,
             age_ms,
@@ -135,7 +139,8 @@
         let changes = changes.into_iter().map(decode).collect();
         // The coordinator answered after the report was sent, so its reading is at most this old.
         let read_at = earlier(asked_at, age_ms);
-        if !self.changes.apply(changes, (after, revision), read_at) {
+        let until = StorePosition { era, revision };
+        if !self.changes.apply(changes, (after, until), read_at) {
             info!(state.logger, "relayed changes dropped, earlier ones are missing";
                 "after" => after, "revision" => revision);
         }
@@ -145,25 +150,30 @@
 /// Returns the configuration as this host read it, for a host that can't read the store; `Unknown` if it is older than the
 /// requested revision.
 pub(crate) fn config_since(state: &HostState, request: &ConfigRequest) -> ConfigReply {
+    let wanted = StorePosition {
+        era: request.era,
+        revision: request.revision,
+    };
     state.with_source(|source| match &source.config_item {
-        Some((revision, value)) if *revision >= request.revision => {
+        Some((position, value)) if position.era == wanted.era && *position >= wanted => {
             ConfigReply::Written(RecordBytes(value.to_vec()))
         }
         _ => ConfigReply::Unknown,
     })
 }
 
-/// Returns the changes that this host, the coordinator, has read after revision `after`; `None` if the log doesn't reach
-/// back that far or nothing was read yet.
-pub(crate) fn reading_since(state: &HostState, after: Revision) -> Option<StoreUpdate> {
+/// Returns the changes that this host, the coordinator, has read after `after`; `None` if the log doesn't reach back that
+/// far, is of another era, or nothing was read yet.
+pub(crate) fn reading_since(state: &HostState, after: StorePosition) -> Option<StoreUpdate> {
     let now = state.now();
     // Taken before the changes are, so that these may be newer than the age says, but never older.
     let age = state.confirmed.age(now)?;
     state.with_source(|source| {
         let changes = source.log.since(after)?.cloned().collect();
         Some(StoreUpdate {
-            after,
-            revision: source.known_revision()?,
+            era: after.era,
+            after: after.revision,
+            revision: source.known_position()?.revision,
             age_ms: age.as_millis() as u64 + 1,
             outage_age_ms: relayed(source.roster.own_outage(now), now)
                 .map(|outage| outage.until_ms),
--- a/crates/host/src/table_source.rs
+++ b/crates/host/src/table_source.rs
@@ -18,6 +18,7 @@
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 use zinniahinge_types::Revision;
+use zinniahinge_types::StorePosition;
 
 use crate::fleet_table::BackendSlot;
 use crate::fleet_table::FleetTable;
@@ -25,7 +26,7 @@
 use crate::fleet_table::TermRecord;
 
 /// Time within which running backend servers write their entries again after an outage of the store.
-const REREGISTRATION_TIME: Duration = Duration::from_secs(2);
+pub(crate) const REREGISTRATION_TIME: Duration = Duration::from_secs(2);
 
 /// Age of the coordinator's newest views from which a server's own entry in the store takes precedence over them.
 const VIEW_MAX_AGE: Duration = Duration::from_secs(5);
@@ -49,16 +50,20 @@
 #[derive(Debug)]
 pub(crate) struct TableSource {
     pub(crate) config: Option<Arc<ServingConfig>>,
-    /// Text of the configuration as read, with its revision, for hosts that can't read the store.
-    pub(crate) config_item: Option<(Revision, Bytes)>,
+    /// Text of the configuration as read, with its position, for hosts that can't read the store.
+    pub(crate) config_item: Option<(StorePosition, Bytes)>,
     pub(crate) roster: BackendRoster,
     pub(crate) holder: Option<LeaseHolder>,
     /// Record of the last coordinator's term; it outlives the lease.
     pub(crate) last_term: Option<TermRecord>,
     /// Hosts of the fleet by name.
     pub(crate) hosts: HashMap<Name, KnownHost>,
-    /// True once the fleet's peer keys were found in the store.
+    /// When the store's present era was first listed; host records seen before may be missing from the store.
+    pub(crate) era_began_at: MonotonicTime,
+    /// True once the fleet's peer keys were found in the store in its present era.
     pub(crate) has_peer_keys: bool,
+    /// Text of the fleet's peer keys, which are written again if the store returns from a copy without them.
+    pub(crate) peer_keys: Option<Bytes>,
     /// Last decode error of each backend server's entry that can't be read, so that it is logged only once.
     pub(crate) unreadable: HashMap<Name, String>,
     /// Newest changes of the store, which the coordinator relays.
@@ -85,7 +90,9 @@
             holder: None,
             last_term: None,
             hosts: HashMap::new(),
+            era_began_at: MonotonicTime::ZERO,
             has_peer_keys: false,
+            peer_keys: None,
             unreadable: HashMap::new(),
             log: ChangeLog::default(),
             is_listed: false,
@@ -97,9 +104,9 @@
         }
     }
 
-    /// Returns the store revision up to which all changes are known; `None` before the first listing.
-    pub(crate) fn known_revision(&self) -> Option<Revision> {
-        self.is_listed.then(|| self.log.revision())
+    /// Returns the position in the store up to which all changes are known; `None` before the first listing.
+    pub(crate) fn known_position(&self) -> Option<StorePosition> {
+        self.is_listed.then(|| self.log.position())
     }
 
     /// Returns the hosts in the order in which they claim the coordinator lease and stand in for the coordinator.
