--- a/crates/host/src/change_applier.rs
+++ b/crates/host/src/change_applier.rs
@@ -55,10 +55,20 @@
     ) {
         let state = &self.state;
         let now = state.now();
+        let relayed = if position.era.is_first() {
+            Vec::new()
+        } else {
+            relayed_listing(&items)
+        };
         state.update(|source| {
             let mut backends = Vec::new();
+            let known = source.known_position();
+            if known.is_some_and(|known| known > position) {
+                // A listing that the coordinator relayed; this host has read the store meanwhile.
+                return false;
+            }
             source.holder = None;
-            let known_era = source.known_position().map(|known| known.era);
+            let known_era = known.map(|known| known.era);
             let change = EraChange::find(known_era, position.era, now);
             match change {
                 Some(change) => self.start_era(source, change),
@@ -76,6 +86,9 @@
             }
             source.roster.replace(backends, position.revision, now);
             source.log.restart(position);
+            if !relayed.is_empty() {
+                source.log.keep_listing(relayed);
+            }
             source.is_listed = true;
             true
         });
@@ -341,6 +354,16 @@
     }
 }
 
+/// Returns what is relayed of a listing to hosts that can't read the store.
+fn relayed_listing(items: &[StoreItem]) -> Vec<RelayedChange> {
+    let changes = items.iter().map(|item| RelayedChange {
+        key: item.key.clone(),
+        revision: item.revision,
+        value: relayed_value(&item.key, Some(&item.value)),
+    });
+    changes.collect()
+}
+
 /// Returns what is relayed to other hosts of a value. Omits the configuration, which is large, and the peer keys, which are
 /// secret.
 fn relayed_value(key: &str, value: Option<&[u8]>) -> RelayedValue {
--- a/crates/host/src/coordinator_election.rs
+++ b/crates/host/src/coordinator_election.rs
@@ -231,7 +231,9 @@
         let last_term = state.with_source(|source| source.last_term.clone());
         let is_first = last_term.is_none() && startup.is_first_start;
         let prior = last_term.map(|last| last.to_prior(&startup.host));
-        let wait = HandoverWait::find(prior, era, state.eras.has_risen());
+        // A host that is new to an existing fleet may start just after the store's return.
+        let has_era_risen = state.eras.has_risen() || !era.is_first() && !startup.is_first_start;
+        let wait = HandoverWait::find(prior, era, has_era_risen);
         let value = serde_json::to_vec(&record).unwrap_or_default();
         let lease_key = Name::from(LEASE_KEY);
         let condition = StoreCondition {
@@ -244,7 +246,7 @@
                 value: value.into(),
                 lease: Some(grant.lease),
             },
-            self.term_write(wait == HandoverWait::None, era),
+            self.term_write(wait, era),
         ];
         let position = match store.transact(&[condition], &writes, &[]).await {
             Ok(TransactionOutcome::Done { position }) => position,
@@ -277,12 +279,13 @@
         Ok(Some(grant))
     }
 
-    /// Returns the write of the term record for this host.
-    fn term_write(&self, is_settled: bool, era: StoreEra) -> StoreWrite {
+    /// Returns the write of the term record for this host, whose orders still have to wait as `wait` requires.
+    fn term_write(&self, wait: HandoverWait, era: StoreEra) -> StoreWrite {
         let record = TermRecord {
             host: self.state.startup.host.clone(),
-            is_settled,
+            is_settled: wait == HandoverWait::None,
             era,
+            is_after_loss: wait == HandoverWait::LeaseLost,
         };
         StoreWrite {
             key: TERM_KEY.into(),
@@ -305,7 +308,7 @@
             key: LEASE_KEY.into(),
             revision: claimed.revision,
         };
-        let writes = [self.term_write(true, claimed.era)];
+        let writes = [self.term_write(HandoverWait::None, claimed.era)];
         let store = self.store.in_era(claimed.era);
         match store.transact(&[condition], &writes, &[]).await {
             Ok(outcome) => {
--- a/crates/host/src/fleet_reporter.rs
+++ b/crates/host/src/fleet_reporter.rs
@@ -23,7 +23,6 @@
 use crate::host_state::HostState;
 use crate::record_keys::host_record;
 use crate::store_relay::StoreRelay;
-use crate::table_source::TableSource;
 
 /// Factor by which a host without traffic reports less often.
 const IDLE_INTERVAL_FACTOR: u32 = 2;
@@ -100,12 +99,18 @@
             .with_source(|source| shares.retain(|run| source.load(run).is_some()));
     }
 
-    /// Writes this host's record again after [`LIVENESS_INTERVAL`] without an answered report or a write. The coordinator learns
+    /// Writes this host's record again after [`LIVENESS_INTERVAL`] without an answered report or a write, or without a write if
+    /// the store lacks the record since it returned from a copy. The coordinator learns
     /// from it that this host is alive, and keeps this host's share of the accounts' rates reserved.
     async fn refresh_host_record(&self, session: &mut ReportSession) {
         let state = &self.state;
         let now = state.now();
-        let last = session.answered_at.max(session.record_written_at);
+        let is_missing = state.with_source(|source| !source.has_host_record(&state.startup.host));
+        let last = if is_missing {
+            session.record_written_at
+        } else {
+            session.answered_at.max(session.record_written_at)
+        };
         if now.since(last) < LIVENESS_INTERVAL {
             return;
         }
@@ -114,7 +119,7 @@
         match self.relay.store.transact(&[], &[write], &[]).await {
             Ok(_) => info!(
                 state.logger,
-                "host record written again, no coordinator answers"
+                "host record written again, no coordinator answers or the store lacks it"
             ),
             Err(error) => {
                 info!(state.logger, "host record not written"; "error" => %error);
@@ -206,9 +211,7 @@
             MAX_LIMIT_AGE
         };
         let store_era = state.eras.newest();
-        // A cursor of an older era is void.
-        let position = state.with_source(TableSource::known_position);
-        let position = position.filter(|position| position.era == store_era);
+        let position = state.with_source(|source| source.reported_position(store_era, now));
         let table = state.table.load();
         let slots = table.services.values().flatten();
         let backends = slots.filter_map(|slot| {
--- a/crates/host/src/fleet_table.rs
+++ b/crates/host/src/fleet_table.rs
@@ -46,6 +46,9 @@
     /// Era of the store in which the lease was acquired.
     #[serde(default, skip_serializing_if = "StoreEra::is_first")]
     pub(crate) era: StoreEra,
+    /// True until the term is settled if its predecessor's lease may have been lost with a copy of the store.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub(crate) is_after_loss: bool,
 }
 
 impl TermRecord {
@@ -55,6 +58,7 @@
             era: self.era,
             is_own: *self.host == *host,
             is_settled: self.is_settled,
+            is_after_loss: self.is_after_loss,
         }
     }
 }
--- a/crates/host/src/store_follower.rs
+++ b/crates/host/src/store_follower.rs
@@ -66,11 +66,17 @@
         let mut registered_era = None;
         loop {
             let sent = self.state.now();
+            let era_before = self.known_position().era;
             if let Err(error) = self.list().await {
                 if self.failures.load(Ordering::Relaxed) == 0 {
                     warn!(self.state.logger, "store not listed, trying again"; "error" => %error);
                 }
                 self.handle_failure(&error, sent).await;
+                let era = self.known_position().era;
+                if era != era_before && era == self.store.newest_era() {
+                    // The coordinator relayed a listing meanwhile. This host's record follows with the reports.
+                    self.watch().await;
+                }
                 continue;
             }
             let era = self.known_position().era;
@@ -177,7 +183,7 @@
         let startup = &self.state.startup;
         let known = self.state.with_source(|source| {
             let known = source.hosts.get(&startup.host);
-            let known = known.filter(|known| known.record_seen_at >= source.era_began_at);
+            let known = known.filter(|_| source.has_host_record(&startup.host));
             known.map(|known| known.address)
         });
         if known != Some(startup.peers) {
--- a/crates/host/src/store_relay.rs
+++ b/crates/host/src/store_relay.rs
@@ -1,6 +1,7 @@
 //! Relays store changes: the coordinator adds what it read to its answers to reports, so that the other hosts need not
 //! watch the store themselves.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -11,6 +12,7 @@
 use zinniahinge_platform::CONFIG_KEY;
 use zinniahinge_platform::StoreChange;
 use zinniahinge_platform::StoreClient;
+use zinniahinge_platform::StoreItem;
 use zinniahinge_serving::StoreOutage;
 use zinniahinge_types::ConfigReply;
 use zinniahinge_types::ConfigRequest;
@@ -25,6 +27,7 @@
 
 use crate::change_applier::ChangeApplier;
 use crate::host_state::HostState;
+use crate::record_keys::PEER_KEYS_KEY;
 
 /// Receives the readings that the coordinator relays, and reads the values that it omits.
 #[derive(Clone)]
@@ -82,6 +85,8 @@
             let mut later = changes[index + 1..].iter();
             if change.value != RelayedValue::Omitted {
                 reading.changes.push(change.clone());
+            } else if reading.after == 0 && *change.key == *PEER_KEYS_KEY {
+                // A host that got this reading already has them.
             } else if !later.any(|other| other.key == change.key) {
                 let value = self.read_value(change, reading.era).await?;
                 reading.changes.push(RelayedChange {
@@ -136,10 +141,17 @@
             changes,
         } = reading;
         let state = &self.changes.state;
-        let changes = changes.into_iter().map(decode).collect();
+        let changes: Vec<_> = changes.into_iter().map(decode).collect();
         // The coordinator answered after the report was sent, so its reading is at most this old.
         let read_at = earlier(asked_at, age_ms);
         let until = StorePosition { era, revision };
+        if after == 0 {
+            info!(state.logger, "listing of the store received from the coordinator"; "era" => era.0,
+                "revision" => revision);
+            let items = listed_items(changes);
+            self.changes.apply_listing(items, until, read_at);
+            return;
+        }
         if !self.changes.apply(changes, (after, until), read_at) {
             info!(state.logger, "relayed changes dropped, earlier ones are missing";
                 "after" => after, "revision" => revision);
@@ -223,6 +235,32 @@
     }
 }
 
+/// Returns the items that exist after all of `changes`.
+fn listed_items(changes: Vec<StoreChange>) -> Vec<StoreItem> {
+    let mut items = BTreeMap::new();
+    for change in changes {
+        let StoreChange {
+            key,
+            revision,
+            value,
+        } = change;
+        match value {
+            Some(value) => {
+                let item = StoreItem {
+                    key: key.clone(),
+                    value,
+                    revision,
+                };
+                items.insert(key, item);
+            }
+            None => {
+                items.remove(&key);
+            }
+        }
+    }
+    items.into_values().collect()
+}
+
 /// Returns the time `age_ms` before `time`, no earlier than the clock's origin.
 fn earlier(time: MonotonicTime, age_ms: u64) -> MonotonicTime {
     time.before(Duration::from_millis(age_ms))
--- a/crates/host/src/table_source.rs
+++ b/crates/host/src/table_source.rs
@@ -18,6 +18,7 @@
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 use zinniahinge_types::Revision;
+use zinniahinge_types::StoreEra;
 use zinniahinge_types::StorePosition;
 
 use crate::fleet_table::BackendSlot;
@@ -109,6 +110,29 @@
         self.is_listed.then(|| self.log.position())
     }
 
+    /// Returns the position to name to the coordinator, in the newest era of the store. Revision 0 asks for all of the store, if
+    /// the known position is of another era and this host's own calls fail.
+    pub(crate) fn reported_position(
+        &self,
+        newest: StoreEra,
+        now: MonotonicTime,
+    ) -> Option<StorePosition> {
+        let known = self.known_position()?;
+        if known.era == newest {
+            return Some(known);
+        }
+        self.roster.own_outage(now).map(|_| StorePosition {
+            era: newest,
+            revision: 0,
+        })
+    }
+
+    /// True if the store's present era has a record of `host`, as far as this host knows.
+    pub(crate) fn has_host_record(&self, host: &str) -> bool {
+        let known = self.hosts.get(host);
+        known.is_some_and(|known| known.record_seen_at >= self.era_began_at)
+    }
+
     /// Returns the hosts in the order in which they claim the coordinator lease and stand in for the coordinator.
     pub(crate) fn candidate_order(&self) -> Vec<Name> {
         let hosts = self.hosts.iter();
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -2,8 +2,14 @@
 
 #![allow(dead_code, reason = "each test program uses a part")]
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use zinniahinge_platform_standins::BackendServer;
 use zinniahinge_platform_standins::Caller;
 use zinniahinge_platform_standins::CallerAnswer;
@@ -160,3 +166,31 @@
         ..CallerRequest::new(id, path)
     }
 }
+
+/// Starts a proxy to the store that closes all its connections once `is_open` is false; returns its address.
+pub async fn start_gate(store: SocketAddr, is_open: Arc<AtomicBool>) -> Outcome<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    tokio::spawn(async move {
+        while let Ok((mut near, _)) = listener.accept().await {
+            let is_open = is_open.clone();
+            tokio::spawn(async move {
+                let is_closed = async {
+                    while is_open.load(Ordering::Relaxed) {
+                        tokio::time::sleep(Duration::from_millis(10)).await;
+                    }
+                };
+                let pass = async {
+                    let mut far = TcpStream::connect(store).await?;
+                    tokio::io::copy_bidirectional(&mut near, &mut far).await
+                };
+                tokio::select! {
+                    () = is_closed => {}
+                    // When either side closes, both are closed.
+                    _ = pass => {}
+                }
+            });
+        }
+    });
+    Ok(address)
+}
--- a/crates/host/tests/relay.rs
+++ b/crates/host/tests/relay.rs
@@ -2,7 +2,6 @@
 
 mod common;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -10,8 +9,6 @@
 
 use googletest::prelude::*;
 use nix::sys::signal::Signal;
-use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use zinniahinge_platform_standins::Caller;
 use zinniahinge_platform_standins::CallerRequest;
 use zinniahinge_platform_standins::ConfigText;
@@ -22,6 +19,7 @@
 use crate::common::TestBed;
 use crate::common::acquires_lease;
 use crate::common::all_config;
+use crate::common::start_gate;
 
 /// Time after which a configuration must be in force and a draining server must get no more requests, from the platform's
 /// settings.
@@ -102,34 +100,6 @@
     Ok(())
 }
 
-/// Starts a proxy to the store that closes all its connections once `is_open` is false; returns its address.
-async fn start_gate(store: SocketAddr, is_open: Arc<AtomicBool>) -> Outcome<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0").await?;
-    let address = listener.local_addr()?;
-    tokio::spawn(async move {
-        while let Ok((mut near, _)) = listener.accept().await {
-            let is_open = is_open.clone();
-            tokio::spawn(async move {
-                let is_closed = async {
-                    while is_open.load(Ordering::Relaxed) {
-                        tokio::time::sleep(Duration::from_millis(10)).await;
-                    }
-                };
-                let pass = async {
-                    let mut far = TcpStream::connect(store).await?;
-                    tokio::io::copy_bidirectional(&mut near, &mut far).await
-                };
-                tokio::select! {
-                    () = is_closed => {}
-                    // When either side closes, both are closed.
-                    _ = pass => {}
-                }
-            });
-        }
-    });
-    Ok(address)
-}
-
 /// Guards against a host that can't reach the store, and therefore misses a new configuration and the servers that drain
 /// after it.
 #[tokio::test]
--- a/crates/serving/src/coordination/change_log.rs
+++ b/crates/serving/src/coordination/change_log.rs
@@ -24,6 +24,8 @@
     changes: VecDeque<RelayedChange>,
     /// Total size of the kept values.
     bytes: usize,
+    /// True while the changes begin with a complete listing.
+    has_listing: bool,
 }
 
 impl ChangeLog {
@@ -38,6 +40,16 @@
         };
     }
 
+    /// Adds the items of the listing of the last [`Self::restart`], for hosts that know nothing of its era and can't read the
+    /// store. Call it before changes are added.
+    pub fn keep_listing(&mut self, mut items: Vec<RelayedChange>) {
+        items.sort_by_key(|item| item.revision);
+        self.has_listing = true;
+        for item in items {
+            self.push(item);
+        }
+    }
+
     /// Position up to which every change is known.
     pub fn position(&self) -> StorePosition {
         StorePosition {
@@ -56,6 +68,7 @@
             };
             self.bytes -= value_bytes(&dropped);
             self.complete_after = self.complete_after.max(dropped.revision);
+            self.has_listing = false;
         }
     }
 
@@ -65,11 +78,11 @@
     }
 
     /// The changes after `position`; `None` if some of them may be missing, if this log is behind it, or if it is of another
-    /// era.
+    /// era. After revision 0, a complete listing and the changes since.
     pub fn since(&self, position: StorePosition) -> Option<impl Iterator<Item = &RelayedChange>> {
         let StorePosition { era, revision } = position;
-        let is_complete =
-            era == self.era && self.complete_after <= revision && revision <= self.revision;
+        let is_known = self.complete_after <= revision && revision <= self.revision;
+        let is_complete = era == self.era && (is_known || revision == 0 && self.has_listing);
         let start = self
             .changes
             .partition_point(|change| change.revision <= revision);
--- a/crates/serving/src/coordination/handover_wait.rs
+++ b/crates/serving/src/coordination/handover_wait.rs
@@ -20,16 +20,19 @@
     pub is_own: bool,
     /// True once its host may have sent orders.
     pub is_settled: bool,
+    /// True if it began as [`HandoverWait::LeaseLost`] requires, or followed such a term that never settled.
+    pub is_after_loss: bool,
 }
 
 impl HandoverWait {
     /// Decides for a claim in `era`. `prior` is the last term, `None` if no record of one is known; `has_era_risen` is true
-    /// if the claiming host has seen an earlier era, in which other hosts may have claimed terms that left no record.
+    /// if there may have been an earlier era, in which other hosts claimed terms that left no record.
     ///
     /// Load pattern: the store returns from a copy without the coordinator's lease while its last renewal was just answered.
     pub fn find(prior: Option<PriorTerm>, era: StoreEra, has_era_risen: bool) -> Self {
         match prior {
             Some(prior) if prior.era != era => Self::LeaseLost,
+            Some(prior) if prior.is_after_loss && !prior.is_settled => Self::LeaseLost,
             Some(prior) if prior.is_own && prior.is_settled => Self::None,
             Some(_) => Self::LeaseExpired,
             None if has_era_risen => Self::LeaseLost,
