--- a/crates/host/tests/store_era.rs
+++ b/crates/host/tests/store_era.rs
@@ -79,6 +79,12 @@
 #[tokio::test]
 async fn a_configuration_written_after_the_return_is_in_force_in_time() -> Outcome {
     let cases = [
+        ReturnCase {
+            name: "already passed",
+            lost: 5,
+            rewritten: 20,
+            returns: 1,
+        },
         ReturnCase {
             name: "far back",
             lost: 60,
@@ -91,12 +97,6 @@
             rewritten: 1,
             returns: 1,
         },
-        ReturnCase {
-            name: "already passed",
-            lost: 5,
-            rewritten: 20,
-            returns: 1,
-        },
         ReturnCase {
             name: "twice in a row",
             lost: 5,
