--- a/crates/host/src/coordinator_election.rs
+++ b/crates/host/src/coordinator_election.rs
@@ -116,11 +116,15 @@
         self.cell.end_term();
         // The successor relies on a lease time having passed since the last renewal, which an early release would cut short.
         tokio::time::sleep(lease_times(&self.state.startup).resign_pause()).await;
-        if self.store.newest_era() != held.era {
-            // The id may name the lease of another host now.
+        let store = self.store.in_era(held.era);
+        // After the store's return from a copy, the id may name the lease of another host. A renewal shows the era and extends a
+        // lease at most.
+        let is_same_era =
+            held.era.is_first() || matches!(store.renew_lease(held.lease).await, Ok(true));
+        if !is_same_era || self.store.newest_era() != held.era {
             return;
         }
-        let ended = self.store.in_era(held.era).end_lease(held.lease).await;
+        let ended = store.end_lease(held.lease).await;
         info!(self.state.logger, "coordinator lease released"; "answered" => ended.is_ok());
     }
 
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -27,6 +27,12 @@
 /// Servers that name a limit, a second.
 const LIMITS_PER_S: f64 = 0.25;
 
+/// Returns of the store from a copy, a second.
+const STORE_RETURNS_PER_S: f64 = 0.08;
+
+/// Makes the draws of these faults differ from the others'.
+const STORE_RETURNS_SALT: u64 = 0xbf58_476d_1ce4_e5b9;
+
 /// Least and greatest limit, requests a second.
 const LIMIT_RANGE: (f64, f64) = (0.3, 20.0);
 
@@ -55,6 +61,9 @@
     KillAllHosts,
     /// The store misbehaves for all.
     Store(StoreFault),
+    /// The store returns from a copy that is as old as the fault lasts, and what operators and servers wrote since is written
+    /// again.
+    ReturnStore,
     /// The store forgets its history.
     DropHistory,
     /// The link from a host to the store.
@@ -122,6 +131,11 @@
     faults.extend(plan_hidden_runs(seed, time, (plain, backends)));
     faults.extend(plan_refusal_copies(seed, time, (plain, backends)));
     faults.extend(plan_limits(seed, time, (plain, backends)));
+    let seed = seed ^ STORE_RETURNS_SALT;
+    let returns = draw_faults(seed, STORE_RETURNS_PER_S, time, 300..5_000, |_| {
+        FaultKind::ReturnStore
+    });
+    faults.extend(returns);
     faults.sort_by_key(|fault| fault.at);
     faults
 }
--- a/crates/soak/src/fault_task.rs
+++ b/crates/soak/src/fault_task.rs
@@ -33,6 +33,9 @@
 /// Time for which a backend server serves on after it said that it leaves: the platform's two seconds and a little more.
 const LEAVE_TIME: Duration = Duration::from_millis(2300);
 
+/// Time for which the store is away before it returns from a copy.
+const RETURN_TIME: Duration = Duration::from_millis(400);
+
 /// Time from the start of a server at the address of a former one until the store names it.
 const ENTRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -70,6 +73,15 @@
             world.store.set_fault(StoreFault::None);
             Ok(())
         }
+        FaultKind::ReturnStore => {
+            let copy = world.store.copy();
+            tokio::time::sleep(lasts).await;
+            world.store.set_fault(StoreFault::Silent);
+            tokio::time::sleep(RETURN_TIME).await;
+            world.store.return_rewritten(&copy);
+            world.store.set_fault(StoreFault::None);
+            Ok(())
+        }
         FaultKind::DropHistory => {
             world.store.drop_history();
             Ok(())
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -38,6 +38,7 @@
     flags=$*
     case $mutant in
     M_NO_FENCING) flags="$flags -DORDERS" ;;
+    M_ERA_*) flags="$flags -DRETURNS" ;;
     esac
     echo "mutant-$model-$mutant $model -D$mutant $flags" >>"$work/runs"
   done
@@ -48,6 +49,7 @@
 spec_line authority-t3 authority 1100000 -DT=3
 spec_line authority-t2 authority 400000
 spec_line duty duty 120000
+spec_line duty-returns duty 1300000 -DRETURNS
 mutant_lines authority
 mutant_lines duty
 mutant_lines assignment -DMAX_REV=3
