--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -47,7 +47,7 @@
 use crate::store_relay::relayed_outage;
 
 /// Low bits of a view version that count changes; the fencing number is in the bits above. Leaves 16 million changes for
-/// each term.
+/// each term, and 40 for the fencing number: a thousand eras of the store.
 const VERSION_BITS_PER_FENCE: u32 = 24;
 
 /// Longest time for which the answer to a placement request is held back while an order runs. Adapters load within it.
@@ -67,7 +67,7 @@
     pub(crate) state: Arc<HostState>,
     pub(crate) fence: u64,
     /// Position of the lease record in the store, from which the fencing number follows.
-    pub(crate) claimed_at: StorePosition,
+    pub(crate) claim: StorePosition,
     pub(crate) planners: HashMap<Name, ResidencyPlanner>,
     pub(crate) ledger: FleetLedger,
     /// Prompt parts that crash backend servers.
@@ -97,18 +97,17 @@
 
 impl Coordinator {
     /// Starts with what this host granted as a stand-in. `is_first` is true if no host coordinated before.
-    pub(crate) fn new(state: Arc<HostState>, claimed_at: StorePosition, is_first: bool) -> Self {
-        let fence = claimed_at.fence();
-        let settings = meter_settings(&state.startup.bounds);
+    pub(crate) fn new(state: Arc<HostState>, claim: StorePosition, is_first: bool) -> Self {
+        let fence = claim.fence();
         let now = state.now();
-        let mut ledger = FleetLedger::new(settings, is_first, now);
+        let mut ledger = FleetLedger::new(meter_settings(&state.startup.bounds), is_first, now);
         let table = state.table.load_full();
         ledger.record_stand_in(&state.take_stand_in(), table.accounts(), now);
         let parts = PartLedger::new(&table.blocked, fence << VERSION_BITS_PER_FENCE, now);
         Self {
             state,
             fence,
-            claimed_at,
+            claim,
             planners: HashMap::new(),
             ledger,
             parts,
@@ -308,12 +307,9 @@
                 }
             }));
         }
-        let totals_version = if report.fence == self.fence {
-            report.totals_version
-        } else {
-            0
-        };
-        let (backends, totals_version) = self.ledger.totals_since(totals_version);
+        let is_own_version = report.fence == self.fence;
+        let known_totals = is_own_version.then_some(report.totals_version);
+        let (backends, totals_version) = self.ledger.totals_since(known_totals.unwrap_or_default());
         FleetView {
             fence: self.fence,
             hosts: self.ledger.host_count(),
@@ -322,10 +318,9 @@
             totals_version,
             view_version,
             engines,
-            store: report.store_revision.and_then(|revision| {
-                let era = report.store_era;
-                reading_since(&self.state, StorePosition { era, revision })
-            }),
+            store: report
+                .store_position()
+                .and_then(|after| reading_since(&self.state, after)),
             store_era: self.state.eras.newest(),
             store_outage: relayed_outage(&self.state),
             leaving: self.leaving.clone(),
--- a/crates/host/src/coordinator_election.rs
+++ b/crates/host/src/coordinator_election.rs
@@ -305,7 +305,7 @@
         let Some(fence) = self.cell.order_fence(state.now()) else {
             return false;
         };
-        let Some(claimed) = self.cell.with(|coordinator| coordinator.claimed_at) else {
+        let Some(claimed) = self.cell.with(|coordinator| coordinator.claim) else {
             return false;
         };
         let condition = StoreCondition {
@@ -334,7 +334,7 @@
         let now = state.now();
         let unstored = self.cell.with(|coordinator| {
             let blocked = coordinator.parts.unstored(now)?;
-            Some((coordinator.claimed_at, blocked))
+            Some((coordinator.claim, blocked))
         });
         let Some(Some((claimed, blocked))) = unstored else {
             return;
--- a/crates/host/src/fleet_reporter.rs
+++ b/crates/host/src/fleet_reporter.rs
@@ -105,7 +105,8 @@
     async fn refresh_host_record(&self, session: &mut ReportSession) {
         let state = &self.state;
         let now = state.now();
-        let is_missing = state.with_source(|source| !source.has_host_record(&state.startup.host));
+        let is_missing = !state.eras.newest().is_first()
+            && state.with_source(|source| !source.has_host_record(&state.startup.host));
         let last = if is_missing {
             session.record_written_at
         } else {
--- a/crates/host/src/store_relay.rs
+++ b/crates/host/src/store_relay.rs
@@ -145,7 +145,7 @@
         // The coordinator answered after the report was sent, so its reading is at most this old.
         let read_at = earlier(asked_at, age_ms);
         let until = StorePosition { era, revision };
-        if after == 0 {
+        if after == 0 && !era.is_first() {
             info!(state.logger, "listing of the store received from the coordinator"; "era" => era.0,
                 "revision" => revision);
             let items = listed_items(changes);
--- a/crates/types/src/fleet_message.rs
+++ b/crates/types/src/fleet_message.rs
@@ -14,6 +14,7 @@
 use crate::RelayedOutage;
 use crate::Revision;
 use crate::StoreEra;
+use crate::StorePosition;
 use crate::StoreUpdate;
 
 /// Capacity that a host can spend on coordinating the fleet, in thousandths of a processor core.
@@ -35,7 +36,8 @@
     pub totals_version: u64,
     /// Revision of the platform's store up to which the sender knows every change; `None` before it has read the store.
     pub store_revision: Option<Revision>,
-    /// Newest era of the store that the sender has seen; `store_revision` is of this era.
+    /// Newest era of the store that the sender has seen; `store_revision` is of this era. Revision 0 of an era above 0 asks for
+    /// a complete listing, since the sender knows nothing of the era and can't read the store.
     #[serde(default, skip_serializing_if = "StoreEra::is_first")]
     pub store_era: StoreEra,
     /// Usage of client accounts since the last acknowledged report.
@@ -63,6 +65,15 @@
     pub limits: Vec<LimitNotice>,
 }
 
+impl FleetReport {
+    /// Position in the store up to which the sender knows every change; revision 0 if it asks for a listing.
+    pub fn store_position(&self) -> Option<StorePosition> {
+        let era = self.store_era;
+        self.store_revision
+            .map(|revision| StorePosition { era, revision })
+    }
+}
+
 /// Gives a client account's level as an earlier coordinator last sent it, so that a new one does not start from
 /// nothing.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
