--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -14,6 +14,7 @@
 use zinniahinge_serving::CoordinatorTerm;
 use zinniahinge_serving::CoordinatorTimes;
 use zinniahinge_serving::FleetLedger;
+use zinniahinge_serving::HandoverWait;
 use zinniahinge_serving::LimitLedger;
 use zinniahinge_serving::PaceLedger;
 use zinniahinge_serving::PartLedger;
@@ -22,6 +23,7 @@
 use zinniahinge_serving::PlacementQuery;
 use zinniahinge_serving::ResidencyPlanner;
 use zinniahinge_serving::ResidencySettings;
+use zinniahinge_serving::StoreEraRecord;
 use zinniahinge_types::BackendRun;
 use zinniahinge_types::ColdNotice;
 use zinniahinge_types::EngineModels;
@@ -37,6 +39,7 @@
 use zinniahinge_types::PlacementRequest;
 use zinniahinge_types::SlotDecision;
 use zinniahinge_types::SlotRequest;
+use zinniahinge_types::StorePosition;
 
 use crate::fleet_reporter::INTERVAL_PER_HOST;
 use crate::fleet_table::FleetTable;
@@ -47,7 +50,7 @@
 use crate::store_relay::relayed_outage;
 
 /// Low bits of a view version that count changes; the fencing number is in the bits above. Leaves 16 million changes for
-/// each term.
+/// each term, and 40 for the fencing number: a thousand eras of the store.
 const VERSION_BITS_PER_FENCE: u32 = 24;
 
 /// Longest time for which the answer to a placement request is held back while an order runs. Adapters load within it.
@@ -66,6 +69,8 @@
 pub(crate) struct Coordinator {
     pub(crate) state: Arc<HostState>,
     pub(crate) fence: u64,
+    /// Position of the lease record in the store, from which the fencing number follows.
+    pub(crate) claim: StorePosition,
     pub(crate) planners: HashMap<Name, ResidencyPlanner>,
     pub(crate) ledger: FleetLedger,
     /// Prompt parts that crash backend servers.
@@ -89,6 +94,8 @@
 pub(crate) struct CoordinatorCell {
     term: Mutex<CoordinatorTerm>,
     coordinator: Mutex<Option<Coordinator>>,
+    /// Newest era of the store; a term of an older one ends.
+    eras: Arc<StoreEraRecord>,
     /// Notified when orders may have become possible.
     pub(crate) work: Notify,
     /// Notified when an order for the model ended; by model.
@@ -97,16 +104,17 @@
 
 impl Coordinator {
     /// Starts with what this host granted as a stand-in. `is_first` is true if no host coordinated before.
-    pub(crate) fn new(state: Arc<HostState>, fence: u64, is_first: bool) -> Self {
-        let settings = meter_settings(&state.startup.bounds);
+    pub(crate) fn new(state: Arc<HostState>, claim: StorePosition, is_first: bool) -> Self {
+        let fence = claim.fence();
         let now = state.now();
-        let mut ledger = FleetLedger::new(settings, is_first, now);
+        let mut ledger = FleetLedger::new(meter_settings(&state.startup.bounds), is_first, now);
         let table = state.table.load_full();
         ledger.record_stand_in(&state.take_stand_in(), table.accounts(), now);
         let parts = PartLedger::new(&table.blocked, fence << VERSION_BITS_PER_FENCE, now);
         Self {
             state,
             fence,
+            claim,
             planners: HashMap::new(),
             ledger,
             parts,
@@ -276,12 +284,9 @@
                 }
             }));
         }
-        let totals_version = if report.fence == self.fence {
-            report.totals_version
-        } else {
-            0
-        };
-        let (backends, totals_version) = self.ledger.totals_since(totals_version);
+        let is_own_version = report.fence == self.fence;
+        let known_totals = is_own_version.then_some(report.totals_version);
+        let (backends, totals_version) = self.ledger.totals_since(known_totals.unwrap_or_default());
         FleetView {
             fence: self.fence,
             hosts: self.ledger.host_count(),
@@ -291,8 +296,9 @@
             view_version,
             engines,
             store: report
-                .store_revision
+                .store_position()
                 .and_then(|after| reading_since(&self.state, after)),
+            store_era: self.state.eras.newest(),
             store_outage: relayed_outage(&self.state),
             leaving: self.leaving.clone(),
             limits: self.limits_known(now),
@@ -304,10 +310,11 @@
 }
 
 impl CoordinatorCell {
-    pub(crate) fn new(times: CoordinatorTimes) -> Self {
+    pub(crate) fn new(times: CoordinatorTimes, eras: Arc<StoreEraRecord>) -> Self {
         Self {
             term: Mutex::new(CoordinatorTerm::new(times)),
             coordinator: Mutex::new(None),
+            eras,
             work: Notify::new(),
             progress: Mutex::default(),
         }
@@ -320,22 +327,24 @@
         progress.entry(model.clone()).or_default().clone()
     }
 
+    /// Locks the term; one of an older era than the newest has ended.
     fn term(&self) -> MutexGuard<'_, CoordinatorTerm> {
-        self.term.lock().unwrap_or_else(PoisonError::into_inner)
+        let mut term = self.term.lock().unwrap_or_else(PoisonError::into_inner);
+        term.observe_era(self.eras.newest());
+        term
     }
 
-    /// Starts a term under `fence`; its lease was requested at `sent`. With `had_predecessor`, orders are held back until
-    /// those of the previous coordinator are old.
+    /// Starts a term claimed at `position`; its lease was requested at `sent`. Orders are held back as `wait` requires.
     pub(crate) fn start_term(
         &self,
         coordinator: Coordinator,
-        fence: u64,
+        position: StorePosition,
         sent: MonotonicTime,
         now: MonotonicTime,
-        had_predecessor: bool,
+        wait: HandoverWait,
     ) {
         *self.lock() = Some(coordinator);
-        self.term().start(fence, sent, now, had_predecessor);
+        self.term().start(position, sent, now, wait);
         self.work.notify_one();
     }
 
@@ -373,11 +382,14 @@
 
     /// Answers a host's report, or says that this host does not coordinate.
     pub(crate) fn report(&self, report: &FleetReport, now: MonotonicTime) -> FleetReply {
-        if self.fence(now).is_none() {
-            return FleetReply::NotHolder;
-        }
-        match self.with(|coordinator| coordinator.report(report, now)) {
+        self.eras.observe(report.store_era);
+        let view = self
+            .fence(now)
+            .and_then(|_| self.with(|coordinator| coordinator.report(report, now)));
+        let newest = self.eras.newest();
+        match view {
             Some(view) => FleetReply::View(Box::new(view)),
+            None if newest > report.store_era => FleetReply::NotHolderInEra(newest),
             None => FleetReply::NotHolder,
         }
     }
--- a/crates/host/src/store_relay.rs
+++ b/crates/host/src/store_relay.rs
@@ -1,6 +1,7 @@
 //! Relays store changes: the coordinator adds what it read to its answers to reports, so that the other hosts need not
 //! watch the store themselves.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -11,6 +12,7 @@
 use zinniahinge_platform::CONFIG_KEY;
 use zinniahinge_platform::StoreChange;
 use zinniahinge_platform::StoreClient;
+use zinniahinge_platform::StoreItem;
 use zinniahinge_serving::StoreOutage;
 use zinniahinge_types::ConfigReply;
 use zinniahinge_types::ConfigRequest;
@@ -19,11 +21,13 @@
 use zinniahinge_types::RelayedChange;
 use zinniahinge_types::RelayedOutage;
 use zinniahinge_types::RelayedValue;
-use zinniahinge_types::Revision;
+use zinniahinge_types::StoreEra;
+use zinniahinge_types::StorePosition;
 use zinniahinge_types::StoreUpdate;
 
 use crate::change_applier::ChangeApplier;
 use crate::host_state::HostState;
+use crate::record_keys::PEER_KEYS_KEY;
 
 /// Receives the readings that the coordinator relays, and reads the values that it omits.
 #[derive(Clone)]
@@ -81,8 +85,10 @@
             let mut later = changes[index + 1..].iter();
             if change.value != RelayedValue::Omitted {
                 reading.changes.push(change.clone());
+            } else if reading.after == 0 && *change.key == *PEER_KEYS_KEY {
+                // A host that got this reading already has them.
             } else if !later.any(|other| other.key == change.key) {
-                let value = self.read_value(change).await?;
+                let value = self.read_value(change, reading.era).await?;
                 reading.changes.push(RelayedChange {
                     value,
                     ..change.clone()
@@ -93,9 +99,10 @@
     }
 
     /// Reads an omitted value from the store. If that fails, asks the coordinator, but only for the configuration.
-    async fn read_value(&self, change: &RelayedChange) -> Option<RelayedValue> {
+    async fn read_value(&self, change: &RelayedChange, era: StoreEra) -> Option<RelayedValue> {
         let state = &self.changes.state;
-        let read = self.store.get_at_least(&change.key, change.revision);
+        let store = self.store.in_era(era);
+        let read = store.get_at_least(&change.key, change.revision);
         let error = match read.await {
             Ok(Some(item)) => {
                 return Some(RelayedValue::Written(RecordBytes(item.value.to_vec())));
@@ -108,6 +115,7 @@
             && let Some(holder) = holder
         {
             let request = ConfigRequest {
+                era,
                 revision: change.revision,
             };
             let reply = state.link.config(&holder, &request).await;
@@ -125,6 +133,7 @@
     /// Applies a reading without omitted values. Reports answered in the meantime may have left a gap before it.
     fn apply_complete_reading(&self, reading: StoreUpdate, asked_at: MonotonicTime) {
         let StoreUpdate {
+            era,
             after,
             revision,
             age_ms,
@@ -132,10 +141,18 @@
             changes,
         } = reading;
         let state = &self.changes.state;
-        let changes = changes.into_iter().map(decode).collect();
+        let changes: Vec<_> = changes.into_iter().map(decode).collect();
         // The coordinator answered after the report was sent, so its reading is at most this old.
         let read_at = earlier(asked_at, age_ms);
-        if !self.changes.apply(changes, (after, revision), read_at) {
+        let until = StorePosition { era, revision };
+        if after == 0 && !era.is_first() {
+            info!(state.logger, "listing of the store received from the coordinator"; "era" => era.0,
+                "revision" => revision);
+            let items = listed_items(changes);
+            self.changes.apply_listing(items, until, read_at);
+            return;
+        }
+        if !self.changes.apply(changes, (after, until), read_at) {
             info!(state.logger, "relayed changes dropped, earlier ones are missing";
                 "after" => after, "revision" => revision);
         }
@@ -145,25 +162,30 @@
 /// Returns the configuration as this host read it, for a host that can't read the store; `Unknown` if it is older than the
 /// requested revision.
 pub(crate) fn config_since(state: &HostState, request: &ConfigRequest) -> ConfigReply {
+    let wanted = StorePosition {
+        era: request.era,
+        revision: request.revision,
+    };
     state.with_source(|source| match &source.config_item {
-        Some((revision, value)) if *revision >= request.revision => {
+        Some((position, value)) if position.era == wanted.era && *position >= wanted => {
             ConfigReply::Written(RecordBytes(value.to_vec()))
         }
         _ => ConfigReply::Unknown,
     })
 }
 
-/// Returns the changes that this host, the coordinator, has read after revision `after`; `None` if the log doesn't reach
-/// back that far or nothing was read yet.
-pub(crate) fn reading_since(state: &HostState, after: Revision) -> Option<StoreUpdate> {
+/// Returns the changes that this host, the coordinator, has read after `after`; `None` if the log doesn't reach back that
+/// far, is of another era, or nothing was read yet.
+pub(crate) fn reading_since(state: &HostState, after: StorePosition) -> Option<StoreUpdate> {
     let now = state.now();
     // Taken before the changes are, so that these may be newer than the age says, but never older.
     let age = state.confirmed.age(now)?;
     state.with_source(|source| {
         let changes = source.log.since(after)?.cloned().collect();
         Some(StoreUpdate {
-            after,
-            revision: source.known_revision()?,
+            era: after.era,
+            after: after.revision,
+            revision: source.known_position()?.revision,
             age_ms: age.as_millis() as u64 + 1,
             outage_age_ms: relayed(source.roster.own_outage(now), now)
                 .map(|outage| outage.until_ms),
@@ -213,6 +235,32 @@
     }
 }
 
+/// Returns the items that exist after all of `changes`.
+fn listed_items(changes: Vec<StoreChange>) -> Vec<StoreItem> {
+    let mut items = BTreeMap::new();
+    for change in changes {
+        let StoreChange {
+            key,
+            revision,
+            value,
+        } = change;
+        match value {
+            Some(value) => {
+                let item = StoreItem {
+                    key: key.clone(),
+                    value,
+                    revision,
+                };
+                items.insert(key, item);
+            }
+            None => {
+                items.remove(&key);
+            }
+        }
+    }
+    items.into_values().collect()
+}
+
 /// Returns the time `age_ms` before `time`, no earlier than the clock's origin.
 fn earlier(time: MonotonicTime, age_ms: u64) -> MonotonicTime {
     time.before(Duration::from_millis(age_ms))
--- a/crates/serving/src/routing/evacuated_places.rs
+++ b/crates/serving/src/routing/evacuated_places.rs
@@ -8,6 +8,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EvacuatedPlaces {
     evacuated: SmallVec<[Name; 2]>,
+    /// Evacuated places that the store's copy lacks, each with the time until which the evacuation holds unless operators
+    /// write it again.
+    held: SmallVec<[(Name, MonotonicTime); 2]>,
     /// Last end of each evacuation that this host saw.
     ended: SmallVec<[(Name, MonotonicTime); 2]>,
 }
@@ -15,6 +18,7 @@
 impl EvacuatedPlaces {
     /// Begins an evacuation; returns false if the place is evacuated already.
     pub fn begin(&mut self, place: &Name) -> bool {
+        self.held.retain(|(known, _)| *known != *place);
         if self.contains(place) {
             return false;
         }
@@ -28,6 +32,7 @@
             return false;
         };
         let place = self.evacuated.remove(index);
+        self.held.retain(|(known, _)| *known != place);
         self.ended.retain(|(known, _)| *known != place);
         self.ended.push((place, now));
         true
@@ -37,7 +42,9 @@
     /// whose evacuation has ended by `now`.
     pub fn replace(&mut self, places: &[Name], now: MonotonicTime) -> (Vec<Name>, Vec<Name>) {
         let known = self.evacuated.clone();
-        let gone = known.into_iter().filter(|place| !places.contains(place));
+        let gone = known
+            .into_iter()
+            .filter(|place| !places.contains(place) && !self.is_held(place, now));
         let ended: Vec<Name> = gone.collect();
         for place in &ended {
             self.end(place, now);
@@ -46,6 +53,29 @@
         (begun.collect(), ended)
     }
 
+    /// Lets evacuations that are not among `places`, which a store that returned from a copy lists, hold until `until`.
+    pub fn hold_missing(&mut self, places: &[Name], until: MonotonicTime) {
+        let missing = self.evacuated.iter();
+        let missing = missing.filter(|place| !places.contains(place)).cloned();
+        self.held = missing.map(|place| (place, until)).collect();
+    }
+
+    /// Ends held evacuations that operators did not write again in time; returns their places.
+    pub fn expire(&mut self, now: MonotonicTime) -> Vec<Name> {
+        let held = self.held.clone().into_iter();
+        let expired = held.filter(|(_, until)| *until <= now);
+        let expired: Vec<Name> = expired.map(|(place, _)| place).collect();
+        for place in &expired {
+            self.end(place, now);
+        }
+        expired
+    }
+
+    fn is_held(&self, place: &Name, now: MonotonicTime) -> bool {
+        let mut held = self.held.iter();
+        held.any(|(known, until)| known == place && now < *until)
+    }
+
     /// True if nothing may be sent to the place.
     pub fn contains(&self, place: &str) -> bool {
         self.evacuated.iter().any(|known| **known == *place)
--- a/crates/serving/tests/evacuated_places.rs
+++ b/crates/serving/tests/evacuated_places.rs
@@ -178,6 +178,51 @@
     assert_that!(places.ended_at("a"), some(eq(at(200))));
 }
 
+struct HoldCase {
+    name: &'static str,
+    /// What the operators do after the store returned from a copy without the evacuation, at 1 s.
+    later: fn(&mut EvacuatedPlaces),
+    /// Whether the place is evacuated at 4 s and, after held ones were ended, at 7 s.
+    is_evacuated: [bool; 2],
+}
+
+/// Guards against requests to a data centre whose evacuation the store's copy lacks.
+#[test]
+fn evacuations_outlast_a_copy_that_lacks_them() {
+    let cases = [
+        HoldCase {
+            name: "nothing is written again",
+            later: |_| {},
+            is_evacuated: [true, false],
+        },
+        HoldCase {
+            name: "written again",
+            later: |places| {
+                places.begin(&"a".into());
+            },
+            is_evacuated: [true, true],
+        },
+        HoldCase {
+            name: "taken back",
+            later: |places| {
+                places.end("a", at(2000));
+            },
+            is_evacuated: [false, false],
+        },
+    ];
+    for case in cases {
+        let mut places = EvacuatedPlaces::default();
+        places.begin(&"a".into());
+        places.hold_missing(&[], at(6000));
+        places.replace(&[], at(1000));
+        (case.later)(&mut places);
+        let mut seen = [places.contains("a"), false];
+        places.expire(at(7000));
+        seen[1] = places.contains("a");
+        assert_that!(seen, eq(case.is_evacuated), "{}", case.name);
+    }
+}
+
 struct HomeCase {
     name: &'static str,
     route: &'static [&'static str],
--- a/crates/soak/src/fault_task.rs
+++ b/crates/soak/src/fault_task.rs
@@ -38,6 +38,8 @@
 
 /// Time for which a server that starts again refuses connections, and after which it writes its entry.
 const START_DOWNTIME: Duration = Duration::from_millis(300);
+/// Time for which the store is away before it returns from a copy.
+const RETURN_TIME: Duration = Duration::from_millis(400);
 
 /// Time from the start of a server at the address of a former one until the store names it.
 const ENTRY_DELAY: Duration = Duration::from_millis(300);
@@ -78,6 +80,15 @@
             world.disturb(STORE, from, Instant::now());
             Ok(())
         }
+        FaultKind::ReturnStore => {
+            let copy = world.store.copy();
+            tokio::time::sleep(lasts).await;
+            world.store.set_fault(StoreFault::Silent);
+            tokio::time::sleep(RETURN_TIME).await;
+            world.store.return_rewritten(&copy);
+            world.store.set_fault(StoreFault::None);
+            Ok(())
+        }
         FaultKind::DropHistory => {
             world.store.drop_history();
             Ok(())
--- a/crates/types/src/fleet_message.rs
+++ b/crates/types/src/fleet_message.rs
@@ -16,6 +16,8 @@
 use crate::PartReport;
 use crate::RelayedOutage;
 use crate::Revision;
+use crate::StoreEra;
+use crate::StorePosition;
 use crate::StoreUpdate;
 
 /// Capacity that a host can spend on coordinating the fleet, in thousandths of a processor core.
@@ -37,6 +39,10 @@
     pub totals_version: u64,
     /// Revision of the platform's store up to which the sender knows every change; `None` before it has read the store.
     pub store_revision: Option<Revision>,
+    /// Newest era of the store that the sender has seen; `store_revision` is of this era. Revision 0 of an era above 0 asks for
+    /// a complete listing, since the sender knows nothing of the era and can't read the store.
+    #[serde(default, skip_serializing_if = "StoreEra::is_first")]
+    pub store_era: StoreEra,
     /// Usage of client accounts since the last acknowledged report.
     pub accounts: Vec<AccountUse>,
     /// Account levels that the sender recently received from an earlier coordinator. Sent only until the new
@@ -68,6 +74,15 @@
     pub paces: Vec<PaceNotice>,
 }
 
+impl FleetReport {
+    /// Position in the store up to which the sender knows every change; revision 0 if it asks for a listing.
+    pub fn store_position(&self) -> Option<StorePosition> {
+        let era = self.store_era;
+        self.store_revision
+            .map(|revision| StorePosition { era, revision })
+    }
+}
+
 /// Gives a client account's level as an earlier coordinator last sent it, so that a new one does not start from
 /// nothing.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -171,6 +186,8 @@
 pub enum FleetReply {
     /// The receiver is not the coordinator.
     NotHolder,
+    /// The receiver is not the coordinator, and has seen this era of the store, which is newer than the report's.
+    NotHolderInEra(StoreEra),
     /// State of the fleet, as far as it changed since the versions in the report.
     View(Box<FleetView>),
 }
@@ -196,6 +213,9 @@
     /// Changes of the platform's store since the report's revision; `None` if the coordinator no longer has all of
     /// them.
     pub store: Option<StoreUpdate>,
+    /// Newest era of the store that the coordinator has seen.
+    #[serde(default, skip_serializing_if = "StoreEra::is_first")]
+    pub store_era: StoreEra,
     /// Outage of the platform's store as the coordinator's own calls see it. Stated also if the receiver knows newer changes
     /// than the coordinator, as happens when the store rejects only the coordinator. Absent from earlier versions.
     #[serde(default)]
