Paces: a single late answer is no trouble, and servers start at a quarter of their slots a second

A sound server answers some requests late. In a step of 0.4 s it gives one or two answers, of which one late halved its pace, again and again. Late answers now count over several steps.

--- a/crates/serving/src/pacing/pace_ledger.rs
+++ b/crates/serving/src/pacing/pace_ledger.rs
@@ -18,7 +18,7 @@
 /// First pace of a server that has just started, as a share of what its peers answer, and as requests a second for each of
 /// its slots.
 const START_SHARE: f64 = 0.25;
-const START_PER_SLOT: f64 = 0.125;
+const START_PER_SLOT: f64 = 0.25;
 
 /// Time over which missing answers of a server without a pace are counted, and their number from which it gets one, if it
 /// answered fewer requests.
--- a/crates/serving/src/pacing/server_pace.rs
+++ b/crates/serving/src/pacing/server_pace.rs
@@ -17,8 +17,14 @@
 /// Lowest pace, requests a second: enough to find out whether the server answers.
 pub(crate) const MIN_PACE: f64 = 1.0;
 
-/// Share of bad answers from which a pace falls.
-const TROUBLE_SHARE: f64 = 0.2;
+/// Share of requests that were rejected or failed from which a pace falls.
+const LOST_SHARE: f64 = 0.2;
+
+/// Number and share of late answers from which a pace falls: more than one by chance. Those of earlier steps count half of what
+/// they did a step before.
+const MIN_LATE: f64 = 1.2;
+const LATE_SHARE: f64 = 0.5;
+const EARLIER_WEIGHT: f64 = 0.5;
 
 /// Times of answers beyond which a pace doesn't grow: in multiples of those of peers, if they also take this many thousandths
 /// of their goals.
@@ -47,6 +53,9 @@
     /// Answers and slots asked for since the last step.
     counts: AnswerCounts,
     asked: u32,
+    /// Answers, and late ones among them, of this step and earlier ones.
+    recent_answered: f64,
+    recent_late: f64,
     /// Answers in time since the last trouble.
     proven: u32,
 }
@@ -60,6 +69,8 @@
             stepped_at: now,
             counts: AnswerCounts::default(),
             asked: 0,
+            recent_answered: 0.0,
+            recent_late: 0.0,
             proven: 0,
         }
     }
@@ -90,7 +101,9 @@
         let asked = std::mem::take(&mut self.asked);
         let asked_per_s = f64::from(asked) / elapsed.as_secs_f64();
         self.stepped_at = now;
-        if is_trouble(&counts, peers) {
+        self.recent_answered = self.recent_answered * EARLIER_WEIGHT + f64::from(counts.answered());
+        self.recent_late = self.recent_late * EARLIER_WEIGHT + f64::from(counts.late);
+        if is_lost(&counts) || self.is_late(peers) {
             self.per_s = (self.per_s * FALL).max(MIN_PACE);
             self.trouble_at = now;
             self.proven = 0;
@@ -110,14 +123,19 @@
         let is_sufficient = asked_per_s < self.per_s * SUFFICIENT_SHARE;
         (is_proven && is_sufficient).then_some(PaceEnd::Sufficient)
     }
+
+    /// True if too many requests were answered late; peers that are as late excuse that.
+    fn is_late(&self, peers: &PeerAnswers) -> bool {
+        let late = self.recent_late - self.recent_answered * peers.late_share();
+        late >= MIN_LATE && late >= self.recent_answered * LATE_SHARE
+    }
 }
 
-/// True if too many requests were rejected, failed, or were answered late; peers that are as late excuse that.
-fn is_trouble(counts: &AnswerCounts, peers: &PeerAnswers) -> bool {
-    let answered = f64::from(counts.answered());
-    let late = (f64::from(counts.late) - answered * peers.late_share()).max(0.0);
+/// True if too many requests were rejected or failed.
+fn is_lost(counts: &AnswerCounts) -> bool {
     let lost = f64::from(counts.rejected) + f64::from(counts.missing);
-    late + lost > 0.0 && late + lost >= (answered + lost) * TROUBLE_SHARE
+    let all = f64::from(counts.answered()) + lost;
+    lost > 0.0 && lost >= all * LOST_SHARE
 }
 
 /// True if answers take much longer than those of peers.
--- a/crates/serving/tests/server_pace.rs
+++ b/crates/serving/tests/server_pace.rs
@@ -79,6 +79,8 @@
     Rejects(usize),
     /// Answers late.
     Late,
+    /// Answers late one time in ten, by chance.
+    SomeLate,
     /// Answers in time, but takes so many times as long as its peers.
     Slow(u32),
 }
@@ -168,6 +170,8 @@
             ServerKind::Rejects(most) if last_second.count() > most => (None, true),
             ServerKind::Sound | ServerKind::Rejects(_) => (Some(ANSWER_TIME), false),
             ServerKind::Late => (Some(GOAL * 2), false),
+            ServerKind::SomeLate if self.random.random_bool(0.1) => (Some(GOAL * 2), false),
+            ServerKind::SomeLate => (Some(ANSWER_TIME), false),
             ServerKind::Slow(factor) => (Some(ANSWER_TIME * factor), false),
         };
         let due_ms = now_ms + time.map_or(50, |time| time.as_millis() as u64);
@@ -318,6 +322,14 @@
     let sufficient = Some(PaceEnd::Sufficient);
     let cases = [
         case("sound", ServerKind::Sound, 8, MOST, 150, sufficient),
+        case(
+            "late at times",
+            ServerKind::SomeLate,
+            8,
+            MOST,
+            100,
+            sufficient,
+        ),
         case("rejects", ServerKind::Rejects(6), 8, 20, 25, None),
         case("late", ServerKind::Late, 8, 8, 8, None),
         case(
