--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -307,8 +307,7 @@
                 }
             }));
         }
-        let is_own_version = report.fence == self.fence;
-        let known_totals = is_own_version.then_some(report.totals_version);
+        let known_totals = (report.fence == self.fence).then_some(report.totals_version);
         let (backends, totals_version) = self.ledger.totals_since(known_totals.unwrap_or_default());
         FleetView {
             fence: self.fence,
--- a/crates/host/tests/store_era.rs
+++ b/crates/host/tests/store_era.rs
@@ -17,6 +17,9 @@
 use zinniahinge_platform_standins::RouteText;
 use zinniahinge_platform_standins::SeenOrder;
 use zinniahinge_platform_standins::StoreFault;
+use zinniahinge_types::FleetReport;
+use zinniahinge_types::FleetView;
+use zinniahinge_types::StoreEra;
 
 use crate::common::Outcome;
 use crate::common::TestBed;
@@ -180,6 +183,23 @@
     Ok(())
 }
 
+/// Guards against larger messages between hosts where the store names no era.
+#[test]
+fn messages_do_not_grow_without_eras() -> Outcome {
+    let report = serde_json::to_string(&FleetReport::default())?;
+    let view = serde_json::to_string(&FleetView::default())?;
+    for message in [report, view] {
+        assert_that!(message, not(contains_substring("era")));
+    }
+    let stated = FleetReport {
+        store_era: StoreEra(3),
+        ..FleetReport::default()
+    };
+    let stated = serde_json::to_string(&stated)?;
+    assert_that!(stated, contains_substring("\"store_era\":3"));
+    Ok(())
+}
+
 /// Returns the orders that all engines received, oldest first.
 fn all_orders(engines: &[BackendServer]) -> Vec<SeenOrder> {
     let mut orders: Vec<_> = engines.iter().flat_map(BackendServer::orders).collect();
