Serving: weigh the time that work takes on a backend server

Servers that share their machines state with each answer how long work takes at the moment. The figure was not read, and the speed of engines was one average for the fleet, so slow servers got as many requests as fast ones. Now hosts measure such servers by run, the coordinator learns a factor for each, and choice and placement count work with it. Not measured yet.

--- a/crates/host/src/backend_exchange.rs
+++ b/crates/host/src/backend_exchange.rs
@@ -64,6 +64,10 @@
         && response.status().is_success()
     {
         state.parts().record_progress(&context.facts, state.now());
+        if context.facts.model.is_none() {
+            let time = sent_at.elapsed();
+            state.timings().record_work(target, 1, time, state.now());
+        }
     }
     match &delivered {
         Err(_) => target.load.count_failure(),
--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -96,6 +96,9 @@
         let mut ledger = FleetLedger::new(settings, is_first, now);
         let table = state.table.load_full();
         ledger.record_stand_in(&state.take_stand_in(), table.accounts(), now);
+        for (run, factor) in table.learned_factors() {
+            ledger.assume_speed(&run, factor);
+        }
         let parts = PartLedger::new(&table.blocked, fence << VERSION_BITS_PER_FENCE, now);
         Self {
             state,
@@ -152,6 +155,7 @@
                 Some((slot.entry.id.clone(), limit_per_s))
             });
             planner.set_limits(&limits.collect());
+            planner.set_time_factors(&table.time_factors(&service));
         }
         let last_seen = self.state.with_source(|source| {
             let hosts = source.hosts.iter();
@@ -257,6 +261,11 @@
         let accounts = table.accounts();
         self.settle(&table, now);
         self.ledger.apply(report, accounts, now);
+        for change in self.ledger.take_speed_changes() {
+            info!(self.state.logger, "learned speed of a backend server changed";
+                "backend" => &*change.backend, "time_percent" => change.percent,
+                "time_percent_before" => change.percent_before, "fence" => self.fence);
+        }
         self.state.mark_leaving(&report.leaving);
         self.state.record_limits(&report.limits, now);
         self.parts.apply(&report.host, &report.parts, now);
--- a/crates/host/src/engine_timings.rs
+++ b/crates/host/src/engine_timings.rs
@@ -1,13 +1,19 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use zinniahinge_serving::BackendCandidate;
+use zinniahinge_types::BackendRun;
 use zinniahinge_types::EngineTimes;
+use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
+use zinniahinge_types::RunTimes;
 
-/// Times that engines took for this host's requests since the last report to the coordinator, by service.
+/// Times that engines took for this host's requests since the last report to the coordinator, by service, and those of servers
+/// that state how long work takes, by run.
 #[derive(Debug, Default)]
 pub(crate) struct EngineTimings {
     sums: HashMap<Name, EngineTimes>,
+    runs: HashMap<BackendRun, RunTimes>,
 }
 
 impl EngineTimings {
@@ -25,7 +31,35 @@
         sums.output_us += time.as_micros() as u64;
     }
 
-    /// Returns all sums for a report and resets them.
+    /// Adds the time in which `target` did work, until `now`. Counts nothing for a server that doesn't state how long work takes.
+    pub(crate) fn record_work(
+        &mut self,
+        target: &BackendCandidate,
+        units: u64,
+        time: Duration,
+        now: MonotonicTime,
+    ) {
+        let work_time = target.load.work_time();
+        if !work_time.is_stated() {
+            return;
+        }
+        let run = target.entry.run();
+        let sums = self.runs.entry(run.clone()).or_insert_with(|| RunTimes {
+            run,
+            service: target.entry.service.clone(),
+            units: 0,
+            time_us: 0,
+        });
+        sums.units += units;
+        sums.time_us += time.div_f64(work_time.mean_factor(time, now)).as_micros() as u64;
+    }
+
+    /// Returns the sums by run for a report and resets them.
+    pub(crate) fn take_runs(&mut self) -> Vec<RunTimes> {
+        std::mem::take(&mut self.runs).into_values().collect()
+    }
+
+    /// Returns the sums by service for a report and resets them.
     pub(crate) fn take(&mut self) -> Vec<EngineTimes> {
         std::mem::take(&mut self.sums).into_values().collect()
     }
--- a/crates/host/src/event_relay.rs
+++ b/crates/host/src/event_relay.rs
@@ -248,7 +248,9 @@
                         let (tokens, time) =
                             (self.context.facts.output_tokens, opened_at.elapsed());
                         let service = &self.context.service;
-                        self.state.timings().record_output(service, tokens, time);
+                        let mut timings = self.state.timings();
+                        timings.record_output(service, tokens, time);
+                        timings.record_work(&stream.target, tokens, time, self.state.now());
                     }
                     self.log.finish(SERVED, 200);
                     return;
--- a/crates/host/src/fleet_reporter.rs
+++ b/crates/host/src/fleet_reporter.rs
@@ -7,6 +7,7 @@
 use slog::warn;
 use tokio_util::sync::CancellationToken;
 use zinniahinge_serving::LIVENESS_INTERVAL;
+use zinniahinge_serving::WorkTime;
 use zinniahinge_types::BackendTotal;
 use zinniahinge_types::BackendUse;
 use zinniahinge_types::BlockedParts;
@@ -87,6 +88,7 @@
             }
             self.refresh_host_record(&mut session).await;
             self.settle_limits();
+            self.gauge_work_times();
         }
     }
 
@@ -100,6 +102,19 @@
             .with_source(|source| shares.retain(|run| source.load(run).is_some()));
     }
 
+    /// Sets the gauges of how much the times of work differ between backend servers.
+    fn gauge_work_times(&self) {
+        let table = self.state.table.load();
+        let now = self.state.now();
+        let slots = table.services.values().flatten();
+        let times: Vec<WorkTime> = slots.map(|slot| slot.load.work_time()).collect();
+        let learned = times.iter().filter_map(WorkTime::learned);
+        let stated = times.iter().filter_map(|time| time.stated(now));
+        let counters = &self.state.counters;
+        counters.learned_spread.set(spread_percent(learned));
+        counters.stated_spread.set(spread_percent(stated));
+    }
+
     /// Writes this host's record again after [`LIVENESS_INTERVAL`] without an answered report or a write. The coordinator learns
     /// from it that this host is alive, and keeps this host's share of the accounts' rates reserved.
     async fn refresh_host_record(&self, session: &mut ReportSession) {
@@ -227,6 +242,7 @@
             backends: backends.collect(),
             models: state.uses().take(),
             engine_times: state.timings().take(),
+            run_times: state.timings().take_runs(),
             parts: PartReport {
                 blocked_version: table.blocked.version,
                 prior_blocked: (is_new && !table.blocked.parts.is_empty())
@@ -317,7 +333,19 @@
                 total.pending_tokens.saturating_sub(own_tokens),
                 total.is_suspect,
             );
+            if let Some(percent) = total.time_percent {
+                slot.load.set_learned_factor(f64::from(percent) / 100.0);
+            }
         }
         session.totals.retain(|id, _| listed.contains(id));
     }
 }
+
+/// The largest factor in percent of the smallest; 0 without any.
+fn spread_percent(factors: impl Iterator<Item = f64>) -> i64 {
+    let ends = factors.fold(None, |ends: Option<(f64, f64)>, factor| {
+        let (low, high) = ends.unwrap_or((factor, factor));
+        Some((low.min(factor), high.max(factor)))
+    });
+    ends.map_or(0, |(low, high)| (high / low * 100.0).round() as i64)
+}
--- a/crates/host/src/fleet_table.rs
+++ b/crates/host/src/fleet_table.rs
@@ -76,10 +76,7 @@
 
     /// Names its run.
     pub(crate) fn run(&self) -> BackendRun {
-        BackendRun {
-            backend: self.entry.id.clone(),
-            born_ms: self.entry.born_ms,
-        }
+        self.entry.run()
     }
 
     /// True if it says that it leaves while the store lists it as ready.
@@ -148,6 +145,23 @@
         notices.collect()
     }
 
+    /// Learned time factors of runs.
+    pub(crate) fn learned_factors(&self) -> Vec<(BackendRun, f64)> {
+        let slots = self.services.values().flatten();
+        let learned = slots.filter_map(|slot| Some((slot.run(), slot.load.work_time().learned()?)));
+        learned.collect()
+    }
+
+    /// Learned time factors of a service's backend servers.
+    pub(crate) fn time_factors(&self, service: &str) -> HashMap<Name, f64> {
+        let slots = self.backends(service).iter();
+        let learned = slots.filter_map(|slot| {
+            let factor = slot.load.work_time().learned()?;
+            Some((slot.entry.id.clone(), factor))
+        });
+        learned.collect()
+    }
+
     /// Number of backend servers that limit requests.
     pub(crate) fn limited_count(&self) -> usize {
         let slots = self.services.values().flatten();
--- a/crates/host/src/host_counters.rs
+++ b/crates/host/src/host_counters.rs
@@ -21,6 +21,10 @@
     pub(crate) slots: IntCounterVec,
     /// Backend servers that limit requests, as this host knows.
     pub(crate) limited_servers: IntGauge,
+    /// Learned time of work on the slowest server, in percent of that on the fastest; 0 if none is known.
+    pub(crate) learned_spread: IntGauge,
+    /// The same of the times that servers state at the moment.
+    pub(crate) stated_spread: IntGauge,
     /// Questions to engines whether they still work on a request, by what the answer shows and whether the request may go
     /// on at another server.
     pub(crate) run_lookups: IntCounterVec,
@@ -73,6 +77,14 @@
                 "host_limited_servers",
                 "Backend servers that limit the requests of all hosts together",
             )?,
+            learned_spread: registry.gauge(
+                "host_learned_work_spread_percent",
+                "Learned time of work on the slowest backend server, in percent of that on the fastest",
+            )?,
+            stated_spread: registry.gauge(
+                "host_stated_work_spread_percent",
+                "Largest time of work that a backend server states, in percent of the smallest",
+            )?,
             run_lookups: registry.counter_vec(
                 "host_run_lookups_total",
                 "Runs looked up at engines by evidence and permission to go on elsewhere",
--- a/crates/serving/src/coordination/fleet_ledger.rs
+++ b/crates/serving/src/coordination/fleet_ledger.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use zinniahinge_types::AccountLevel;
+use zinniahinge_types::BackendRun;
 use zinniahinge_types::BackendTotal;
 use zinniahinge_types::BackendUse;
 use zinniahinge_types::FleetReport;
@@ -15,6 +16,8 @@
 use crate::AccountTable;
 use crate::BackendHealth;
 use crate::MeterSettings;
+use crate::RunSpeeds;
+use crate::SpeedChange;
 use crate::StandInMeter;
 use crate::accounts::account_ledger::AccountLedger;
 use crate::coordination::host_presence::HostPresence;
@@ -50,6 +53,8 @@
     presence: HostPresence,
     totals: BackendTotals,
     health: BackendHealth,
+    speeds: RunSpeeds,
+    speed_changes: Vec<SpeedChange>,
     settled_at: Option<MonotonicTime>,
 }
 
@@ -74,6 +79,8 @@
             presence: HostPresence::new(now),
             totals: BackendTotals::default(),
             health: BackendHealth::default(),
+            speeds: RunSpeeds::default(),
+            speed_changes: Vec::new(),
             settled_at: None,
         }
     }
@@ -178,6 +185,13 @@
             } = usage;
             self.health.add(backend, *succeeded, *failed, now);
         }
+        for times in &report.run_times {
+            if let Some(change) = self.speeds.record(times) {
+                self.totals
+                    .set_time_percent(&change.backend, change.percent);
+                self.speed_changes.push(change);
+            }
+        }
         let record = self.hosts.entry(report.host.clone()).or_default();
         self.totals.replace(&record.backends, &report.backends);
         record.backends.clone_from(&report.backends);
@@ -186,6 +200,17 @@
         record.apply_rates(report, elapsed, &mut self.accounts);
     }
 
+    /// Continues from a time factor that an earlier coordinator learned.
+    pub fn assume_speed(&mut self, run: &BackendRun, factor: f64) {
+        let percent = self.speeds.assume(run, factor);
+        self.totals.set_time_percent(&run.backend, percent);
+    }
+
+    /// Returns the changes of learned speeds since the last call.
+    pub fn take_speed_changes(&mut self) -> Vec<SpeedChange> {
+        std::mem::take(&mut self.speed_changes)
+    }
+
     /// Records that a host reached the coordinator, and frees the rate share that was reserved for it.
     fn record_contact(&mut self, host: &str, accounts: &AccountTable, now: MonotonicTime) {
         let kept = self.presence.record_contact(host, now);
@@ -263,6 +288,7 @@
     /// Drops the backend servers for which `keep` returns false.
     pub fn retain_backends(&mut self, keep: impl Fn(&Name) -> bool) {
         self.health.retain(&keep);
+        self.speeds.retain(&keep);
         self.totals.retain(&keep);
     }
 }
--- a/crates/serving/src/residency/engine_record.rs
+++ b/crates/serving/src/residency/engine_record.rs
@@ -59,6 +59,8 @@
     pub(crate) paused: BTreeMap<Name, MonotonicTime>,
     /// Requests a second that the engine takes from all hosts together; `None` if it states no limit.
     pub(crate) request_limit: Option<f64>,
+    /// Time that work takes on the engine, as a factor of the average; 1 if it was not measured.
+    pub(crate) time_factor: f64,
 }
 
 /// A model on an engine: loaded, loading or unloading.
@@ -191,6 +193,7 @@
             last_order_at: MonotonicTime::ZERO,
             paused: BTreeMap::new(),
             request_limit: None,
+            time_factor: 1.0,
         };
         record.update_held(&entry.held, now);
         record
@@ -233,6 +236,11 @@
         }
     }
 
+    /// True if a replica here serves more or fewer requests than one on an average engine without a limit.
+    pub(crate) fn is_uneven(&self) -> bool {
+        self.request_limit.is_some() || self.time_factor != 1.0
+    }
+
     /// True if the engine can take an order now.
     pub(crate) fn is_free(&self, now: MonotonicTime) -> bool {
         let idle = self
--- a/crates/serving/src/residency/plan_snapshot.rs
+++ b/crates/serving/src/residency/plan_snapshot.rs
@@ -32,7 +32,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct ReplicaSupply {
     pub(crate) count: usize,
-    /// What they serve, as a number of replicas on engines without a limit.
+    /// What they serve, as a number of replicas on engines of average speed without a limit.
     pub(crate) capacity: f64,
 }
 
@@ -63,8 +63,8 @@
             supply.capacity += 1.0;
         }
         // The shares depend on the counts of all models.
-        let limited = held().filter(|(record, _)| record.request_limit.is_some());
-        let missing = limited.map(|(record, model)| {
+        let uneven = held().filter(|(record, _)| record.is_uneven());
+        let missing = uneven.map(|(record, model)| {
             let share = self.replica_share(record, model, &replicas, now);
             (model, 1.0 - share)
         });
--- a/crates/serving/src/residency/residency_limits.rs
+++ b/crates/serving/src/residency/residency_limits.rs
@@ -1,5 +1,5 @@
-//! What engines serve that take only so many requests a second. The limit makes a replica a fraction of a full one;
-//! everything else a [`ResidencyPlanner`] decides follows from the sum of these shares.
+//! What engines serve that take only so many requests a second, or that are faster or slower than others. A limit makes a
+//! replica a fraction of a full one, and the speed makes it more or less than one; everything else a [`ResidencyPlanner`] decides follows from the sum of these shares.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -24,8 +24,16 @@
         }
     }
 
-    /// Share of a full replica's requests that a replica of the model on the engine can serve: 1 without a limit. The
-    /// models of an engine divide its limit by their demand.
+    /// Replaces the learned speeds of engines: by engine, the time that work takes as a factor of the average. Engines without
+    /// an entry count as average.
+    pub fn set_time_factors(&mut self, factors: &HashMap<Name, f64>) {
+        for record in self.engines.values_mut() {
+            record.time_factor = factors.get(&record.id).copied().unwrap_or(1.0);
+        }
+    }
+
+    /// Share of a full replica's requests that a replica of the model on the engine can serve: 1 on an engine of average
+    /// speed without a limit. The models of an engine divide its limit by their demand.
     pub(crate) fn replica_share(
         &self,
         record: &EngineRecord,
@@ -33,12 +41,13 @@
         replicas: &HashMap<Name, ReplicaSupply>,
         now: MonotonicTime,
     ) -> f64 {
+        let full = 1.0 / record.time_factor;
         let Some(limit) = record.request_limit else {
-            return 1.0;
+            return full;
         };
         let (rate, work) = self.model_load(model, now);
         if rate <= 0.0 {
-            return 1.0;
+            return full;
         }
         let known = replicas.get(model).map_or(0, |supply| supply.count);
         let count = known + usize::from(!record.keeps(model));
@@ -49,7 +58,7 @@
             .sum();
         let taken = limit * own / (own + others);
         // A full replica serves as many requests a second as fit into a second of work.
-        (taken * work / rate).clamp(0.0, 1.0)
+        (taken * work / rate).clamp(0.0, full)
     }
 
     /// Engines that get more requests a second than their limit if the demand of each model is spread evenly over its
--- a/crates/serving/src/routing/backend_chooser.rs
+++ b/crates/serving/src/routing/backend_chooser.rs
@@ -20,6 +20,8 @@
 pub struct ChooserWeights {
     /// Prefill time of one prompt token.
     pub prompt_token: f64,
+    /// Time that a request takes at an idle server, besides its prefill. A slow server's request pays for the difference.
+    pub service: f64,
     /// Delay for each running request.
     pub running: f64,
     /// Delay for each waiting request.
@@ -62,6 +64,7 @@
     /// running requests together.
     pub const MODELS: Self = Self {
         prompt_token: 0.026,
+        service: 0.0,
         running: 8.0,
         waiting: 60.0,
         other_data_centre: 12.0,
@@ -77,6 +80,7 @@
     /// Weights for services without models.
     pub const PLAIN: Self = Self {
         prompt_token: 0.0,
+        service: 60.0,
         running: 10.0,
         waiting: 30.0,
         other_data_centre: 8.0,
@@ -104,6 +108,8 @@
 }
 
 /// Chooses the backend server with the shortest expected wait for a request.
+///
+/// Work counts with the time that it takes on the server. Servers that don't state it are all alike.
 #[derive(Clone, Debug)]
 pub struct BackendChooser {
     /// Id of this host, which selects the servers that it prefers.
@@ -148,7 +154,9 @@
                 _ => 0.0,
             };
             let own_tokens = (facts.prompt_tokens as f64 - cached * shared).max(0.0);
-            let mut cost = waits[index] + own_tokens * weights.prompt_token * congestion;
+            let factor = candidate.load.work_time().factor(now);
+            let prefill = own_tokens * weights.prompt_token * congestion;
+            let mut cost = waits[index] + prefill * factor + weights.service * (factor - 1.0);
             if ranks_by_hash[index] >= weights.preferred_servers {
                 cost += if is_shared {
                     weights.non_preferred_prefill * shared * weights.prompt_token
@@ -185,9 +193,10 @@
         let running = running.max(load.fleet_in_flight());
         let over_slots = running.saturating_sub(entry.slots.max(1) - 1);
         let waiting = waiting.max(over_slots);
-        let mut cost = load.fleet_pending_tokens() as f64 * weights.prompt_token
+        let work = load.fleet_pending_tokens() as f64 * weights.prompt_token
             + f64::from(running) * weights.running
             + f64::from(waiting) * weights.waiting;
+        let mut cost = work * load.work_time().factor(now);
         if entry.place != self.place {
             cost += weights.other_data_centre;
         }
--- a/crates/serving/src/routing/backend_entry.rs
+++ b/crates/serving/src/routing/backend_entry.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 
+use zinniahinge_types::BackendRun;
 use zinniahinge_types::Name;
 
 /// Whether a backend server accepts new requests.
@@ -48,6 +49,14 @@
 }
 
 impl BackendEntry {
+    /// Names the run.
+    pub fn run(&self) -> BackendRun {
+        BackendRun {
+            backend: self.id.clone(),
+            born_ms: self.born_ms,
+        }
+    }
+
     /// True if the server published `other` after this entry.
     pub fn is_older_than(&self, other: &Self) -> bool {
         (self.born_ms, self.sequence) < (other.born_ms, other.sequence)
--- a/crates/serving/src/routing/backend_load.rs
+++ b/crates/serving/src/routing/backend_load.rs
@@ -16,6 +16,7 @@
 use crate::LimitStatement;
 use crate::RequestFacts;
 use crate::SentParts;
+use crate::WorkTime;
 use crate::routing::limit_record::LimitRecord;
 
 /// Time for which a server is avoided after it gave this host no answer.
@@ -30,6 +31,8 @@
     pub waiting: u32,
     /// Number of requests that may run concurrently.
     pub slots: u32,
+    /// Time that work takes at the moment, in percent of the usual; `None` if the server doesn't state it.
+    pub work_percent: Option<u32>,
 }
 
 /// Load and recent outcomes of one run of a backend server, as this host knows them.
@@ -54,6 +57,7 @@
     succeeded: AtomicU32,
     failed: AtomicU32,
     sample: Mutex<Option<(LoadSample, MonotonicTime)>>,
+    work_time: Mutex<WorkTime>,
     parts: Mutex<SentParts>,
     /// This host's requests for models, and the output tokens that they allow, by model and adapter.
     runs: Mutex<HashMap<RunKey, RunSum>>,
@@ -108,6 +112,30 @@
     /// Records the load that the server stated with an answer.
     pub fn record_sample(&self, sample: LoadSample, now: MonotonicTime) {
         *self.sample.lock().unwrap_or_else(PoisonError::into_inner) = Some((sample, now));
+        if let Some(percent) = sample.work_percent {
+            self.lock_work_time().record_statement(percent, now);
+        }
+    }
+
+    /// Sets the time factor of the run that the coordinator learned.
+    pub fn set_learned_factor(&self, factor: f64) {
+        self.lock_work_time().set_learned(factor);
+    }
+
+    /// True if the server states how long work takes on it.
+    pub fn states_work_time(&self) -> bool {
+        self.work_time().is_stated()
+    }
+
+    /// How long work takes on the server, as this host knows it.
+    pub fn work_time(&self) -> WorkTime {
+        *self.lock_work_time()
+    }
+
+    fn lock_work_time(&self) -> MutexGuard<'_, WorkTime> {
+        self.work_time
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The last stated load, if it is younger than `limit`.
--- a/crates/serving/src/routing/backend_totals.rs
+++ b/crates/serving/src/routing/backend_totals.rs
@@ -28,6 +28,8 @@
     in_flight: u32,
     pending_tokens: u64,
     is_suspect: bool,
+    /// Time that work takes, in percent of the average; `None` if it was not measured.
+    time_percent: Option<u32>,
     /// Requests, prompt tokens and suspicion that are sent to hosts since `version`.
     published: (u32, u64, bool),
     version: u64,
@@ -71,6 +73,15 @@
         }
     }
 
+    /// Sets the time that work takes on a server, in percent of the average of its service, and publishes it.
+    pub(crate) fn set_time_percent(&mut self, backend: &Name, percent: u32) {
+        let record = self.records.entry(backend.clone()).or_default();
+        if record.time_percent.replace(percent) != Some(percent) {
+            self.version += 1;
+            record.version = self.version;
+        }
+    }
+
     /// Publishes the server's total under a new version if it has changed enough.
     fn record_change(&mut self, backend: &Name) {
         let Some(record) = self.records.get_mut(backend) else {
@@ -102,6 +113,7 @@
                 in_flight,
                 pending_tokens,
                 is_suspect,
+                time_percent: record.time_percent,
             }
         });
         (totals.collect(), self.version)
--- a/crates/serving/tests/backend_choice.rs
+++ b/crates/serving/tests/backend_choice.rs
@@ -98,6 +98,7 @@
             name: "states queued requests",
             degrade: |backend| {
                 let sample = LoadSample {
+                    work_percent: None,
                     running: 8,
                     waiting: 5,
                     slots: 8,
--- a/crates/types/src/fleet_message.rs
+++ b/crates/types/src/fleet_message.rs
@@ -48,6 +48,9 @@
     /// them: they are samples, not counts.
     #[serde(default)]
     pub engine_times: Vec<EngineTimes>,
+    /// Times that servers which state how long work takes on them took since the last report, by run. Samples, as above.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub run_times: Vec<RunTimes>,
     /// What the sender's requests showed about the parts of their prompts. Empty in reports of earlier versions.
     #[serde(default)]
     pub parts: PartReport,
@@ -153,6 +156,20 @@
     pub output_us: u64,
 }
 
+/// Sums up the times that one run of a backend server took for requests of one host. What the server stated about its machine at
+/// that moment is taken out of them.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RunTimes {
+    /// The run.
+    pub run: BackendRun,
+    /// Service that the server belongs to.
+    pub service: Name,
+    /// Output tokens that requests with complete answers allowed; answered requests for a service without models.
+    pub units: u64,
+    /// Time of these answers, microseconds: from the first to the last event, or from the send to the end.
+    pub time_us: u64,
+}
+
 /// Answers a [`FleetReport`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum FleetReply {
@@ -220,6 +237,9 @@
     pub pending_tokens: u64,
     /// True if the backend server fails more requests than its peers do, so that hosts avoid it.
     pub is_suspect: bool,
+    /// Time that work takes on the server, in percent of the average of its service; `None` if it was not measured.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub time_percent: Option<u32>,
 }
 
 /// Asks to charge one request to a client account, if the sender has no recent level or the account is near its limit.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -47,6 +47,7 @@
 pub use fleet_message::PlacementReply;
 pub use fleet_message::PlacementRequest;
 pub use fleet_message::PriorLevel;
+pub use fleet_message::RunTimes;
 pub use ident::GrantId;
 pub use ident::HostId;
 pub use ident::Incarnation;
