Serving: prefer fewer servers where totals are old and servers are uneven

Replay of hundreds of hosts with totals 0.9 s old: all chose the server that was free 0.9 s ago. Where servers state their work time, a request leaves the servers that its host prefers only for a difference larger than the age of the totals, and servers are preferred in proportion to their learned speed.

--- a/crates/host/src/fleet_reporter.rs
+++ b/crates/host/src/fleet_reporter.rs
@@ -1,6 +1,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use slog::info;
@@ -77,6 +78,10 @@
         loop {
             let hosts = self.state.with_source(|source| source.hosts.len() as u32);
             let interval = self.interval.max(INTERVAL_PER_HOST * hosts);
+            // The reports of other hosts are up to an interval old, and so is the answer that sums them up.
+            let totals_age = interval * 2;
+            let totals_age_ms = &self.state.totals_age_ms;
+            totals_age_ms.store(totals_age.as_millis() as u64, Ordering::Relaxed);
             let pause = tokio::time::sleep(interval);
             if token.run_until_cancelled(pause).await.is_none() {
                 return;
--- a/crates/host/src/host_process.rs
+++ b/crates/host/src/host_process.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
@@ -212,6 +213,7 @@
         limit_shares: Mutex::default(),
         uses: Mutex::new(ModelUses::default()),
         timings: Mutex::new(EngineTimings::default()),
+        totals_age_ms: AtomicU64::new(0),
         parts: Mutex::default(),
         silent_hosts: Mutex::default(),
         link,
--- a/crates/host/src/host_state.rs
+++ b/crates/host/src/host_state.rs
@@ -2,6 +2,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -73,6 +75,8 @@
     pub(crate) timings: Mutex<EngineTimings>,
     /// What requests showed about their prompt parts.
     pub(crate) parts: Mutex<PartWatch>,
+    /// Age that the loads of other hosts may have, milliseconds.
+    pub(crate) totals_age_ms: AtomicU64,
     /// Hosts that did not answer this one lately.
     pub(crate) silent_hosts: Mutex<SilentHosts>,
     /// Asks backend servers what they work on.
@@ -259,6 +263,11 @@
         self.retries.set_hosts(hosts);
     }
 
+    /// Age that the loads of other hosts may have.
+    pub(crate) fn totals_age(&self) -> Duration {
+        Duration::from_millis(self.totals_age_ms.load(Ordering::Relaxed))
+    }
+
     /// Calls `read` with the table's source under its lock.
     pub(crate) fn with_source<T>(&self, read: impl FnOnce(&TableSource) -> T) -> T {
         read(&self.source.lock().unwrap_or_else(PoisonError::into_inner))
--- a/crates/host/src/target_choice.rs
+++ b/crates/host/src/target_choice.rs
@@ -212,6 +212,7 @@
     let chooser = BackendChooser {
         host: state.startup.host.clone(),
         place: state.startup.place.clone(),
+        totals_age: state.totals_age(),
         weights,
     };
     let index = chooser.choose(&candidates, &context.facts, state.now())?;
--- a/crates/serving/src/routing/backend_chooser.rs
+++ b/crates/serving/src/routing/backend_chooser.rs
@@ -116,6 +116,9 @@
     pub host: HostId,
     /// Data centre of this host.
     pub place: Name,
+    /// Age that the loads of other hosts may have. Among servers that state how long work takes, it is the least cost of a
+    /// server that the host doesn't prefer: a shorter difference may be over.
+    pub totals_age: Duration,
     /// Costs that make up the expected wait.
     pub weights: ChooserWeights,
 }
@@ -133,6 +136,16 @@
     ) -> Option<usize> {
         let weights = &self.weights;
         let shared = shared_tokens(facts);
+        let non_preferred = if candidates
+            .iter()
+            .any(|candidate| candidate.load.work_time().is_known())
+        {
+            weights
+                .non_preferred
+                .max(self.totals_age.as_secs_f64() * 1000.0)
+        } else {
+            weights.non_preferred
+        };
         let part = shared_part_key(facts);
         let is_shared = shared >= MIN_SHARED_TOKENS;
         let ranks_by_hash = match part {
@@ -161,7 +174,7 @@
                 cost += if is_shared {
                     weights.non_preferred_prefill * shared * weights.prompt_token
                 } else {
-                    weights.non_preferred
+                    non_preferred
                 };
             }
             (index, cost)
@@ -214,18 +227,36 @@
 }
 
 /// Rank of each server in the order given by a hash of `key`; 0 is the first.
+///
+/// Over many keys, each server is first in proportion to its learned speed. If the speed of one changes, only keys between it and
+/// the others change their order.
 fn ranks_by_hash(key: u64, candidates: &[BackendCandidate]) -> Vec<usize> {
-    let ranks = candidates
+    let scores = candidates.iter().map(|candidate| {
+        let hash = rank(key, &candidate.entry.id);
+        let learned = candidate.load.work_time().learned();
+        (uneven_score(hash, learned.unwrap_or(1.0)), hash)
+    });
+    let mut scores: Vec<(f64, u64)> = scores.collect();
+    let is_even = candidates
         .iter()
-        .map(|candidate| rank(key, &candidate.entry.id));
-    let ranks: Vec<u64> = ranks.collect();
-    let ranks_by_hash = ranks.iter().map(|own| {
-        let before = ranks.iter().filter(|other| *other > own);
+        .all(|candidate| candidate.load.work_time().learned().is_none());
+    if is_even {
+        // The hashes alone, without the rounding of the scores.
+        scores.iter_mut().for_each(|(score, _)| *score = 0.0);
+    }
+    let ranks_by_hash = scores.iter().map(|own| {
+        let before = scores.iter().filter(|other| *other > own);
         before.count()
     });
     ranks_by_hash.collect()
 }
 
+/// Score of a server in weighted rendezvous hashing, with its speed as weight; the highest one is first.
+fn uneven_score(hash: u64, time_factor: f64) -> f64 {
+    let share = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    share.ln() * time_factor
+}
+
 /// Key of the request's shared part, with its model and adapter, because engines cache parts separately for each.
 pub(crate) fn shared_part_key(facts: &RequestFacts) -> Option<u64> {
     let part = facts.shared_part()?;
--- a/crates/serving/src/routing/run_speeds.rs
+++ b/crates/serving/src/routing/run_speeds.rs
@@ -6,7 +6,7 @@
 
 /// Work of usual speed that each run is assumed to have done at first, seconds: that of one or two requests. Few samples
 /// then change the learned factor little.
-const PRIOR_S: f64 = 1.0;
+const PRIOR_S: f64 = 0.5;
 
 /// Work by which a factor is learned, seconds. Older work loses its weight.
 const MEMORY_S: f64 = 30.0;
@@ -22,7 +22,7 @@
 const MAX_RATIO: f64 = 4.0;
 
 /// Relative change from which a factor is sent to hosts again.
-const CHANGE_SHARE: f64 = 1.0 / 6.0;
+const CHANGE_SHARE: f64 = 0.1;
 
 /// How fast the runs of backend servers are, relative to the average of their service. Kept by the coordinator, from the
 /// times that all hosts measure.
--- a/crates/serving/src/routing/work_time.rs
+++ b/crates/serving/src/routing/work_time.rs
@@ -44,6 +44,11 @@
         self.statement.is_some()
     }
 
+    /// True if the server has stated it, or other hosts have and it was learned.
+    pub fn is_known(&self) -> bool {
+        self.is_stated() || self.learned.is_some()
+    }
+
     /// The last statement, as a factor, if it still counts.
     pub fn stated(&self, now: MonotonicTime) -> Option<f64> {
         let (factor, at) = self.statement?;
--- a/crates/serving/tests/backend_choice.rs
+++ b/crates/serving/tests/backend_choice.rs
@@ -56,6 +56,7 @@
     BackendChooser {
         host: name("h1"),
         place: name("a"),
+        totals_age: Duration::from_millis(900),
         weights: ChooserWeights::MODELS,
     }
 }
--- a/crates/serving/tests/backend_choice_fleet.rs
+++ b/crates/serving/tests/backend_choice_fleet.rs
@@ -5,6 +5,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::Duration;
 
 use googletest::prelude::*;
 use rand::Rng;
@@ -122,6 +123,7 @@
         let chooser = BackendChooser {
             host: format!("h{host}").into(),
             place: name("a"),
+            totals_age: Duration::from_millis(900),
             weights,
         };
         let chosen = chooser
