--- a/crates/host/src/engine_timings.rs
+++ b/crates/host/src/engine_timings.rs
@@ -54,14 +54,10 @@
         sums.time_us += time.div_f64(work_time.mean_factor(time, now)).as_micros() as u64;
     }
 
-    /// Returns the sums by run for a report and resets them.
-    pub(crate) fn take_runs(&mut self) -> Vec<RunTimes> {
-        std::mem::take(&mut self.runs).into_values().collect()
-    }
-
-    /// Returns the sums by service for a report and resets them.
-    pub(crate) fn take(&mut self) -> Vec<EngineTimes> {
-        std::mem::take(&mut self.sums).into_values().collect()
+    /// Returns the sums by service and by run for a report, and resets them.
+    pub(crate) fn take(&mut self) -> (Vec<EngineTimes>, Vec<RunTimes>) {
+        let Self { sums, runs } = std::mem::take(self);
+        (sums.into_values().collect(), runs.into_values().collect())
     }
 
     fn sums(&mut self, service: &Name) -> &mut EngineTimes {
--- a/crates/host/src/fleet_reporter.rs
+++ b/crates/host/src/fleet_reporter.rs
@@ -222,6 +222,7 @@
         } else {
             MAX_LIMIT_AGE
         };
+        let (engine_times, run_times) = state.timings().take();
         let table = state.table.load();
         let slots = table.services.values().flatten();
         let backends = slots.filter_map(|slot| {
@@ -246,8 +247,8 @@
             heard: prior_levels,
             backends: backends.collect(),
             models: state.uses().take(),
-            engine_times: state.timings().take(),
-            run_times: state.timings().take_runs(),
+            engine_times,
+            run_times,
             parts: PartReport {
                 blocked_version: table.blocked.version,
                 prior_blocked: (is_new && !table.blocked.parts.is_empty())
