--- a/crates/host/src/backend_exchange.rs
+++ b/crates/host/src/backend_exchange.rs
@@ -65,8 +65,8 @@
     {
         state.parts().record_progress(&context.facts, state.now());
         if context.facts.model.is_none() {
-            let time = sent_at.elapsed();
-            state.timings().record_work(target, 1, time, state.now());
+            let work = (None, 1, sent_at.elapsed());
+            state.timings().record_work(target, work, state.now());
         }
     }
     match &delivered {
--- a/crates/host/src/engine_timings.rs
+++ b/crates/host/src/engine_timings.rs
@@ -13,7 +13,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct EngineTimings {
     sums: HashMap<Name, EngineTimes>,
-    runs: HashMap<BackendRun, RunTimes>,
+    runs: HashMap<(BackendRun, Option<Name>), RunTimes>,
 }
 
 impl EngineTimings {
@@ -31,12 +31,12 @@
         sums.output_us += time.as_micros() as u64;
     }
 
-    /// Adds the time in which `target` did work, until `now`. Counts nothing for a server that doesn't state how long work takes.
+    /// Adds work of `target` that ended at `now`: the model, the units of work and their time. Counts nothing for a server
+    /// that doesn't state how long work takes.
     pub(crate) fn record_work(
         &mut self,
         target: &BackendCandidate,
-        units: u64,
-        time: Duration,
+        (model, units, time): (Option<&Name>, u64, Duration),
         now: MonotonicTime,
     ) {
         let work_time = target.load.work_time();
@@ -44,8 +44,10 @@
             return;
         }
         let run = target.entry.run();
-        let sums = self.runs.entry(run.clone()).or_insert_with(|| RunTimes {
+        let key = (run.clone(), model.cloned());
+        let sums = self.runs.entry(key).or_insert_with(|| RunTimes {
             run,
+            model: model.cloned(),
             service: target.entry.service.clone(),
             units: 0,
             time_us: 0,
--- a/crates/host/src/event_relay.rs
+++ b/crates/host/src/event_relay.rs
@@ -22,6 +22,7 @@
 use crate::backend_send::send;
 use crate::caller_response::ResponseBody;
 use crate::caller_response::StreamAborted;
+use crate::event_gaps::EventGaps;
 use crate::forward::may_send_again;
 use crate::host_state::HostState;
 use crate::next_target::next_target;
@@ -215,6 +216,7 @@
         sender: mpsc::Sender<Result<Bytes, StreamAborted>>,
     ) {
         let opened_at = Instant::now();
+        let mut gaps = EventGaps::start();
         let mut is_resumed = false;
         let mut is_under_way = false;
         let mut events = std::mem::take(&mut stream.first_events);
@@ -233,6 +235,7 @@
             let failure = match self.next_step(&mut stream).await {
                 StreamStep::Events(next) => {
                     self.log.record_event_gap(waiting_since.elapsed());
+                    gaps.record(next.events);
                     events = next;
                     continue;
                 }
@@ -250,7 +253,11 @@
                         let service = &self.context.service;
                         let mut timings = self.state.timings();
                         timings.record_output(service, tokens, time);
-                        timings.record_work(&stream.target, tokens, time, self.state.now());
+                        if let Some((count, median)) = gaps.median() {
+                            let model = self.context.facts.model.as_ref();
+                            let work = (model, count, median * count as u32);
+                            timings.record_work(&stream.target, work, self.state.now());
+                        }
                     }
                     self.log.finish(SERVED, 200);
                     return;
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -13,6 +13,7 @@
 mod coordinator_election;
 mod coordinator_orders;
 mod engine_timings;
+mod event_gaps;
 mod event_relay;
 mod filters;
 mod fleet_reporter;
--- a/crates/serving/src/routing/run_speeds.rs
+++ b/crates/serving/src/routing/run_speeds.rs
@@ -11,8 +11,8 @@
 /// Work by which a factor is learned, seconds. Older work loses its weight.
 const MEMORY_S: f64 = 30.0;
 
-/// Work over which the average of a service is taken, seconds.
-const SERVICE_MEMORY_S: f64 = 300.0;
+/// Work over which the average of one kind is taken, seconds.
+const KIND_MEMORY_S: f64 = 300.0;
 
 /// Work from which a factor of an earlier coordinator is taken to come, seconds.
 const ASSUMED_S: f64 = 5.0;
@@ -31,7 +31,8 @@
 /// slow server from an unlucky request.
 #[derive(Debug, Default)]
 pub struct RunSpeeds {
-    services: HashMap<Name, ServiceAverage>,
+    /// Averages by service and model.
+    averages: HashMap<(Name, Option<Name>), WorkAverage>,
     runs: HashMap<Name, RunSpeed>,
 }
 
@@ -46,9 +47,9 @@
     pub percent_before: u32,
 }
 
-/// Work and its time over all runs of a service.
+/// Work of one kind over all runs, and its time on a server of average speed.
 #[derive(Debug, Default)]
-struct ServiceAverage {
+struct WorkAverage {
     units: f64,
     time_s: f64,
 }
@@ -70,10 +71,6 @@
             return None;
         }
         let taken_s = times.time_us as f64 / 1e6;
-        let average = self.services.entry(times.service.clone()).or_default();
-        let usual_s = average.usual_s(times.units).unwrap_or(taken_s);
-        let taken_s = taken_s.clamp(usual_s / MAX_RATIO, usual_s * MAX_RATIO);
-        average.add(times.units as f64, taken_s);
         let run = self
             .runs
             .entry(times.run.backend.clone())
@@ -85,6 +82,13 @@
         if times.run.born_ms > run.born_ms {
             *run = RunSpeed::new(times.run.born_ms);
         }
+        let kind = (times.service.clone(), times.model.clone());
+        let average = self.averages.entry(kind).or_default();
+        let usual_s = average.usual_s(times.units);
+        let usual_s = usual_s.unwrap_or(taken_s / run.factor());
+        let taken_s = taken_s.clamp(usual_s / MAX_RATIO, usual_s * MAX_RATIO);
+        // Work that only slow servers do doesn't make them average.
+        average.add(times.units as f64, taken_s / run.factor());
         run.add(taken_s, usual_s);
         let factor = run.factor();
         let is_noticeable = (factor / before - 1.0).abs() >= CHANGE_SHARE;
@@ -113,14 +117,14 @@
     }
 }
 
-impl ServiceAverage {
+impl WorkAverage {
     /// Time that the work takes on the average server, seconds; `None` before the first sample.
     fn usual_s(&self, units: u64) -> Option<f64> {
         (self.units > 0.0).then(|| units as f64 * self.time_s / self.units)
     }
 
     fn add(&mut self, units: f64, time_s: f64) {
-        let kept = (SERVICE_MEMORY_S / (self.time_s + time_s)).min(1.0);
+        let kept = (KIND_MEMORY_S / (self.time_s + time_s)).min(1.0);
         self.units = (self.units + units) * kept;
         self.time_s = (self.time_s + time_s) * kept;
     }
--- a/crates/serving/tests/uneven_servers.rs
+++ b/crates/serving/tests/uneven_servers.rs
@@ -139,6 +139,7 @@
         let change = speeds.record(&RunTimes {
             run: entries[chosen].run(),
             service: name("llm"),
+            model: Some(name("m")),
             units: PROMPT_TOKENS,
             time_us: (work_ms * 1000.0 / mean) as u64,
         });
@@ -274,6 +275,7 @@
             born_ms,
         },
         service: name("app"),
+        model: None,
         units: 10,
         time_us,
     };
--- a/crates/types/src/fleet_message.rs
+++ b/crates/types/src/fleet_message.rs
@@ -164,9 +164,13 @@
     pub run: BackendRun,
     /// Service that the server belongs to.
     pub service: Name,
-    /// Output tokens that requests with complete answers allowed; answered requests for a service without models.
+    /// Base model of the requests; `None` for a service without models.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub model: Option<Name>,
+    /// Events of complete answers after the first; answered requests for a service without models.
     pub units: u64,
-    /// Time of these answers, microseconds: from the first to the last event, or from the send to the end.
+    /// Their time, microseconds: for each answer, the number of events times the median between two; from the send to the end
+    /// for a service without models.
     pub time_us: u64,
 }
 
