Serving: count a server's own speed once, in the statement or in the learned factor

The time is now learned as measured; a fresh statement counts by its deviation from the server's usual one, or as it stands while no speed is learned.

--- a/crates/host/src/backend_exchange.rs
+++ b/crates/host/src/backend_exchange.rs
@@ -66,7 +66,7 @@
         state.parts().record_progress(&context.facts, state.now());
         if context.facts.model.is_none() {
             let work = (None, 1, sent_at.elapsed());
-            state.timings().record_work(target, work, state.now());
+            state.timings().record_work(target, work);
         }
     }
     match &delivered {
--- a/crates/host/src/engine_timings.rs
+++ b/crates/host/src/engine_timings.rs
@@ -4,7 +4,6 @@
 use zinniahinge_serving::BackendCandidate;
 use zinniahinge_types::BackendRun;
 use zinniahinge_types::EngineTimes;
-use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
 use zinniahinge_types::RunTimes;
 
@@ -31,16 +30,14 @@
         sums.output_us += time.as_micros() as u64;
     }
 
-    /// Adds work of `target` that ended at `now`: the model, the units of work and their time. Counts nothing for a server
+    /// Adds work of `target`: the model, the units of work and their time. Counts nothing for a server
     /// that doesn't state how long work takes.
     pub(crate) fn record_work(
         &mut self,
         target: &BackendCandidate,
         (model, units, time): (Option<&Name>, u64, Duration),
-        now: MonotonicTime,
     ) {
-        let work_time = target.load.work_time();
-        if !work_time.is_stated() {
+        if !target.load.states_work_time() {
             return;
         }
         let run = target.entry.run();
@@ -53,7 +50,7 @@
             time_us: 0,
         });
         sums.units += units;
-        sums.time_us += time.div_f64(work_time.mean_factor(time, now)).as_micros() as u64;
+        sums.time_us += time.as_micros() as u64;
     }
 
     /// Returns the sums by service and by run for a report, and resets them.
--- a/crates/host/src/event_relay.rs
+++ b/crates/host/src/event_relay.rs
@@ -256,7 +256,7 @@
                         if let Some((count, median)) = gaps.median() {
                             let model = self.context.facts.model.as_ref();
                             let work = (model, count, median * count as u32);
-                            timings.record_work(&stream.target, work, self.state.now());
+                            timings.record_work(&stream.target, work);
                         }
                     }
                     self.log.finish(SERVED, 200);
--- a/crates/serving/src/routing/run_speeds.rs
+++ b/crates/serving/src/routing/run_speeds.rs
@@ -4,9 +4,9 @@
 use zinniahinge_types::Name;
 use zinniahinge_types::RunTimes;
 
-/// Work of usual speed that each run is assumed to have done at first, seconds: that of one or two requests. Few samples
-/// then change the learned factor little.
-const PRIOR_S: f64 = 0.5;
+/// Work of usual speed that each run is assumed to have done at first, seconds: that of one or two answers. A single
+/// sample then changes the learned factor little.
+const PRIOR_S: f64 = 0.2;
 
 /// Work by which a factor is learned, seconds. Older work loses its weight.
 const MEMORY_S: f64 = 30.0;
@@ -17,8 +17,11 @@
 /// Work from which a factor of an earlier coordinator is taken to come, seconds.
 const ASSUMED_S: f64 = 5.0;
 
-/// Largest ratio of a sample to the average, or of the average to a sample. Requests that were preempted or met a stall say
-/// nothing about a server's speed.
+/// Largest ratio of a sample to what the learned factor lets expect, or the other way round. Requests that were preempted, met
+/// a stall or a moment of a busy machine say little about a server's speed.
+const MAX_SURPRISE: f64 = 2.0;
+
+/// Largest factor, and the inverse of the smallest.
 const MAX_RATIO: f64 = 4.0;
 
 /// Relative change from which a factor is sent to hosts again.
@@ -86,7 +89,8 @@
         let average = self.averages.entry(kind).or_default();
         let usual_s = average.usual_s(times.units);
         let usual_s = usual_s.unwrap_or(taken_s / run.factor());
-        let taken_s = taken_s.clamp(usual_s / MAX_RATIO, usual_s * MAX_RATIO);
+        let expected_s = usual_s * run.factor();
+        let taken_s = taken_s.clamp(expected_s / MAX_SURPRISE, expected_s * MAX_SURPRISE);
         // Work that only slow servers do doesn't make them average.
         average.add(times.units as f64, taken_s / run.factor());
         run.add(taken_s, usual_s);
--- a/crates/serving/src/routing/work_time.rs
+++ b/crates/serving/src/routing/work_time.rs
@@ -8,25 +8,57 @@
 /// Age from which a statement no longer counts; less than a sixteenth of its weight is left then.
 const MAX_STATEMENT_AGE: Duration = Duration::from_secs(1);
 
+/// Statements from which the usual one of a server is known.
+const MIN_STATEMENTS: u32 = 4;
+
+/// Statements that the usual one is the mean of; older ones lose their weight.
+const USUAL_STATEMENTS: u32 = 16;
+
 /// How long work takes on one run of a backend server, as a factor of the average of its service.
 ///
 /// Load pattern: servers share their machines with other work. A quarter of them may take twice as long for good, and each
 /// may take several times as long for a fraction of a second. Without the factor, slow servers get as many requests as fast ones,
 /// and their queues grow.
+///
+/// Some servers state a figure that contains their own speed, others one that is 100 on any idle machine. Once the speed is
+/// learned, only the deviation from the server's usual statement counts, so that the speed never counts twice.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct WorkTime {
-    /// Factor that the server stated last, relative to its usual speed, and when that arrived.
-    statement: Option<(f64, MonotonicTime)>,
+    statement: Option<WorkStatement>,
+    /// Mean of the statements, as a factor, and their number.
+    usual: (f64, u32),
     /// Factor of the server's usual speed, learned over all hosts.
     learned: Option<f64>,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct WorkStatement {
+    factor: f64,
+    /// Factor relative to the usual statement; 1 while that is unknown.
+    deviation: f64,
+    at: MonotonicTime,
+}
+
 impl WorkTime {
     /// Records that work takes `percent` of its usual time, as an answer states that arrived at `now`.
     pub fn record_statement(&mut self, percent: u32, now: MonotonicTime) {
-        if self.statement.is_none_or(|(_, at)| at <= now) {
-            self.statement = Some((f64::from(percent) / 100.0, now));
+        if self.statement.is_some_and(|statement| statement.at > now) {
+            return;
         }
+        let factor = f64::from(percent) / 100.0;
+        let (usual, count) = self.usual;
+        let deviation = if count < MIN_STATEMENTS {
+            1.0
+        } else {
+            factor / usual
+        };
+        let count = (count + 1).min(USUAL_STATEMENTS);
+        self.usual = (usual + (factor - usual) / f64::from(count), count);
+        self.statement = Some(WorkStatement {
+            factor,
+            deviation,
+            at: now,
+        });
     }
 
     /// Sets the learned factor.
@@ -51,41 +83,26 @@
 
     /// The last statement, as a factor, if it still counts.
     pub fn stated(&self, now: MonotonicTime) -> Option<f64> {
-        let (factor, at) = self.statement?;
-        (now.since(at) < MAX_STATEMENT_AGE).then_some(factor)
+        Some(self.recent_statement(now)?.factor)
     }
 
     /// Factor by which work that is sent now takes longer than on the average server: 1 if nothing is known.
     pub fn factor(&self, now: MonotonicTime) -> f64 {
-        self.learned.unwrap_or(1.0) * self.momentary_factor(now)
-    }
-
-    /// Factor by which work that took `time` until `now` took longer than usual on this server.
-    pub fn mean_factor(&self, time: Duration, now: MonotonicTime) -> f64 {
-        let Some((factor, _)) = self.statement else {
-            return 1.0;
-        };
-        let age_end = self.statement_age(now);
-        let age_start = age_end.saturating_sub(time);
-        // The mean weight while the statement aged.
-        let span = (age_end - age_start).as_secs_f64() / STATEMENT_HALF_LIFE.as_secs_f64();
-        if span <= f64::EPSILON {
-            return self.momentary_factor(now);
-        }
-        let lost = weight(age_start) - weight(age_end);
-        let mean_weight = lost / (span * std::f64::consts::LN_2);
-        1.0 + (factor - 1.0) * mean_weight
-    }
-
-    fn momentary_factor(&self, now: MonotonicTime) -> f64 {
-        self.stated(now).map_or(1.0, |factor| {
-            1.0 + (factor - 1.0) * weight(self.statement_age(now))
-        })
+        let statement = self.recent_statement(now);
+        let momentary = statement.map_or(1.0, |statement| {
+            let factor = if self.learned.is_some() {
+                statement.deviation
+            } else {
+                statement.factor
+            };
+            1.0 + (factor - 1.0) * weight(now.since(statement.at))
+        });
+        self.learned.unwrap_or(1.0) * momentary
     }
 
-    fn statement_age(&self, now: MonotonicTime) -> Duration {
-        self.statement
-            .map_or(Duration::MAX, |(_, at)| now.since(at))
+    fn recent_statement(&self, now: MonotonicTime) -> Option<WorkStatement> {
+        let statement = self.statement?;
+        (now.since(statement.at) < MAX_STATEMENT_AGE).then_some(statement)
     }
 }
 
--- a/crates/types/src/fleet_message.rs
+++ b/crates/types/src/fleet_message.rs
@@ -156,8 +156,7 @@
     pub output_us: u64,
 }
 
-/// Sums up the times that one run of a backend server took for requests of one host. What the server stated about its machine at
-/// that moment is taken out of them.
+/// Sums up the times that one run of a backend server, which states how long work takes on it, took for requests of one host.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RunTimes {
     /// The run.
