--- a/crates/host/src/backend_exchange.rs
+++ b/crates/host/src/backend_exchange.rs
@@ -65,6 +65,10 @@
         && response.status().is_success()
     {
         state.parts().record_progress(&context.facts, state.now());
+        if context.facts.model.is_none() {
+            let work = (None, 1, sent_at.elapsed());
+            state.timings().record_work(target, work);
+        }
     }
     if delivered.is_ok() {
         let (time, goal) = (sent_at.elapsed(), context.rule.goal);
--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -110,6 +110,9 @@
         let mut ledger = FleetLedger::new(meter_settings(&state.startup.bounds), is_first, now);
         let table = state.table.load_full();
         ledger.record_stand_in(&state.take_stand_in(), table.accounts(), now);
+        for (run, factor) in table.learned_factors() {
+            ledger.assume_speed(&run, factor);
+        }
         let parts = PartLedger::new(&table.blocked, fence << VERSION_BITS_PER_FENCE, now);
         Self {
             state,
@@ -165,6 +168,7 @@
             }
             let listed: HashSet<&Name> = backends.iter().map(|slot| &slot.entry.id).collect();
             planner.retain_engines(|id| listed.contains(id));
+            planner.set_time_factors(&table.time_factors(&service));
         }
         self.set_planner_limits(&table, now);
         let last_seen = self.state.with_source(|source| {
@@ -233,6 +237,11 @@
         let accounts = table.accounts();
         self.settle(&table, now);
         self.ledger.apply(report, accounts, now);
+        for change in self.ledger.take_speed_changes() {
+            info!(self.state.logger, "learned speed of a backend server changed";
+                "backend" => &*change.backend, "time_percent" => change.percent,
+                "time_percent_before" => change.percent_before, "fence" => self.fence);
+        }
         self.state.mark_leaving(&report.leaving);
         self.state.record_limits(&report.limits, now);
         self.state.record_cold(&report.cold);
--- a/crates/host/src/fleet_reporter.rs
+++ b/crates/host/src/fleet_reporter.rs
@@ -1,12 +1,14 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use slog::info;
 use slog::warn;
 use tokio_util::sync::CancellationToken;
 use zinniahinge_serving::LIVENESS_INTERVAL;
+use zinniahinge_serving::WorkTime;
 use zinniahinge_types::BackendTotal;
 use zinniahinge_types::BackendUse;
 use zinniahinge_types::BlockedParts;
@@ -80,6 +82,10 @@
         loop {
             let hosts = self.state.with_source(|source| source.hosts.len() as u32);
             let interval = self.interval.max(INTERVAL_PER_HOST * hosts);
+            // The reports of other hosts are up to an interval old, and so is the answer that sums them up.
+            let totals_age = interval * 2;
+            let totals_age_ms = &self.state.totals_age_ms;
+            totals_age_ms.store(totals_age.as_millis() as u64, Ordering::Relaxed);
             let pause = tokio::time::sleep(interval);
             if token.run_until_cancelled(pause).await.is_none() {
                 return;
@@ -91,6 +97,7 @@
             }
             self.refresh_host_record(&mut session).await;
             self.settle_limits(&mut session);
+            self.gauge_work_times();
         }
     }
 
@@ -115,6 +122,19 @@
             .with_source(|source| shares.retain(|run| source.load(run).is_some()));
     }
 
+    /// Sets the gauges of how much the times of work differ between backend servers.
+    fn gauge_work_times(&self) {
+        let table = self.state.table.load();
+        let now = self.state.now();
+        let slots = table.services.values().flatten();
+        let times: Vec<WorkTime> = slots.map(|slot| slot.load.work_time()).collect();
+        let learned = times.iter().filter_map(WorkTime::learned);
+        let stated = times.iter().filter_map(|time| time.stated(now));
+        let counters = &self.state.counters;
+        counters.learned_spread.set(spread_percent(learned));
+        counters.stated_spread.set(spread_percent(stated));
+    }
+
     /// Writes this host's record again after [`LIVENESS_INTERVAL`] without an answered report or a write, or without a write if
     /// the store lacks the record since it returned from a copy. The coordinator learns
     /// from it that this host is alive, and keeps this host's share of the accounts' rates reserved.
@@ -229,6 +249,7 @@
         };
         let store_era = state.eras.newest();
         let position = state.with_source(|source| source.reported_position(store_era, now));
+        let (engine_times, run_times) = state.timings().take();
         let table = state.table.load();
         let slots = table.services.values().flatten();
         let backends = slots.filter_map(|slot| {
@@ -256,7 +277,8 @@
             heard: prior_levels,
             backends: backends.collect(),
             models: state.uses().take(),
-            engine_times: state.timings().take(),
+            engine_times,
+            run_times,
             parts: PartReport {
                 blocked_version: table.blocked.version,
                 prior_blocked: (is_new && !table.blocked.parts.is_empty())
@@ -362,7 +384,19 @@
                 total.pending_tokens.saturating_sub(own_tokens),
                 total.is_suspect,
             );
+            if let Some(percent) = total.time_percent {
+                slot.load.set_learned_factor(f64::from(percent) / 100.0);
+            }
         }
         session.totals.retain(|id, _| listed.contains(id));
     }
 }
+
+/// The largest factor in percent of the smallest; 0 without any.
+fn spread_percent(factors: impl Iterator<Item = f64>) -> i64 {
+    let ends = factors.fold(None, |ends: Option<(f64, f64)>, factor| {
+        let (low, high) = ends.unwrap_or((factor, factor));
+        Some((low.min(factor), high.max(factor)))
+    });
+    ends.map_or(0, |(low, high)| (high / low * 100.0).round() as i64)
+}
--- a/crates/host/src/fleet_table.rs
+++ b/crates/host/src/fleet_table.rs
@@ -120,10 +120,7 @@
 
     /// Names its run.
     pub(crate) fn run(&self) -> BackendRun {
-        BackendRun {
-            backend: self.entry.id.clone(),
-            born_ms: self.entry.born_ms,
-        }
+        self.entry.run()
     }
 
     /// True if it says that it leaves while the store lists it as ready.
@@ -194,6 +191,23 @@
         notices.collect()
     }
 
+    /// Learned time factors of runs.
+    pub(crate) fn learned_factors(&self) -> Vec<(BackendRun, f64)> {
+        let slots = self.services.values().flatten();
+        let learned = slots.filter_map(|slot| Some((slot.run(), slot.load.work_time().learned()?)));
+        learned.collect()
+    }
+
+    /// Learned time factors of a service's backend servers.
+    pub(crate) fn time_factors(&self, service: &str) -> HashMap<Name, f64> {
+        let slots = self.backends(service).iter();
+        let learned = slots.filter_map(|slot| {
+            let factor = slot.load.work_time().learned()?;
+            Some((slot.entry.id.clone(), factor))
+        });
+        learned.collect()
+    }
+
     /// Backend servers that are cold, each with the time that `cold_left` returns for its load.
     pub(crate) fn cold_notices(
         &self,
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -14,6 +14,7 @@
 mod coordinator_orders;
 mod coordinator_rates;
 mod engine_timings;
+mod event_gaps;
 mod event_relay;
 mod filters;
 mod fleet_reporter;
--- a/crates/serving/src/routing/backend_chooser.rs
+++ b/crates/serving/src/routing/backend_chooser.rs
@@ -20,6 +20,8 @@
 pub struct ChooserWeights {
     /// Prefill time of one prompt token.
     pub prompt_token: f64,
+    /// Time that a request takes at an idle server, besides its prefill. A slow server's request pays for the difference.
+    pub service: f64,
     /// Delay for each running request.
     pub running: f64,
     /// Delay for each waiting request.
@@ -62,6 +64,7 @@
     /// running requests together.
     pub const MODELS: Self = Self {
         prompt_token: 0.026,
+        service: 0.0,
         running: 8.0,
         waiting: 60.0,
         other_data_centre: 12.0,
@@ -77,6 +80,7 @@
     /// Weights for services without models.
     pub const PLAIN: Self = Self {
         prompt_token: 0.0,
+        service: 60.0,
         running: 10.0,
         waiting: 30.0,
         other_data_centre: 8.0,
@@ -104,12 +108,17 @@
 }
 
 /// Chooses the backend server with the shortest expected wait for a request.
+///
+/// Work counts with the time that it takes on the server. Servers that don't state it are all alike.
 #[derive(Clone, Debug)]
 pub struct BackendChooser {
     /// Id of this host, which selects the servers that it prefers.
     pub host: HostId,
     /// Data centre of this host.
     pub place: Name,
+    /// Age that the loads of other hosts may have. Among servers that state how long work takes, it is the least cost of a
+    /// server that the host doesn't prefer: a shorter difference may be over.
+    pub totals_age: Duration,
     /// Costs that make up the expected wait.
     pub weights: ChooserWeights,
 }
@@ -127,6 +136,16 @@
     ) -> Option<usize> {
         let weights = &self.weights;
         let shared = shared_tokens(facts);
+        let non_preferred = if candidates
+            .iter()
+            .any(|candidate| candidate.load.work_time().is_known())
+        {
+            weights
+                .non_preferred
+                .max(self.totals_age.as_secs_f64() * 1000.0)
+        } else {
+            weights.non_preferred
+        };
         let part = shared_part_key(facts);
         let is_shared = shared >= MIN_SHARED_TOKENS;
         let ranks_by_hash = match part {
@@ -148,12 +167,14 @@
                 _ => 0.0,
             };
             let own_tokens = (facts.prompt_tokens as f64 - cached * shared).max(0.0);
-            let mut cost = waits[index] + own_tokens * weights.prompt_token * congestion;
+            let factor = candidate.load.work_time().factor(now);
+            let prefill = own_tokens * weights.prompt_token * congestion;
+            let mut cost = waits[index] + prefill * factor + weights.service * (factor - 1.0);
             if ranks_by_hash[index] >= weights.preferred_servers {
                 cost += if is_shared {
                     weights.non_preferred_prefill * shared * weights.prompt_token
                 } else {
-                    weights.non_preferred
+                    non_preferred
                 };
             }
             (index, cost)
@@ -185,9 +206,10 @@
         let running = running.max(load.fleet_in_flight());
         let over_slots = running.saturating_sub(entry.slots.max(1) - 1);
         let waiting = waiting.max(over_slots);
-        let mut cost = load.fleet_pending_tokens() as f64 * weights.prompt_token
+        let work = load.fleet_pending_tokens() as f64 * weights.prompt_token
             + f64::from(running) * weights.running
             + f64::from(waiting) * weights.waiting;
+        let mut cost = work * load.work_time().factor(now);
         if entry.place != self.place {
             cost += weights.other_data_centre;
         }
@@ -205,18 +227,36 @@
 }
 
 /// Rank of each server in the order given by a hash of `key`; 0 is the first.
+///
+/// Over many keys, each server is first in proportion to its learned speed. If the speed of one changes, only keys between it and
+/// the others change their order.
 fn ranks_by_hash(key: u64, candidates: &[BackendCandidate]) -> Vec<usize> {
-    let ranks = candidates
+    let scores = candidates.iter().map(|candidate| {
+        let hash = rank(key, &candidate.entry.id);
+        let learned = candidate.load.work_time().learned();
+        (uneven_score(hash, learned.unwrap_or(1.0)), hash)
+    });
+    let mut scores: Vec<(f64, u64)> = scores.collect();
+    let is_even = candidates
         .iter()
-        .map(|candidate| rank(key, &candidate.entry.id));
-    let ranks: Vec<u64> = ranks.collect();
-    let ranks_by_hash = ranks.iter().map(|own| {
-        let before = ranks.iter().filter(|other| *other > own);
+        .all(|candidate| candidate.load.work_time().learned().is_none());
+    if is_even {
+        // The hashes alone, without the rounding of the scores.
+        scores.iter_mut().for_each(|(score, _)| *score = 0.0);
+    }
+    let ranks_by_hash = scores.iter().map(|own| {
+        let before = scores.iter().filter(|other| *other > own);
         before.count()
     });
     ranks_by_hash.collect()
 }
 
+/// Score of a server in weighted rendezvous hashing, with its speed as weight; the highest one is first.
+fn uneven_score(hash: u64, time_factor: f64) -> f64 {
+    let share = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    share.ln() * time_factor
+}
+
 /// Key of the request's shared part, with its model and adapter, because engines cache parts separately for each.
 pub(crate) fn shared_part_key(facts: &RequestFacts) -> Option<u64> {
     let part = facts.shared_part()?;
--- a/crates/serving/tests/backend_choice.rs
+++ b/crates/serving/tests/backend_choice.rs
@@ -56,6 +56,7 @@
     BackendChooser {
         host: name("h1"),
         place: name("a"),
+        totals_age: Duration::from_millis(900),
         weights: ChooserWeights::MODELS,
     }
 }
@@ -98,6 +99,7 @@
             name: "states queued requests",
             degrade: |backend| {
                 let sample = LoadSample {
+                    work_percent: None,
                     running: 8,
                     waiting: 5,
                     slots: 8,
