Transport: no complete body from a connection that was reset

Cause: a body without a length ends with its connection. When the other side closes its sending side and then resets the connection, the kernel reports the end of the stream and not the reset behind it; and when it closes its sending side while the request is still being written, the rest of the request leads to a reset later. Both ends were taken for orderly ones, and a part of a body for the whole. An error behind bytes that were held back was lost, too.

Now an end counts as orderly only if no error is pending on the socket and the request has been taken. Otherwise the body is incomplete, and the request may have run.

Ruled out: resets while the body is read, closes with the request unread, errors of writes. The HTTP library reports them as incomplete bodies.

An end of the sending side that comes before a later reset, with the request in the kernel's buffers, still counts as the end of the body: it can't be told from an orderly one.

--- a/crates/transport/src/metered_stream.rs
+++ b/crates/transport/src/metered_stream.rs
@@ -64,6 +64,10 @@
     late: Option<LateAnswers>,
     /// Bytes read since this task last yielded.
     read_since_yield: usize,
+    /// True while the connection takes no more bytes, though some are left to be written.
+    is_write_blocked: bool,
+    /// Error that ended the connection while bytes were held back; it follows them.
+    failure: Option<io::Error>,
 }
 
 impl MeteredStream {
@@ -75,6 +79,8 @@
             budget,
             late,
             read_since_yield: 0,
+            is_write_blocked: false,
+            failure: None,
         }
     }
 
@@ -106,6 +112,7 @@
                     if !late.take_into(buffer) {
                         return Poll::Ready(ended);
                     }
+                    self.failure = ended.err();
                     return Poll::Ready(Ok(()));
                 }
                 Poll::Pending => return Poll::Pending,
@@ -123,6 +130,9 @@
             context.waker().wake_by_ref();
             return Poll::Pending;
         }
+        if let Some(failure) = self.failure.take() {
+            return Poll::Ready(Err(failure));
+        }
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
         match polled {
@@ -130,6 +140,9 @@
             Poll::Ready(Err(_)) => {}
             Poll::Ready(Ok(())) => {
                 let read = buffer.filled().len() - before;
+                if read == 0 && buffer.remaining() > 0 {
+                    return Poll::Ready(self.check_end());
+                }
                 self.read_since_yield += read;
                 if !self.budget.spend(read) {
                     let reason = "response head exceeds the limit of 256 KiB";
@@ -139,6 +152,29 @@
         }
         polled
     }
+
+    /// Returns an error if the other side did not end the connection in order, so that a body without a length is not taken
+    /// for complete.
+    ///
+    /// The kernel reports the end of the stream, and not a reset that followed it. Bytes of a request that the other side has
+    /// not taken when it ends the connection lead to a reset, too.
+    fn check_end(&self) -> io::Result<()> {
+        if self.is_write_blocked {
+            let reason = "connection ended while the request was being written";
+            return Err(io::Error::new(io::ErrorKind::ConnectionReset, reason));
+        }
+        self.stream.take_error()?.map_or(Ok(()), Err)
+    }
+
+    /// Notes whether the connection took all `offered` bytes.
+    fn record_write(&mut self, offered: usize, written: &Poll<io::Result<usize>>) {
+        match written {
+            Poll::Pending => self.is_write_blocked = true,
+            Poll::Ready(Ok(count)) => self.is_write_blocked = *count < offered,
+            // The connection ends; what was left to be written stays so.
+            Poll::Ready(Err(_)) => {}
+        }
+    }
 }
 
 impl AsyncRead for MeteredStream {
@@ -167,7 +203,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.record_write(bytes.len(), &written);
+        written
     }
 
     fn poll_write_vectored(
@@ -175,7 +213,10 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        let offered = slices.iter().map(|slice| slice.len()).sum();
+        self.record_write(offered, &written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
