Transport: an answer with a status that HTTP doesn't have is none

Cause: the HTTP library takes any status of three digits from 100 on. Hosts passed 101, 600, 700 and 999 on to callers, with the server's body, and the store client took such an answer to the end of a lease for done.

The pool now fails with InvalidResponse if the status is not one of a final response, 200 to 599, or if the head can't be parsed. Requests then may have run, a repeatable one goes on at another server, an order or a call to the store has an unknown outcome. A malformed answer no longer counts as a crash of the server, which would be held against the parts of the request's prompt.

--- a/crates/host/src/backend_send.rs
+++ b/crates/host/src/backend_send.rs
@@ -274,6 +274,7 @@
     let reason = failure.to_string();
     match failure {
         SendFailure::NotSent { .. } => BackendSendError::NotSent(reason),
+        SendFailure::InvalidResponse { .. } => BackendSendError::MayHaveRun(reason),
         SendFailure::Unanswered { .. } => BackendSendError::ConnectionLost(reason),
         SendFailure::TimedOut => BackendSendError::TimedOut,
     }
--- a/crates/transport/src/http_pool.rs
+++ b/crates/transport/src/http_pool.rs
@@ -2,6 +2,7 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -47,6 +48,9 @@
 /// Number of lost probes after which the kernel ends a silent connection.
 const MAX_LOST_PROBES: u32 = 2;
 
+/// Status codes of final responses. The HTTP library takes any number of three digits from 100 on.
+const FINAL_STATUSES: Range<u16> = 200..600;
+
 /// Says which idle connections a request may reuse.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReuseRule {
@@ -258,6 +262,9 @@
                 let unsent = error.take_message();
                 let failure = match unsent {
                     Some(_) => SendFailure::not_sent(error.error()),
+                    None if error.error().is_parse() => {
+                        SendFailure::invalid_response(error.error())
+                    }
                     None => SendFailure::unanswered(error.error()),
                 };
                 return Err((failure, unsent));
@@ -265,6 +272,11 @@
             Ok(Ok(response)) => response,
         };
         connection.budget.finish_head();
+        let status = response.status().as_u16();
+        if !FINAL_STATUSES.contains(&status) {
+            let reason = format!("status {status} is none of a final response");
+            return Err((SendFailure::invalid_response(reason), None));
+        }
         let late_answers = connection.late_answers.load(Ordering::Relaxed) - skipped_before;
         let lease = ConnectionLease {
             connection,
--- a/crates/transport/src/send_failure.rs
+++ b/crates/transport/src/send_failure.rs
@@ -19,6 +19,12 @@
         /// What happened instead of a response.
         reason: String,
     },
+    /// The request was written, and what came is no HTTP response. The other side may have acted on the request.
+    #[error("request sent, but the answer is no HTTP response: {reason}")]
+    InvalidResponse {
+        /// What is wrong with the answer.
+        reason: String,
+    },
     /// The deadline passed before the response was complete. The other side may have acted on the request.
     #[error("request sent, but no response before the deadline")]
     TimedOut,
@@ -37,6 +43,13 @@
         }
     }
 
+    /// Builds [`Self::InvalidResponse`] from what is wrong with the answer.
+    pub(crate) fn invalid_response(reason: impl ToString) -> Self {
+        Self::InvalidResponse {
+            reason: reason.to_string(),
+        }
+    }
+
     /// Builds [`Self::Unanswered`] from an error.
     pub(crate) fn unanswered(reason: impl ToString) -> Self {
         Self::Unanswered {
