--- a/crates/host/src/backend_send.rs
+++ b/crates/host/src/backend_send.rs
@@ -279,6 +279,7 @@
             target.load.record_connection_loss(state.now());
             BackendSendError::ConnectionLost(reason)
         }
+        SendFailure::InvalidResponse { .. } => BackendSendError::MayHaveRun(reason),
         SendFailure::TimedOut => BackendSendError::TimedOut,
     }
 }
