Paces: also where servers state how long work takes

Cause: servers that share their machines with other work are among those that are flooded after a start. The switch is one function, is_paced; a service counts as shared once one of its servers states its time of work, since one that has just started hasn't answered yet. Elsewhere nothing changes: test paces_hold_only_where_asked_for (server_pace) has the case without any of the three.

--- a/crates/host/src/fleet_table.rs
+++ b/crates/host/src/fleet_table.rs
@@ -254,7 +254,11 @@
             .config
             .iter()
             .flat_map(|config| config.services.values());
-        let services = services.filter(|service| is_paced(service, has_tight_memory));
+        let services = services.filter(|service| {
+            let mut slots = self.backends(&service.name).iter();
+            let states_work_time = slots.any(|slot| slot.load.states_work_time());
+            is_paced(service, has_tight_memory, states_work_time)
+        });
         let slots = services.flat_map(|service| self.backends(&service.name));
         let listed = slots.filter(|slot| slot.is_listed);
         listed
--- a/crates/host/src/table_source.rs
+++ b/crates/host/src/table_source.rs
@@ -242,12 +242,24 @@
         self.loads.get(&(run.backend.clone(), run.born_ms))
     }
 
+    /// Services of which a server states how long work takes on it.
+    fn shared_services(&self) -> HashSet<Name> {
+        let entries = self.roster.entries().map(|(entry, _)| entry);
+        let shared = entries.filter(|entry| {
+            let run = (entry.id.clone(), entry.born_ms);
+            let load = self.loads.get(&run);
+            load.is_some_and(|load| load.states_work_time())
+        });
+        shared.map(|entry| entry.service.clone()).collect()
+    }
+
     /// Builds the table from the current state. Drops expired entries, and loads and views of servers that are gone.
     pub(crate) fn build(&mut self, now: MonotonicTime) -> FleetTable {
         self.roster.expire(now);
         let mut services: HashMap<Name, Vec<BackendSlot>> = HashMap::new();
         let mut alive = HashSet::new();
         let evacuated = Arc::new(self.evacuations.clone());
+        let shared_services = self.shared_services();
         for (entry, is_listed) in self.roster.entries() {
             let run = (entry.id.clone(), entry.born_ms);
             let load = self.loads.entry(run.clone()).or_default().clone();
@@ -264,7 +276,9 @@
                 // Servers may have become cold since their last entry.
                 load.presume_cold(ended_at + start.time, now);
             }
-            let has_paces = service.is_some_and(|spec| is_paced(spec, self.has_tight_memory));
+            let states_work_time = shared_services.contains(&entry.service);
+            let has_paces =
+                service.is_some_and(|spec| is_paced(spec, self.has_tight_memory, states_work_time));
             load.answers().set_used(has_paces);
             alive.insert(run);
             let view = self.views.get(&entry.id);
--- a/crates/serving/tests/server_pace.rs
+++ b/crates/serving/tests/server_pace.rs
@@ -445,12 +445,14 @@
         per_s: 6.5,
     };
     let cases = [
-        (None, false, false),
-        (Some(cold), false, true),
-        (None, true, true),
+        (None, false, false, false),
+        (Some(cold), false, false, true),
+        (None, true, false, true),
+        (None, false, true, true),
     ];
-    for (cold_start, has_tight_memory, expected) in cases {
-        assert_that!(is_paced(&spec(cold_start), has_tight_memory), eq(expected));
+    for (cold_start, has_tight_memory, states_work_time, expected) in cases {
+        let is_paced = is_paced(&spec(cold_start), has_tight_memory, states_work_time);
+        assert_that!(is_paced, eq(expected));
     }
     let load = BackendLoad::default();
     load.answers().count_answer(ANSWER_TIME, GOAL);
