--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -31,6 +31,7 @@
 use zinniahinge_types::LimitNotice;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
+use zinniahinge_types::PaceNotice;
 use zinniahinge_types::PlacementReply;
 use zinniahinge_types::PlacementRequest;
 use zinniahinge_types::SlotDecision;
@@ -72,6 +73,8 @@
     pub(crate) limits: LimitLedger,
     /// Paces of backend servers that have just started or recovered.
     pub(crate) paces: PaceLedger,
+    /// All paces, as they last changed.
+    pub(crate) pace_notices: Vec<PaceNotice>,
     /// Backend servers that are cold, as of `settled_at`.
     pub(crate) cold: Vec<ColdNotice>,
     watch: ModelWatch,
@@ -110,6 +113,7 @@
             parts,
             limits: LimitLedger::new(now),
             paces: PaceLedger::new(now),
+            pace_notices: Vec::new(),
             cold: Vec::new(),
             watch: ModelWatch::default(),
             leaving: Vec::new(),
@@ -238,8 +242,10 @@
             self.settle_parts(now);
             self.settle_paces(&table, now);
         }
-        let inherited = self.paces.inherit(&report.paces, now);
-        self.apply_paces(&table, &inherited);
+        if !report.paces.is_empty() {
+            let inherited = self.paces.inherit(&report.paces, now);
+            self.apply_paces(&table, &inherited);
+        }
         for used in &report.models {
             self.watch.record(used, now);
             if used.count == 0 {
@@ -294,7 +300,7 @@
             leaving: self.leaving.clone(),
             limits: self.limits_known(now),
             cold: self.cold_known(now),
-            paces: self.paces.notices(),
+            paces: self.pace_notices.clone(),
             blocked: self.parts.changes_since(report.parts.blocked_version, now),
         }
     }
--- a/crates/host/src/coordinator_rates.rs
+++ b/crates/host/src/coordinator_rates.rs
@@ -42,7 +42,7 @@
     }
 
     /// Logs changes of paces, and keeps this host to them at once.
-    pub(crate) fn apply_paces(&self, table: &FleetTable, changes: &[PaceChange]) {
+    pub(crate) fn apply_paces(&mut self, table: &FleetTable, changes: &[PaceChange]) {
         let logger = &self.state.logger;
         for change in changes {
             match change {
@@ -56,9 +56,9 @@
                 }
             }
         }
-        let paces = self.paces.notices();
-        if !paces.is_empty() || !changes.is_empty() {
-            table.set_paces(&paces);
+        self.pace_notices = self.paces.notices();
+        if !self.pace_notices.is_empty() || !changes.is_empty() {
+            table.set_paces(&self.pace_notices);
         }
     }
 
