--- a/crates/host/src/fleet_table.rs
+++ b/crates/host/src/fleet_table.rs
@@ -189,7 +189,7 @@
         }
     }
 
-    /// Listed backend servers of services that have paces.
+    /// Backend servers of services that have paces.
     pub(crate) fn paced_servers(
         &self,
         has_tight_memory: bool,
@@ -201,8 +201,7 @@
             .flat_map(|config| config.services.values());
         let services = services.filter(|service| is_paced(service, has_tight_memory));
         let slots = services.flat_map(|service| self.backends(&service.name));
-        let listed = slots.filter(|slot| slot.is_listed);
-        listed
+        slots
             .map(|slot| {
                 let bound =
                     SendRate::smallest(slot.load.limit_per_s(), slot.load.cold_rate(now), None);
--- a/crates/serving/src/pacing/pace_ledger.rs
+++ b/crates/serving/src/pacing/pace_ledger.rs
@@ -28,6 +28,10 @@
 /// At most one in so many servers of a service has a pace; the others have to take the rest.
 const PACED_DIVISOR: usize = 2;
 
+/// Time for which runs that are not listed any more are remembered: entries of running servers come back within it after an
+/// outage of the store.
+const GONE_MEMORY: Duration = Duration::from_secs(60);
+
 /// Time for which a new coordinator takes over paces from reports: all hosts have reported by then.
 const INHERIT_TIME: Duration = Duration::from_secs(3);
 
@@ -55,6 +59,8 @@
     created_at: MonotonicTime,
     servers: HashMap<Name, ServerRecord>,
     peers: HashMap<Name, PeerAnswers>,
+    /// Runs that are not listed any more, with when that was seen. One that comes back has not started.
+    gone: HashMap<BackendRun, MonotonicTime>,
 }
 
 /// What is known of a listed server.
@@ -75,6 +81,7 @@
             created_at: now,
             servers: HashMap::new(),
             peers: HashMap::new(),
+            gone: HashMap::new(),
         }
     }
 
@@ -130,7 +137,7 @@
     /// Takes in the servers that are listed now, begins and ends paces, and changes those that are due. Returns those that
     /// began or ended.
     pub fn settle(&mut self, listed: Vec<PacedServer>, now: MonotonicTime) -> Vec<PaceChange> {
-        let mut changes = self.drop_gone(&listed);
+        let mut changes = self.drop_gone(&listed, now);
         for peers in self.peers.values_mut() {
             peers.age(now);
         }
@@ -176,14 +183,21 @@
     }
 
     /// Drops runs that are not listed any more.
-    fn drop_gone(&mut self, listed: &[PacedServer]) -> Vec<PaceChange> {
+    fn drop_gone(&mut self, listed: &[PacedServer], now: MonotonicTime) -> Vec<PaceChange> {
         let runs: HashSet<&BackendRun> = listed.iter().map(|server| &server.run).collect();
         let services: HashSet<&Name> = listed.iter().map(|server| &server.service).collect();
         self.peers.retain(|service, _| services.contains(service));
         let gone = self
             .servers
             .extract_if(|_, record| !runs.contains(&record.server.run));
-        let ended = gone.filter_map(|(_, mut record)| record.end(PaceEnd::Gone));
+        let mut gone: Vec<ServerRecord> = gone.map(|(_, record)| record).collect();
+        let gone_runs = gone.iter().map(|record| (record.server.run.clone(), now));
+        self.gone.extend(gone_runs);
+        self.gone
+            .retain(|_, gone_at| now.since(*gone_at) <= GONE_MEMORY);
+        let ended = gone
+            .iter_mut()
+            .filter_map(|record| record.end(PaceEnd::Gone));
         ended.collect()
     }
 
@@ -206,7 +220,8 @@
             count.paced -= 1;
             return record.end(end);
         }
-        let has_started = is_new && count.known > 0;
+        let is_back = self.gone.remove(&record.server.run).is_some();
+        let has_started = is_new && count.known > 0 && !is_back;
         let has_failed = record.has_failed() || record.server.is_suspect;
         let (per_s, start) = if has_started {
             let usual = peers.rate(count.listed - count.paced) * START_SHARE;
--- a/crates/serving/tests/server_pace.rs
+++ b/crates/serving/tests/server_pace.rs
@@ -431,6 +431,26 @@
     assert_that!(paces.pace(&run(4)), none());
 }
 
+/// Guards against paces of servers whose entries were only away, as in an outage of the store.
+#[test]
+fn a_run_that_is_listed_again_has_not_started() {
+    let mut paces = PaceLedger::new(at(0));
+    paces.settle((0..6).map(server).collect(), at(0));
+    paces.settle((0..2).map(server).collect(), at(1000));
+    let changes = paces.settle((0..6).map(server).collect(), at(3000));
+    assert_that!(changes.len(), eq(0));
+    let restarted = PacedServer {
+        run: BackendRun {
+            born_ms: 2,
+            ..run(5)
+        },
+        ..server(5)
+    };
+    let listed = (0..5).map(server).chain([restarted]);
+    let changes = paces.settle(listed.collect(), at(4000));
+    assert_that!(changes.len(), eq(1));
+}
+
 /// Guards against paces, and against bytes in reports, where no configuration or setting asks for them.
 #[test]
 fn only_some_services_have_paces() {
