Serving: keep learned speeds around the average of their service

Factors now count relative to the mean of the service, and less than in full. A test of four equal servers, each with a model of its own, failed before.

--- a/crates/serving/src/routing/run_speeds.rs
+++ b/crates/serving/src/routing/run_speeds.rs
@@ -21,6 +21,10 @@
 /// a stall or a moment of a busy machine say little about a server's speed.
 const MAX_SURPRISE: f64 = 2.0;
 
+/// Power to which a run's factor counts in the average of work that it does. Below 1, a factor that only the run's own models
+/// support returns to the average, instead of wandering with chance.
+const KEPT_FACTOR: f64 = 0.8;
+
 /// Largest factor, and the inverse of the smallest.
 const MAX_RATIO: f64 = 4.0;
 
@@ -36,6 +40,8 @@
 pub struct RunSpeeds {
     /// Averages by service and model.
     averages: HashMap<(Name, Option<Name>), WorkAverage>,
+    /// All work by service; its quotient is the mean factor.
+    services: HashMap<Name, WorkSum>,
     runs: HashMap<Name, RunSpeed>,
 }
 
@@ -57,13 +63,17 @@
     time_s: f64,
 }
 
+/// Work with the time that it took and the time that it takes on a server of average speed, seconds.
+#[derive(Debug, Default)]
+struct WorkSum {
+    taken_s: f64,
+    usual_s: f64,
+}
+
 #[derive(Debug)]
 struct RunSpeed {
     born_ms: u64,
-    /// Time that requests took, seconds.
-    taken_s: f64,
-    /// Time that they take on the average server, seconds.
-    usual_s: f64,
+    work: WorkSum,
     published: f64,
 }
 
@@ -91,9 +101,12 @@
         let usual_s = usual_s.unwrap_or(taken_s / run.factor());
         let expected_s = usual_s * run.factor();
         let taken_s = taken_s.clamp(expected_s / MAX_SURPRISE, expected_s * MAX_SURPRISE);
-        // Work that only slow servers do doesn't make them average.
-        average.add(times.units as f64, taken_s / run.factor());
-        run.add(taken_s, usual_s);
+        // Work that only slow servers do doesn't make them average. Relative to the mean, since all factors would drift otherwise.
+        let service = self.services.entry(times.service.clone()).or_default();
+        service.add(taken_s, usual_s, KIND_MEMORY_S);
+        let relative = run.factor() / service.factor();
+        average.add(times.units as f64, taken_s / relative.powf(KEPT_FACTOR));
+        run.work.add(taken_s, usual_s, MEMORY_S);
         let factor = run.factor();
         let is_noticeable = (factor / before - 1.0).abs() >= CHANGE_SHARE;
         run.published = if is_noticeable { factor } else { before };
@@ -108,8 +121,8 @@
     pub fn assume(&mut self, run: &BackendRun, factor: f64) -> u32 {
         let mut speed = RunSpeed::new(run.born_ms);
         let factor = factor.clamp(1.0 / MAX_RATIO, MAX_RATIO);
-        speed.usual_s += ASSUMED_S;
-        speed.taken_s = speed.usual_s * factor;
+        speed.work.usual_s += ASSUMED_S;
+        speed.work.taken_s = speed.work.usual_s * factor;
         speed.published = factor;
         self.runs.insert(run.backend.clone(), speed);
         percent(factor)
@@ -134,24 +147,33 @@
     }
 }
 
+impl WorkSum {
+    /// Adds work; of older work than `memory_s` of usual time, only the newest part counts.
+    fn add(&mut self, taken_s: f64, usual_s: f64, memory_s: f64) {
+        let kept = (memory_s / (self.usual_s + usual_s)).min(1.0);
+        self.taken_s = (self.taken_s + taken_s) * kept;
+        self.usual_s = (self.usual_s + usual_s) * kept;
+    }
+
+    fn factor(&self) -> f64 {
+        (self.taken_s / self.usual_s).clamp(1.0 / MAX_RATIO, MAX_RATIO)
+    }
+}
+
 impl RunSpeed {
     fn new(born_ms: u64) -> Self {
         Self {
             born_ms,
-            taken_s: PRIOR_S,
-            usual_s: PRIOR_S,
+            work: WorkSum {
+                taken_s: PRIOR_S,
+                usual_s: PRIOR_S,
+            },
             published: 1.0,
         }
     }
 
-    fn add(&mut self, taken_s: f64, usual_s: f64) {
-        let kept = (MEMORY_S / (self.usual_s + usual_s)).min(1.0);
-        self.taken_s = (self.taken_s + taken_s) * kept;
-        self.usual_s = (self.usual_s + usual_s) * kept;
-    }
-
     fn factor(&self) -> f64 {
-        (self.taken_s / self.usual_s).clamp(1.0 / MAX_RATIO, MAX_RATIO)
+        self.work.factor()
     }
 }
 
--- a/crates/serving/tests/uneven_servers.rs
+++ b/crates/serving/tests/uneven_servers.rs
@@ -306,3 +306,31 @@
     assert_that!(change.is_some_and(|change| change.percent <= 100), eq(true));
     assert_that!(speeds.record(&times(1, 9_000_000)), none());
 }
+
+/// Guards against factors that all drift away from the average together, where each server has models of its own.
+#[test]
+fn factors_stay_around_the_average() {
+    let mut random = StdRng::seed_from_u64(1);
+    let mut speeds = RunSpeeds::default();
+    let mut last: HashMap<Name, u32> = HashMap::new();
+    for number in 0..20_000_u64 {
+        let server = number % 4;
+        // Stalls make some answers several times as long.
+        let stall = if random.random_bool(0.2) { 4.0 } else { 1.0 };
+        let change = speeds.record(&RunTimes {
+            run: BackendRun {
+                backend: format!("s{server}").into(),
+                born_ms: 1,
+            },
+            service: name("llm"),
+            model: Some(format!("m{}", if random.random_bool(0.9) { server } else { 9 }).into()),
+            units: 10,
+            time_us: (100_000.0 * stall * random.random_range(0.9..1.1)) as u64,
+        });
+        if let Some(change) = change {
+            last.insert(change.backend, change.percent);
+        }
+    }
+    let is_average = last.values().all(|percent| (75..=133).contains(percent));
+    assert_that!(is_average, eq(true), "{last:?}");
+}
