Host: take a placement only within the request's homes

Cause: a coordinator with another configuration could name a server outside them. The host looks the named server up among those of the homes.

--- a/crates/host/src/target_choice.rs
+++ b/crates/host/src/target_choice.rs
@@ -287,7 +287,9 @@
                     continue;
                 }
                 let table = state.table.load();
-                let slot = table.backend(&context.service, &backend);
+                // The coordinator may have judged by other homes.
+                let mut slots = home_slots(state, context, &table);
+                let slot = slots.find(|slot| slot.entry.id == backend);
                 let bar = slot.and_then(|slot| slot.bar(state.now()));
                 let is_unreachable = history.is_last_unreachable(&backend);
                 let may_send = match bar {
