--- a/crates/serving/src/pacing/pace_ledger.rs
+++ b/crates/serving/src/pacing/pace_ledger.rs
@@ -221,7 +221,9 @@
             return record.end(end);
         }
         let is_back = self.gone.remove(&record.server.run).is_some();
-        let has_started = is_new && count.known > 0 && !is_back;
+        // Without answers of peers, the whole service starts, or nobody asks for it.
+        let has_peers = count.known > 0 && peers.goal_permille().is_some();
+        let has_started = is_new && has_peers && !is_back;
         let has_failed = record.has_failed() || record.server.is_suspect;
         let (per_s, start) = if has_started {
             let usual = peers.rate(count.listed - count.paced) * START_SHARE;
--- a/crates/serving/tests/server_pace.rs
+++ b/crates/serving/tests/server_pace.rs
@@ -19,6 +19,7 @@
 use zinniahinge_serving::PacedServer;
 use zinniahinge_serving::ServiceSpec;
 use zinniahinge_serving::is_paced;
+use zinniahinge_types::AnswerCounts;
 use zinniahinge_types::BackendRun;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
@@ -389,6 +390,27 @@
     }
 }
 
+/// Lets the first server answer requests.
+fn record_answers(paces: &mut PaceLedger) {
+    let counts = AnswerCounts {
+        born_ms: 1,
+        in_time: 100,
+        goal_permille: 20_000,
+        ..AnswerCounts::default()
+    };
+    paces.record(&run(0).backend, &counts, at(0));
+}
+
+/// Guards against paces while the servers of a service start one after the other, before any traffic.
+#[test]
+fn servers_that_start_before_traffic_have_no_pace() {
+    let mut paces = PaceLedger::new(at(0));
+    for count in 1..20 {
+        let changes = paces.settle((0..count).map(server).collect(), at(count as u64 * 200));
+        assert_that!(changes.len(), eq(0), "{count}");
+    }
+}
+
 /// Guards against paces of servers that run already when a host becomes coordinator, and against paces of most servers of a
 /// service, after which no other one could take the rest.
 #[test]
@@ -403,6 +425,7 @@
         let mut paces = PaceLedger::new(at(0));
         if before > 0 {
             paces.settle((0..before).map(server).collect(), at(0));
+            record_answers(&mut paces);
         }
         let changes = paces.settle((0..after).map(server).collect(), at(1000));
         assert_that!(changes.len(), eq(paced), "{name}");
@@ -415,6 +438,7 @@
 fn a_pace_ends_with_its_run() {
     let mut paces = PaceLedger::new(at(0));
     paces.settle((0..4).map(server).collect(), at(0));
+    record_answers(&mut paces);
     paces.settle((0..5).map(server).collect(), at(100));
     assert_that!(paces.pace(&run(4)), some(gt(0.0)));
     let changes = paces.settle((0..4).map(server).collect(), at(200));
@@ -436,6 +460,7 @@
 fn a_run_that_is_listed_again_has_not_started() {
     let mut paces = PaceLedger::new(at(0));
     paces.settle((0..6).map(server).collect(), at(0));
+    record_answers(&mut paces);
     paces.settle((0..2).map(server).collect(), at(1000));
     let changes = paces.settle((0..6).map(server).collect(), at(3000));
     assert_that!(changes.len(), eq(0));
