--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -263,6 +263,7 @@
             self.settle_paces(&table, now);
         }
         if !report.paces.is_empty() {
+            self.settle_paces(&table, now);
             let inherited = self.paces.inherit(&report.paces, now);
             self.apply_paces(&table, &inherited);
         }
--- a/crates/host/src/coordinator_rates.rs
+++ b/crates/host/src/coordinator_rates.rs
@@ -5,6 +5,7 @@
 use slog::info;
 use zinniahinge_serving::PaceChange;
 use zinniahinge_serving::SendRate;
+use zinniahinge_types::BackendRun;
 use zinniahinge_types::ColdNotice;
 use zinniahinge_types::LimitNotice;
 use zinniahinge_types::MonotonicTime;
@@ -14,6 +15,9 @@
 use crate::coordinator::Coordinator;
 use crate::fleet_table::FleetTable;
 
+/// Time after which a host that asks for a slot of a replaced run may ask again. It has usually learned of the new run by then.
+const REPLACED_RUN_PAUSE: Duration = Duration::from_millis(200);
+
 impl Coordinator {
     /// Tells the planners which engines take only so many requests a second. Paces are left out: they end soon.
     pub(crate) fn set_planner_limits(&mut self, table: &FleetTable, now: MonotonicTime) {
@@ -21,8 +25,7 @@
             let slots = table.backends(service).iter();
             let limits = slots.filter_map(|slot| {
                 let load = &slot.load;
-                let rate = SendRate::smallest(load.limit_per_s(), load.cold_rate(now), None)?;
-                Some((slot.entry.id.clone(), rate.per_s))
+                Some((slot.entry.id.clone(), load.bound_rate(now)?.per_s))
             });
             planner.set_limits(&limits.collect());
         }
@@ -35,8 +38,7 @@
         if had_cold || !self.cold.is_empty() {
             self.set_planner_limits(table, now);
         }
-        let has_tight_memory = self.state.startup.bounds.has_tight_memory;
-        let listed = table.paced_servers(has_tight_memory, now);
+        let listed = table.paced_servers(now);
         let changes = self.paces.settle(listed, now);
         self.apply_paces(table, &changes);
     }
@@ -77,15 +79,21 @@
     pub(crate) fn slot(&mut self, request: &SlotRequest, now: MonotonicTime) -> SlotDecision {
         let notice = &request.notice;
         self.state.record_limits(std::slice::from_ref(notice), now);
-        if let Some(left) = request.cold_left {
-            let run = notice.run.clone();
-            self.state.record_cold(&[ColdNotice { run, left }]);
+        if request.cold_left.is_some() && self.is_replaced(&notice.run) {
+            return SlotDecision::Refused {
+                again_in: REPLACED_RUN_PAUSE,
+            };
         }
         self.paces.record_ask(&notice.run);
+        // The asking host's cold time isn't recorded, since it may stem from this coordinator's own views.
+        let stated = request.cold_left.and(request.rate_per_s);
         let rate = self
             .state
             .with_source(|source| match source.load(&notice.run) {
-                Some(load) => load.send_rate(now),
+                Some(load) => {
+                    let known = load.send_rate(now).map(|rate| rate.per_s);
+                    SendRate::smallest(known, stated, None)
+                }
                 None => SendRate::smallest(notice.limit_per_s, request.rate_per_s, None),
             });
         rate.map_or(
@@ -101,6 +109,14 @@
         )
     }
 
+    /// True if the store lists a later run under the same id. The slots of both would add up on one process.
+    fn is_replaced(&self, run: &BackendRun) -> bool {
+        self.state.with_source(|source| {
+            let listed = source.roster.find(&run.backend);
+            listed.is_some_and(|entry| entry.born_ms > run.born_ms)
+        })
+    }
+
     /// What backend servers said about their limits, with their ages at `now`.
     pub(crate) fn limits_known(&self, now: MonotonicTime) -> Vec<LimitNotice> {
         let since = now.since(self.settled_at);
--- a/crates/host/src/fleet_table.rs
+++ b/crates/host/src/fleet_table.rs
@@ -14,7 +14,6 @@
 use zinniahinge_serving::PacedServer;
 use zinniahinge_serving::PriorTerm;
 use zinniahinge_serving::SendBar;
-use zinniahinge_serving::SendRate;
 use zinniahinge_serving::ServingConfig;
 use zinniahinge_serving::is_paced;
 use zinniahinge_types::BackendRun;
@@ -245,11 +244,7 @@
     }
 
     /// Backend servers of services that have paces.
-    pub(crate) fn paced_servers(
-        &self,
-        has_tight_memory: bool,
-        now: MonotonicTime,
-    ) -> Vec<PacedServer> {
+    pub(crate) fn paced_servers(&self, now: MonotonicTime) -> Vec<PacedServer> {
         let services = self
             .config
             .iter()
@@ -257,19 +252,23 @@
         let services = services.filter(|service| {
             let mut slots = self.backends(&service.name).iter();
             let states_work_time = slots.any(|slot| slot.load.states_work_time());
-            is_paced(service, has_tight_memory, states_work_time)
+            is_paced(service, states_work_time)
         });
         let slots = services.flat_map(|service| self.backends(&service.name));
         slots
             .map(|slot| {
-                let bound =
-                    SendRate::smallest(slot.load.limit_per_s(), slot.load.cold_rate(now), None);
+                let bound = slot.load.bound_rate(now);
+                let is_out = matches!(
+                    slot.bar(now),
+                    Some(SendBar::Draining | SendBar::Leaving | SendBar::Evacuated)
+                );
                 PacedServer {
                     run: slot.run(),
                     service: slot.entry.service.clone(),
                     slots: slot.entry.slots,
                     bound: bound.map(|rate| rate.per_s),
                     is_suspect: slot.load.is_suspect(),
+                    takes_requests: !is_out,
                 }
             })
             .collect()
--- a/crates/host/src/send_permit.rs
+++ b/crates/host/src/send_permit.rs
@@ -87,16 +87,27 @@
     target: &BackendCandidate,
 ) -> Result<SendPermit, PermitError> {
     let mut has_waited = false;
-    let mut bar = state.bar(target);
+    let mut bar = if history.is_only_target {
+        // A stream may return long after the server was chosen.
+        bar_after_slot(state, context, target)
+    } else {
+        state.bar(target)
+    };
     // Requests a second under which the request has a slot.
     let mut slot_per_s: Option<f64> = None;
+    let mut exceeds_pace = false;
     loop {
         // The request has a slot, or asks for one: a bar for want of slots is for other requests.
         match bar {
             None | Some(SendBar::Limited { .. }) => {}
             Some(bar) => return Err(PermitError::Barred(bar)),
         }
-        let rate = target.load.send_rate(state.now());
+        let now = state.now();
+        let rate = if exceeds_pace {
+            target.load.bound_rate(now)
+        } else {
+            target.load.send_rate(now)
+        };
         // A slot under a higher rate is too early under a lower one.
         let is_covered = |per_s| slot_per_s.is_some_and(|slot_per_s| slot_per_s <= per_s);
         let Some(rate) = rate.filter(|rate| !is_covered(rate.per_s)) else {
@@ -105,25 +116,42 @@
                 has_waited,
             });
         };
-        has_waited |= wait_for_slot(state, context, history, target, rate).await?;
-        slot_per_s = Some(rate.per_s);
+        match wait_for_slot(state, context, history, target, rate).await? {
+            SlotWait::Exceeded => exceeds_pace = true,
+            SlotWait::Reserved { has_waited: waited } => {
+                has_waited |= waited;
+                slot_per_s = Some(rate.per_s);
+            }
+        }
         bar = bar_after_slot(state, context, target);
     }
 }
 
-/// Reserves a slot under `rate` and waits for it; returns true if it waited.
+/// How a request came to be sent to a server with a rate.
+#[derive(Clone, Copy, Debug)]
+enum SlotWait {
+    /// It has a slot.
+    Reserved {
+        /// True if it waited for it.
+        has_waited: bool,
+    },
+    /// It is sent without one, beyond the server's pace.
+    Exceeded,
+}
+
+/// Reserves a slot under `rate` and waits for it.
 ///
-/// A pace is an estimate and no promise to the server: where others can run the request, it doesn't wait for the slot, and
-/// where none can and the slot would be too late, it goes without one.
+/// Where other servers can run the request, it doesn't wait for a cold one or one with a pace. A pace is an estimate and no
+/// promise to the server: where no other server can run the request and the slot would be too late, it goes without one.
 async fn wait_for_slot(
     state: &HostState,
     context: &RequestContext,
     history: &SendHistory,
     target: &BackendCandidate,
     rate: SendRate,
-) -> Result<bool, PermitError> {
+) -> Result<SlotWait, PermitError> {
     let is_pace = rate.reason == RateReason::Pace;
-    let max_wait = if is_pace && !history.is_only_target {
+    let max_wait = if rate.reason != RateReason::Limit && !history.is_only_target {
         Duration::ZERO
     } else {
         history.slot_wait.min(longest_slot_wait(context, history))
@@ -156,14 +184,17 @@
         }
         return Err(PermitError::Barred(SendBar::Limited { until }));
     };
+    if outcome == "exceeded" {
+        return Ok(SlotWait::Exceeded);
+    }
     if wait.is_zero() {
-        return Ok(false);
+        return Ok(SlotWait::Reserved { has_waited: false });
     }
     info!(state.logger, "request waits for a slot at a limited backend server"; "id" => id, "backend" => backend,
         "limit_per_s" => rate.per_s, "reason" => rate.reason.name(), "source" => source.name(), "wait_ms" => wait.as_millis() as u64);
     let waited = wait_until(state, context, Instant::now() + wait).await;
     waited.map_err(PermitError::Ended)?;
-    Ok(true)
+    Ok(SlotWait::Reserved { has_waited: true })
 }
 
 /// Why the server may not be sent to after the coordinator was asked for a slot and the request waited for it.
@@ -198,7 +229,9 @@
         return (decision, SlotSource::Coordinator);
     }
     let hosts = state.meter().hosts();
-    let share = (rate.shared_per_s(), hosts);
+    let bound = target.load.bound_rate(state.now());
+    let bound_share = bound.map_or(f64::INFINITY, |bound| bound.shared_per_s());
+    let share = (rate.shared_per_s().min(bound_share), hosts);
     let phase = rand::random();
     let now = state.now();
     let mut shares = state.limit_shares();
--- a/crates/host/src/table_source.rs
+++ b/crates/host/src/table_source.rs
@@ -89,8 +89,6 @@
     blocked: (Arc<BlockedParts>, MonotonicTime),
     /// How far requests in one second may exceed what a cold backend server takes.
     cold_tolerance: ColdTolerance,
-    /// True if backend servers crash when the requests that they hold exceed their memory.
-    has_tight_memory: bool,
     /// Load counters by backend server and time of its start, so that a restarted server starts with new ones.
     loads: HashMap<(Name, u64), Arc<BackendLoad>>,
 }
@@ -99,7 +97,6 @@
     pub(crate) fn new(bounds: &FleetBounds) -> Self {
         Self {
             cold_tolerance: bounds.cold_tolerance,
-            has_tight_memory: bounds.has_tight_memory,
             config: None,
             config_item: None,
             roster: BackendRoster::new(REREGISTRATION_TIME),
@@ -277,8 +274,7 @@
                 load.presume_cold(ended_at + start.time, now);
             }
             let states_work_time = shared_services.contains(&entry.service);
-            let has_paces =
-                service.is_some_and(|spec| is_paced(spec, self.has_tight_memory, states_work_time));
+            let has_paces = service.is_some_and(|spec| is_paced(spec, states_work_time));
             load.answers().set_used(has_paces);
             alive.insert(run);
             let view = self.views.get(&entry.id);
@@ -302,10 +298,12 @@
         }
         // A run that leaves, pauses, is cold or limits requests may be listed again.
         self.loads.retain(|run, load| {
-            alive.contains(run)
-                || load.is_leaving()
-                || load.paused_until(now).is_some()
-                || load.send_rate(now).is_some()
+            if alive.contains(run) {
+                return true;
+            }
+            // The coordinator only tells of paces of listed runs.
+            load.set_pace(None);
+            load.is_leaving() || load.paused_until(now).is_some() || load.send_rate(now).is_some()
         });
         self.drop_surplus_loads(&alive);
         self.views
--- a/crates/host/src/target_choice.rs
+++ b/crates/host/src/target_choice.rs
@@ -6,7 +6,6 @@
 use zinniahinge_serving::BackendChooser;
 use zinniahinge_serving::BackendLoad;
 use zinniahinge_serving::ChooserWeights;
-use zinniahinge_serving::RateReason;
 use zinniahinge_serving::SendBar;
 use zinniahinge_types::MonotonicTime;
 use zinniahinge_types::Name;
@@ -148,9 +147,8 @@
     let wait = until.since(now);
     history.slot_wait = longest_slot_wait(context, history);
     history.is_only_target = true;
-    let rate = load.send_rate(now);
-    let is_pace = rate.is_some_and(|rate| rate.reason == RateReason::Pace);
-    if wait <= history.slot_wait || is_pace {
+    let is_pace_only = load.bound_rate(now).is_none() && load.send_rate(now).is_some();
+    if wait <= history.slot_wait || is_pace_only {
         return Ok(());
     }
     history.bar = Some(SendBar::Limited { until });
--- a/crates/serving/src/pacing/pace_ledger.rs
+++ b/crates/serving/src/pacing/pace_ledger.rs
@@ -32,6 +32,9 @@
 /// outage of the store.
 const GONE_MEMORY: Duration = Duration::from_secs(60);
 
+/// Time over which a server's failures make it suspect.
+const SUSPECT_MEMORY: Duration = Duration::from_secs(4);
+
 /// Time for which a new coordinator takes over paces from reports: all hosts have reported by then.
 const INHERIT_TIME: Duration = Duration::from_secs(3);
 
@@ -48,6 +51,8 @@
     pub bound: Option<f64>,
     /// True if it fails more requests than its peers.
     pub is_suspect: bool,
+    /// False if nothing may be sent to it, because it leaves or its data centre is evacuated.
+    pub takes_requests: bool,
 }
 
 /// Paces of servers that have just started or recovered. Kept by the coordinator.
@@ -59,6 +64,8 @@
     created_at: MonotonicTime,
     servers: HashMap<Name, ServerRecord>,
     peers: HashMap<Name, PeerAnswers>,
+    /// Start of the youngest run of each service when the ledger first saw it.
+    newest_born_ms: HashMap<Name, u64>,
     /// Runs that are not listed any more, with when that was seen. One that comes back has not started.
     gone: HashMap<BackendRun, MonotonicTime>,
 }
@@ -71,6 +78,8 @@
     /// Answers since the begin of the window, while there is no pace.
     counts: AnswerCounts,
     window_at: MonotonicTime,
+    /// When its last pace ended.
+    ended_at: Option<MonotonicTime>,
 }
 
 impl PaceLedger {
@@ -81,6 +90,7 @@
             created_at: now,
             servers: HashMap::new(),
             peers: HashMap::new(),
+            newest_born_ms: HashMap::new(),
             gone: HashMap::new(),
         }
     }
@@ -144,12 +154,13 @@
         let mut counts: HashMap<Name, ServiceCount> = HashMap::new();
         for server in &listed {
             let count = counts.entry(server.service.clone()).or_default();
-            count.listed += 1;
+            count.listed += usize::from(server.takes_requests);
             if let Some(record) = self.servers.get(&server.run.backend) {
                 count.known += 1;
                 count.paced += usize::from(record.pace.is_some());
             }
         }
+        self.record_services(&listed);
         for server in listed {
             let count = counts.entry(server.service.clone()).or_default();
             changes.extend(self.settle_server(server, count, now));
@@ -182,6 +193,20 @@
         record.pace.as_mut()
     }
 
+    /// Remembers the youngest run of each service that is seen for the first time. Older runs that are listed later, as after
+    /// an outage of the store, have not just started.
+    fn record_services(&mut self, listed: &[PacedServer]) {
+        let mut newest: HashMap<&Name, u64> = HashMap::new();
+        for server in listed {
+            let born_ms = newest.entry(&server.service).or_default();
+            *born_ms = server.run.born_ms.max(*born_ms);
+        }
+        for (service, born_ms) in newest {
+            let known = self.newest_born_ms.entry(service.clone());
+            known.or_insert(born_ms);
+        }
+    }
+
     /// Drops runs that are not listed any more.
     fn drop_gone(&mut self, listed: &[PacedServer], now: MonotonicTime) -> Vec<PaceChange> {
         let runs: HashSet<&BackendRun> = listed.iter().map(|server| &server.run).collect();
@@ -197,7 +222,7 @@
             .retain(|_, gone_at| now.since(*gone_at) <= GONE_MEMORY);
         let ended = gone
             .iter_mut()
-            .filter_map(|record| record.end(PaceEnd::Gone));
+            .filter_map(|record| record.end(PaceEnd::Gone, now));
         ended.collect()
     }
 
@@ -218,15 +243,20 @@
         if let Some(pace) = &mut record.pace {
             let end = pace.step(peers, bound, now)?;
             count.paced -= 1;
-            return record.end(end);
+            return record.end(end, now);
+        }
+        if !record.server.takes_requests {
+            return None;
         }
         let is_back = self.gone.remove(&record.server.run).is_some();
         // Without answers of peers, the whole service starts, or nobody asks for it.
         let has_peers = count.known > 0 && peers.goal_permille().is_some();
-        let has_started = is_new && has_peers && !is_back;
-        let has_failed = record.has_failed() || record.server.is_suspect;
+        let newest = self.newest_born_ms.get(&record.server.service);
+        let is_younger = newest.is_none_or(|newest| record.server.run.born_ms > *newest);
+        let has_started = is_new && has_peers && !is_back && is_younger;
+        let has_failed = record.has_failed() || record.is_suspect(now);
         let (per_s, start) = if has_started {
-            let usual = peers.rate(count.listed - count.paced) * START_SHARE;
+            let usual = peers.rate(count.listed.saturating_sub(count.paced)) * START_SHARE;
             let slots = f64::from(record.server.slots) * START_PER_SLOT;
             (usual.max(slots), PaceStart::Started)
         } else if has_failed {
@@ -259,9 +289,16 @@
             pace: None,
             counts: AnswerCounts::default(),
             window_at: now,
+            ended_at: None,
         }
     }
 
+    /// True if it fails more requests than its peers, by failures since its last pace.
+    fn is_suspect(&self, now: MonotonicTime) -> bool {
+        let is_recent = |at| now.since(at) < SUSPECT_MEMORY;
+        self.server.is_suspect && !self.ended_at.is_some_and(is_recent)
+    }
+
     /// True if it left more requests unanswered than it answered.
     fn has_failed(&self) -> bool {
         self.counts.missing >= FAILURES && self.counts.missing > self.counts.answered()
@@ -277,8 +314,9 @@
         }
     }
 
-    fn end(&mut self, end: PaceEnd) -> Option<PaceChange> {
+    fn end(&mut self, end: PaceEnd, now: MonotonicTime) -> Option<PaceChange> {
         let pace = self.pace.take()?;
+        self.ended_at = Some(now);
         Some(PaceChange::Ended {
             run: self.server.run.clone(),
             per_s: pace.per_s,
--- a/crates/serving/src/pacing/server_pace.rs
+++ b/crates/serving/src/pacing/server_pace.rs
@@ -10,6 +10,9 @@
 /// Shortest time between two changes of a pace.
 const STEP_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Number of slots in the shortest step of a slow pace, so that an answer to one is in time for the step's end.
+const STEP_SLOTS: f64 = 1.2;
+
 /// Factors by which a pace grows and falls in a step.
 const GROWTH: f64 = 1.5;
 const FALL: f64 = 0.5;
@@ -94,7 +97,7 @@
         now: MonotonicTime,
     ) -> Option<PaceEnd> {
         let elapsed = now.since(self.stepped_at);
-        if elapsed < STEP_INTERVAL {
+        if elapsed < STEP_INTERVAL.max(Duration::from_secs_f64(STEP_SLOTS / self.per_s)) {
             return None;
         }
         let counts = std::mem::take(&mut self.counts);
--- a/crates/serving/src/routing/backend_load.rs
+++ b/crates/serving/src/routing/backend_load.rs
@@ -249,6 +249,11 @@
         SendRate::smallest(self.limit_per_s(), self.cold_rate(now), self.pace())
     }
 
+    /// Requests a second that the server takes at most, without its pace, which is only an estimate.
+    pub fn bound_rate(&self, now: MonotonicTime) -> Option<SendRate> {
+        SendRate::smallest(self.limit_per_s(), self.cold_rate(now), None)
+    }
+
     /// Sends nothing more to the server until `until`, when its next slot is free, unless the limit changes or no rate applies
     /// any more.
     pub fn bar_until_slot(&self, until: MonotonicTime) {
--- a/crates/serving/src/routing/cold_record.rs
+++ b/crates/serving/src/routing/cold_record.rs
@@ -10,7 +10,7 @@
     until: MonotonicTime,
     /// End of the part that this host found out by itself.
     own_until: MonotonicTime,
-    /// When the connection was lost or refused, if no answer came since.
+    /// When the connection was first lost or refused, if no answer came since.
     lost_at: Option<MonotonicTime>,
     /// Sequence number of the newest entry that was taken in.
     sequence: Option<u64>,
@@ -38,7 +38,7 @@
 
     /// Records that no connection could be opened, or that one ended early: the server may start again.
     pub(crate) fn record_loss(&mut self, now: MonotonicTime) {
-        self.lost_at = Some(now);
+        self.lost_at.get_or_insert(now);
     }
 
     /// Records an answer to a request that was sent at `sent`.
@@ -64,10 +64,14 @@
         (!left.is_zero()).then_some(left)
     }
 
-    /// Time for which the run stays cold as far as this host found out by itself, for the other hosts.
+    /// Time for which the run stays cold as far as this host found out by itself, for the other hosts: a whole cold time after a
+    /// loss, so that a host which alone doesn't reach a server keeps the others from it for no longer.
     pub(crate) fn own_left(&self, now: MonotonicTime) -> Option<Duration> {
         let (time, _) = self.start?;
-        let left = self.lost_at.map_or(self.own_until.since(now), |_| time);
+        let until = self
+            .lost_at
+            .map_or(self.own_until, |lost_at| lost_at + time);
+        let left = until.since(now);
         (!left.is_zero()).then_some(left)
     }
 
