Transport: hold the end of an answer back until the upload is written

Cause: the stream took each end that arrived while a write was outstanding for a reset. A server may answer early without a length, close its sending side, read the rest of the upload and close; nothing is reset then, but the host reads the end while its write is blocked and failed the answer. A request that runs at most once was lost that way.

Fix: after the head of the response, the end is held back (Pending, the reader's waker is kept) until the outstanding write is done, and then judged as before, or until the write fails, which fails the body. The place that records the result of a write wakes the reader. The end of a connection without an outstanding write, or before the head is complete, is reported at once as before.

Test: early_answers has two rows for a server that closes its sending side and reads the rest of the request later (answer read at once, and late). Both failed on the code before ("error reading a body from connection") and pass now; all earlier rows are kept unchanged.

After an answer with a length the caller has its answer at once, as before; by reading the code, not measured: the connection to such a server can stay until its write goes on or fails.

Conclusion: only a write that fails, or a reset seen once it is done, makes an answer with a body but no length incomplete.

--- a/crates/transport/src/metered_stream.rs
+++ b/crates/transport/src/metered_stream.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
+use std::task::Waker;
 
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
@@ -41,6 +42,11 @@
         self.0.store(usize::MAX, Ordering::Relaxed);
     }
 
+    /// Returns true after the limit was lifted and until the next request.
+    fn is_head_finished(&self) -> bool {
+        self.0.load(Ordering::Relaxed) == usize::MAX
+    }
+
     /// Takes `bytes` from the budget. Returns false if more bytes arrived than were left.
     fn spend(&self, bytes: usize) -> bool {
         let left = self.0.load(Ordering::Relaxed);
@@ -55,6 +61,17 @@
 /// Size of the buffer for bytes that are held back while a response is awaited.
 const READ_CHUNK_BYTES: usize = 2 * 1024;
 
+/// What became of the bytes that were last offered to the connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WriteState {
+    /// It took all of them.
+    Done,
+    /// It takes no more bytes, though some are left to be written.
+    Outstanding,
+    /// It failed before it took all of them.
+    Failed,
+}
+
 /// Wraps a connection, fails it if the other side sends endless bytes instead of a response head, and takes late answers to
 /// earlier requests out.
 #[derive(Debug)]
@@ -64,8 +81,9 @@
     late: Option<LateAnswers>,
     /// Bytes read since this task last yielded.
     read_since_yield: usize,
-    /// True while the connection takes no more bytes, though some are left to be written.
-    is_write_blocked: bool,
+    write: WriteState,
+    /// Reader that waits for an outstanding write, because the end of the stream is held back until then.
+    end_reader: Option<Waker>,
     /// Error that ended the connection while bytes were held back; it follows them.
     failure: Option<io::Error>,
 }
@@ -79,7 +97,8 @@
             budget,
             late,
             read_since_yield: 0,
-            is_write_blocked: false,
+            write: WriteState::Done,
+            end_reader: None,
             failure: None,
         }
     }
@@ -141,7 +160,7 @@
             Poll::Ready(Ok(())) => {
                 let read = buffer.filled().len() - before;
                 if read == 0 && buffer.remaining() > 0 {
-                    return Poll::Ready(self.check_end());
+                    return self.poll_end(context);
                 }
                 self.read_since_yield += read;
                 if !self.budget.spend(read) {
@@ -153,26 +172,44 @@
         polled
     }
 
+    /// Holds the end of a stream back while the request is still being written and the head of its response is complete.
+    ///
+    /// The other side may read the rest of the request after its response. If it resets the connection instead, the write
+    /// fails, and the response with it.
+    fn poll_end(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.write == WriteState::Outstanding && self.budget.is_head_finished() {
+            self.end_reader = Some(context.waker().clone());
+            return Poll::Pending;
+        }
+        Poll::Ready(self.check_end())
+    }
+
     /// Returns an error if the other side did not end the connection in order, so that a body without a length is not taken
     /// for complete.
     ///
     /// The kernel reports the end of the stream, and not a reset that followed it. Bytes of a request that the other side has
     /// not taken when it ends the connection lead to a reset, too.
     fn check_end(&self) -> io::Result<()> {
-        if self.is_write_blocked {
+        if self.write != WriteState::Done {
             let reason = "connection ended while the request was being written";
             return Err(io::Error::new(io::ErrorKind::ConnectionReset, reason));
         }
         self.stream.take_error()?.map_or(Ok(()), Err)
     }
 
-    /// Notes whether the connection took all `offered` bytes.
+    /// Notes whether the connection took all `offered` bytes, and wakes the reader if it waits for that.
     fn record_write(&mut self, offered: usize, written: &Poll<io::Result<usize>>) {
-        match written {
-            Poll::Pending => self.is_write_blocked = true,
-            Poll::Ready(Ok(count)) => self.is_write_blocked = *count < offered,
-            // The connection ends; what was left to be written stays so.
-            Poll::Ready(Err(_)) => {}
+        self.write = match written {
+            Poll::Ready(Ok(count)) if *count >= offered => WriteState::Done,
+            Poll::Ready(Err(_)) if self.write == WriteState::Outstanding => WriteState::Failed,
+            // The connection ends, and no bytes were left to be written before.
+            Poll::Ready(Err(_)) => self.write,
+            Poll::Pending | Poll::Ready(Ok(_)) => WriteState::Outstanding,
+        };
+        if self.write != WriteState::Outstanding
+            && let Some(reader) = self.end_reader.take()
+        {
+            reader.wake();
         }
     }
 }
--- a/crates/transport/tests/early_answers.rs
+++ b/crates/transport/tests/early_answers.rs
@@ -36,7 +36,9 @@
 enum AnswerEnd {
     /// Closes its sending side and stays.
     Finish,
-    /// The same, and resets the connection at once.
+    /// The same, reads the rest of the request after a while, and closes the connection.
+    FinishAndDrain,
+    /// Closes its sending side and resets the connection at once.
     FinishAndReset,
     /// Resets the connection.
     Reset,
@@ -60,21 +62,32 @@
     let (end, reads_request, body_bytes) = (case.end, case.reads_request, case.body_bytes);
     tokio::spawn(async move {
         let (stream, _) = listener.accept().await?;
-        answer(stream, end, if reads_request { body_bytes } else { 0 }).await
+        answer(stream, end, reads_request, body_bytes).await
     });
     Ok(address)
 }
 
-async fn answer(mut stream: TcpStream, end: AnswerEnd, body_bytes: usize) -> std::io::Result<()> {
+async fn answer(
+    mut stream: TcpStream,
+    end: AnswerEnd,
+    reads_request: bool,
+    body_bytes: usize,
+) -> std::io::Result<()> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await?);
     }
-    stream.read_exact(&mut vec![0; body_bytes]).await?;
+    if reads_request {
+        stream.read_exact(&mut vec![0; body_bytes]).await?;
+    }
     stream.write_all(ANSWER).await?;
-    if matches!(end, AnswerEnd::Finish | AnswerEnd::FinishAndReset) {
+    if !matches!(end, AnswerEnd::Reset | AnswerEnd::Close) {
         stream.shutdown().await?;
     }
+    if end == AnswerEnd::FinishAndDrain {
+        tokio::time::sleep(2 * ARRIVAL_TIME).await;
+        stream.read_exact(&mut vec![0; body_bytes]).await?;
+    }
     if end == AnswerEnd::Finish {
         tokio::time::sleep(SEND_LIMIT).await;
     }
@@ -124,6 +137,20 @@
             true,
             false,
         ),
+        case(
+            AnswerEnd::FinishAndDrain,
+            LARGE_BODY_BYTES,
+            false,
+            false,
+            true,
+        ),
+        case(
+            AnswerEnd::FinishAndDrain,
+            LARGE_BODY_BYTES,
+            false,
+            true,
+            true,
+        ),
         case(AnswerEnd::Reset, LARGE_BODY_BYTES, false, true, false),
         case(AnswerEnd::Close, LARGE_BODY_BYTES, false, true, false),
     ];
