--- a/crates/host/src/change_applier.rs
+++ b/crates/host/src/change_applier.rs
@@ -65,7 +65,10 @@
             let mut backends = Vec::new();
             let mut evacuated = Vec::new();
             let known = source.known_position();
-            if known.is_some_and(|known| known > position) {
+            let is_behind = known.is_some_and(|known| {
+                known.era > position.era || !position.era.is_first() && known > position
+            });
+            if is_behind {
                 // A listing that the coordinator relayed; this host has read the store meanwhile.
                 return false;
             }
@@ -90,7 +93,8 @@
             }
             source.roster.replace(backends, position.revision, now);
             if let Some(change) = change {
-                let hold = state.startup.bounds.evacuation_deadline.unwrap_or_default();
+                let deadline = state.startup.bounds.evacuation_deadline;
+                let hold = deadline.unwrap_or_default().max(REREGISTRATION_TIME);
                 source
                     .evacuations
                     .hold_missing(&evacuated, change.at + hold);
@@ -195,7 +199,7 @@
             return;
         };
         let entry = value.and_then(|value| self.decode_entry(source, id, &value));
-        let known = source.roster.find(id);
+        let known = source.roster.find_listed(id);
         let is_minor = known.zip(entry.as_ref()).is_some_and(|(known, entry)| {
             known.has_same_routing(entry) && !source.shows_new_cold_time(entry, now)
         });
--- a/crates/host/src/coordinator_election.rs
+++ b/crates/host/src/coordinator_election.rs
@@ -202,7 +202,7 @@
         let state = &self.state;
         let table = state.table.load();
         let is_stopping = state.stop.started.is_cancelled();
-        if table.config.is_none() || is_stopping || !state.has_fresh_keys() {
+        if table.config.is_none() || is_stopping || !state.has_recent_reading() {
             return None;
         }
         let era = state.with_source(TableSource::known_position)?.era;
--- a/crates/host/src/host_state.rs
+++ b/crates/host/src/host_state.rs
@@ -318,6 +318,16 @@
         read(&self.source.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// True if the store's state was confirmed recently enough; unlike [`Self::has_fresh_keys`], also while readings of a store
+    /// that returned from a copy prove nothing about keys.
+    pub(crate) fn has_recent_reading(&self) -> bool {
+        self.startup.bounds.revoke_deadline.is_none_or(|deadline| {
+            let limit = deadline.saturating_sub(CONFIRMATION_MARGIN);
+            let age = self.confirmed.age(self.now());
+            age.is_some_and(|age| age < limit)
+        })
+    }
+
     /// True if the known configuration was confirmed recently enough to contain every key revocation older than the
     /// deadline. Always true if the platform sets no such deadline.
     pub(crate) fn has_fresh_keys(&self) -> bool {
--- a/crates/host/src/store_follower.rs
+++ b/crates/host/src/store_follower.rs
@@ -113,21 +113,25 @@
     async fn watch(&self) {
         let mut is_store_lost = false;
         loop {
-            if let Some(rest) = watch_pause(&self.state) {
-                tokio::time::sleep(rest.min(RELAY_CHECK_INTERVAL)).await;
-                continue;
-            }
             let position = self.known_position();
             let revision = position.revision;
             if position.era != self.store.newest_era() {
                 return;
             }
+            if let Some(rest) = watch_pause(&self.state) {
+                tokio::time::sleep(rest.min(RELAY_CHECK_INTERVAL)).await;
+                continue;
+            }
             let sent = self.state.now();
             let wait = if self.is_coordinator() {
                 COORDINATOR_WATCH_WAIT.min(self.watch_wait)
             } else {
                 self.watch_wait
             };
+            let wait = match self.state.confirmed.proof_wait(sent) {
+                Some(left) => wait.min(left.max(COORDINATOR_WATCH_WAIT)),
+                None => wait,
+            };
             match self.store.watch(WATCHED_PREFIX, position, wait).await {
                 Ok(answer) => {
                     self.failures.store(0, Ordering::Relaxed);
--- a/crates/host/tests/store_era.rs
+++ b/crates/host/tests/store_era.rs
@@ -331,3 +331,55 @@
     assert_that!(status(&second, "third", "/third/x").await?, some(eq(200)));
     Ok(())
 }
+
+/// Guards against a coordinator that relays no entry which it had kept itself, though the returned store lacked it for the others.
+#[tokio::test]
+async fn relayed_hosts_learn_of_entries_that_are_written_again() -> Outcome {
+    let (bed, second) = start_pair().await?;
+    for server in &bed.plain {
+        bed.store.remove(&format!("servers/{}", server.id()));
+    }
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    let copy = bed.store.copy();
+    for server in &bed.plain {
+        server.write_entry("ready");
+    }
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    assert_that!(status(&second, "before", "/app/x").await?, some(eq(200)));
+    bed.store.return_from(&copy, &[]);
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    for server in &bed.plain {
+        server.write_entry("ready");
+    }
+    tokio::time::sleep(Duration::from_millis(3500)).await;
+    for (name, host) in [("first", &bed.host), ("second", &second)] {
+        for index in 0..5 {
+            let answer = status(host, &format!("{name}-{index}"), "/app/x").await?;
+            assert_that!(answer, some(eq(200)), "{name} host, request {index}");
+        }
+    }
+    Ok(())
+}
+
+/// Guards against requests to a leaving server by a host that missed its first announcement, which the returned store lacks.
+#[tokio::test]
+async fn relayed_hosts_learn_of_a_leaving_that_is_written_again() -> Outcome {
+    let (bed, second) = start_pair().await?;
+    let copy = bed.store.copy();
+    second.signal(Signal::SIGSTOP)?;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    bed.plain[0].write_entry("draining");
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    bed.store.return_from(&copy, &[]);
+    second.signal(Signal::SIGCONT)?;
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    bed.plain[0].write_entry("draining");
+    tokio::time::sleep(Duration::from_millis(2500)).await;
+    let before = bed.plain[0].requests().len();
+    for index in 0..30 {
+        status(&second, &format!("l-{index}"), "/app/x").await?;
+    }
+    let sent = bed.plain[0].requests().len() - before;
+    assert_that!(sent, eq(0));
+    Ok(())
+}
--- a/crates/serving/src/coordination/config_freshness.rs
+++ b/crates/serving/src/coordination/config_freshness.rs
@@ -45,6 +45,13 @@
         self.proof_from_us.store(NEVER, Ordering::Release);
     }
 
+    /// Time until readings prove that keys are unrevoked; `None` if one did since the store last returned from a copy.
+    pub fn proof_wait(&self, now: MonotonicTime) -> Option<Duration> {
+        let from = self.proof_from_us.load(Ordering::Acquire);
+        let is_due = from != NEVER && self.proven_us.load(Ordering::Acquire) < from;
+        is_due.then(|| Duration::from_micros(from.saturating_sub(stored_time(now))))
+    }
+
     /// Time since the newest confirming call was sent; `None` before the first one.
     pub fn age(&self, now: MonotonicTime) -> Option<Duration> {
         age_of(&self.sent_us, now)
--- a/crates/serving/src/routing/backend_roster.rs
+++ b/crates/serving/src/routing/backend_roster.rs
@@ -54,6 +54,8 @@
     revision: Revision,
     /// When the entry disappeared from the store; `None` while it is listed.
     missing_since: Option<MonotonicTime>,
+    /// True while the store lists an older entry than this one, since it returned from a copy.
+    is_ahead: bool,
 }
 
 impl BackendRoster {
@@ -160,6 +162,17 @@
         self.records.get(id).map(|record| &*record.entry)
     }
 
+    /// The entry of a server as the store lists it now; `None` if the store lacks it, or lists an older one since it returned
+    /// from a copy. Before the first return, missing entries count as listed.
+    pub fn find_listed(&self, id: &str) -> Option<&BackendEntry> {
+        let record = self.records.get(id);
+        let listed = record.filter(|record| {
+            let is_listed = record.missing_since.is_none() || self.era_began_at.is_none();
+            is_listed && !record.is_ahead
+        });
+        listed.map(|record| &*record.entry)
+    }
+
     /// Applies a written entry, unless a newer revision or a later record of the server is known.
     pub fn put(&mut self, entry: BackendEntry, revision: Revision) {
         if self
@@ -179,7 +192,9 @@
             }
             record.revision = revision;
             record.missing_since = None;
-            if !entry.is_older_than(&record.entry) {
+            let is_older = entry.is_older_than(&record.entry);
+            record.is_ahead = is_older && self.era_began_at.is_some();
+            if !is_older {
                 record.entry = Arc::new(entry);
             }
             return;
@@ -190,6 +205,7 @@
             entry: Arc::new(entry),
             revision,
             missing_since: None,
+            is_ahead: false,
         };
         self.records.insert(record.entry.id.clone(), record);
     }
