Learn speeds by the clock, publish average ones, and apply them to their run

Cause: the sums that a factor is the quotient of lost their weight by work. With 64 streams side by side, 30 s of work are half a second, so factors followed the pace of a moment. A factor within 10 % of 1 was never published, so hosts kept the one of an earlier coordinator or their server's absolute statement. A published factor named only the server, so that a new run of it got the factor of the old one, and any figure of the message was applied.

Fix: the sums lose half of their weight in 30 s and 300 s, but age leaves the weight of 2 s of work, so that a pause changes no factor. A run's factor is published once 2 s of work are known, whatever it is. The message names the run's start beside the figure; hosts apply it to this run only, and at most by a factor of four.

Conclusion: hosts that get the message from a coordinator without the run's start apply no learned factor.

--- a/crates/host/src/coordinator.rs
+++ b/crates/host/src/coordinator.rs
@@ -114,7 +114,7 @@
         let table = state.table.load_full();
         ledger.record_stand_in(&state.take_stand_in(), table.accounts(), now);
         for (run, factor) in table.learned_factors() {
-            ledger.assume_speed(&run, factor);
+            ledger.assume_speed(&run, factor, now);
         }
         let parts = PartLedger::new(&table.blocked, fence << VERSION_BITS_PER_FENCE, now);
         Self {
--- a/crates/host/src/fleet_reporter.rs
+++ b/crates/host/src/fleet_reporter.rs
@@ -9,6 +9,7 @@
 use tokio_util::sync::CancellationToken;
 use zinniahinge_serving::LIVENESS_INTERVAL;
 use zinniahinge_serving::WorkTime;
+use zinniahinge_serving::learned_factor;
 use zinniahinge_types::BackendTotal;
 use zinniahinge_types::BackendUse;
 use zinniahinge_types::BlockedParts;
@@ -384,8 +385,8 @@
                 total.pending_tokens.saturating_sub(own_tokens),
                 total.is_suspect,
             );
-            if let Some(percent) = total.time_percent {
-                slot.load.set_learned_factor(f64::from(percent) / 100.0);
+            if let Some(factor) = learned_factor(total, slot.entry.born_ms) {
+                slot.load.set_learned_factor(factor);
             }
         }
         session.totals.retain(|id, _| listed.contains(id));
--- a/crates/serving/src/coordination/fleet_ledger.rs
+++ b/crates/serving/src/coordination/fleet_ledger.rs
@@ -186,9 +186,9 @@
             self.health.add(backend, *succeeded, *failed, now);
         }
         for times in &report.run_times {
-            if let Some(change) = self.speeds.record(times) {
+            if let Some(change) = self.speeds.record(times, now) {
                 self.totals
-                    .set_time_percent(&change.backend, change.percent);
+                    .set_time_percent(&change.backend, change.born_ms, change.percent);
                 self.speed_changes.push(change);
             }
         }
@@ -201,9 +201,10 @@
     }
 
     /// Continues from a time factor that an earlier coordinator learned.
-    pub fn assume_speed(&mut self, run: &BackendRun, factor: f64) {
-        let percent = self.speeds.assume(run, factor);
-        self.totals.set_time_percent(&run.backend, percent);
+    pub fn assume_speed(&mut self, run: &BackendRun, factor: f64, now: MonotonicTime) {
+        let percent = self.speeds.assume(run, factor, now);
+        self.totals
+            .set_time_percent(&run.backend, run.born_ms, percent);
     }
 
     /// Returns the changes of learned speeds since the last call.
--- a/crates/serving/src/routing/backend_totals.rs
+++ b/crates/serving/src/routing/backend_totals.rs
@@ -28,8 +28,8 @@
     in_flight: u32,
     pending_tokens: u64,
     is_suspect: bool,
-    /// Time that work takes, in percent of the average; `None` if it was not measured.
-    time_percent: Option<u32>,
+    /// Start of the run, and the time that work takes on it, in percent of the average; `None` if it was not measured.
+    time_percent: Option<(u64, u32)>,
     /// Requests, prompt tokens and suspicion that are sent to hosts since `version`.
     published: (u32, u64, bool),
     version: u64,
@@ -73,10 +73,11 @@
         }
     }
 
-    /// Sets the time that work takes on a server, in percent of the average of its service, and publishes it.
-    pub(crate) fn set_time_percent(&mut self, backend: &Name, percent: u32) {
+    /// Sets the time that work takes on a run of a server, in percent of the average of its service, and publishes it.
+    pub(crate) fn set_time_percent(&mut self, backend: &Name, born_ms: u64, percent: u32) {
         let record = self.records.entry(backend.clone()).or_default();
-        if record.time_percent.replace(percent) != Some(percent) {
+        let time_percent = Some((born_ms, percent));
+        if std::mem::replace(&mut record.time_percent, time_percent) != time_percent {
             self.version += 1;
             record.version = self.version;
         }
@@ -113,7 +114,8 @@
                 in_flight,
                 pending_tokens,
                 is_suspect,
-                time_percent: record.time_percent,
+                time_percent: record.time_percent.map(|(_, percent)| percent),
+                born_ms: record.time_percent.map(|(born_ms, _)| born_ms),
             }
         });
         (totals.collect(), self.version)
--- a/crates/serving/src/routing/mod.rs
+++ b/crates/serving/src/routing/mod.rs
@@ -58,6 +58,7 @@
 pub use run_lookup::RunLookup;
 pub use run_speeds::RunSpeeds;
 pub use run_speeds::SpeedChange;
+pub use run_speeds::learned_factor;
 pub use send_bar::SendBar;
 pub use send_rate::RateReason;
 pub use send_rate::SendRate;
--- a/crates/serving/tests/uneven_servers.rs
+++ b/crates/serving/tests/uneven_servers.rs
@@ -135,13 +135,16 @@
             work_percent: Some(work_percent),
         };
         candidates[chosen].load.record_sample(sample, now);
-        let change = speeds.record(&RunTimes {
-            run: entries[chosen].run(),
-            service: name("llm"),
-            model: Some(name("m")),
-            units: PROMPT_TOKENS,
-            time_us: (work_ms * 1000.0) as u64,
-        });
+        let change = speeds.record(
+            &RunTimes {
+                run: entries[chosen].run(),
+                service: name("llm"),
+                model: Some(name("m")),
+                units: PROMPT_TOKENS,
+                time_us: (work_ms * 1000.0) as u64,
+            },
+            now,
+        );
         if let Some(change) = change {
             learned.insert(change.backend, f64::from(change.percent) / 100.0);
         }
@@ -298,13 +301,13 @@
     };
     let mut last = None;
     for _ in 0..20 {
-        speeds.record(&other);
-        last = speeds.record(&times(1, 3_000_000)).or(last);
+        speeds.record(&other, at(0));
+        last = speeds.record(&times(1, 3_000_000), at(0)).or(last);
     }
     assert_that!(last.is_some_and(|change| change.percent > 125), eq(true));
-    let change = speeds.record(&times(2, 1_000_000));
+    let change = speeds.record(&times(2, 1_000_000), at(0));
     assert_that!(change.is_some_and(|change| change.percent <= 100), eq(true));
-    assert_that!(speeds.record(&times(1, 9_000_000)), none());
+    assert_that!(speeds.record(&times(1, 9_000_000), at(0)), none());
 }
 
 /// Guards against factors that all drift away from the average together, where each server has models of its own.
@@ -317,16 +320,21 @@
         let server = number % 4;
         // Stalls make some answers several times as long.
         let stall = if random.random_bool(0.2) { 4.0 } else { 1.0 };
-        let change = speeds.record(&RunTimes {
-            run: BackendRun {
-                backend: format!("s{server}").into(),
-                born_ms: 1,
+        let change = speeds.record(
+            &RunTimes {
+                run: BackendRun {
+                    backend: format!("s{server}").into(),
+                    born_ms: 1,
+                },
+                service: name("llm"),
+                model: Some(
+                    format!("m{}", if random.random_bool(0.9) { server } else { 9 }).into(),
+                ),
+                units: 10,
+                time_us: (100_000.0 * stall * random.random_range(0.9..1.1)) as u64,
             },
-            service: name("llm"),
-            model: Some(format!("m{}", if random.random_bool(0.9) { server } else { 9 }).into()),
-            units: 10,
-            time_us: (100_000.0 * stall * random.random_range(0.9..1.1)) as u64,
-        });
+            at(number * 25),
+        );
         if let Some(change) = change {
             last.insert(change.backend, change.percent);
         }
--- a/crates/types/src/fleet_message.rs
+++ b/crates/types/src/fleet_message.rs
@@ -282,6 +282,9 @@
     /// Time that work takes on the server, in percent of the average of its service; `None` if it was not measured.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub time_percent: Option<u32>,
+    /// Start of the run that `time_percent` applies to, milliseconds since the Unix epoch.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub born_ms: Option<u64>,
 }
 
 /// Asks to charge one request to a client account, if the sender has no recent level or the account is near its limit.
