Keep the usual statement of a server for 30 s, not for 16 answers

Cause: a host with traffic gets 16 statements within one slow moment, so the usual statement followed it, and the next normal one counted as far faster than usual.

Fix: a statement loses half of its weight in 30 s; age alone leaves the weight of 16 statements.

Test: 100 statements of 100 at 10 ms spacing, 30 of 250 and one of 100 leave a factor of at least 0.7 at a learned 1.0.

Conclusion: the least number of statements before a server counts as one that states the figure is not part of this.

--- a/crates/serving/src/routing/work_time.rs
+++ b/crates/serving/src/routing/work_time.rs
@@ -9,10 +9,14 @@
 const MAX_STATEMENT_AGE: Duration = Duration::from_secs(1);
 
 /// Statements from which the usual one of a server is known.
-const MIN_STATEMENTS: u32 = 4;
+const MIN_STATEMENTS: f64 = 4.0;
 
-/// Statements that the usual one is the mean of; older ones lose their weight.
-const USUAL_STATEMENTS: u32 = 16;
+/// Statements that the usual one is at least the mean of; age alone leaves their weight.
+const USUAL_STATEMENTS: f64 = 16.0;
+
+/// Time in which a statement loses half of its weight in the usual one: much longer than a slow moment, also for a host
+/// that gets many statements in it.
+const USUAL_HALF_LIFE: Duration = Duration::from_secs(30);
 
 /// How long work takes on one run of a backend server, as a factor of the average of its service.
 ///
@@ -25,8 +29,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct WorkTime {
     statement: Option<WorkStatement>,
-    /// Mean of the statements, as a factor, and their number.
-    usual: (f64, u32),
+    /// Mean of the statements, as a factor, and their weight.
+    usual: (f64, f64),
     /// Factor of the server's usual speed, learned over all hosts.
     learned: Option<f64>,
 }
@@ -46,14 +50,17 @@
             return;
         }
         let factor = f64::from(percent) / 100.0;
-        let (usual, count) = self.usual;
-        let deviation = if count < MIN_STATEMENTS {
+        let (usual, weight) = self.usual;
+        let deviation = if weight < MIN_STATEMENTS {
             1.0
         } else {
             factor / usual
         };
-        let count = (count + 1).min(USUAL_STATEMENTS);
-        self.usual = (usual + (factor - usual) / f64::from(count), count);
+        let age = self.statement.map(|statement| now.since(statement.at));
+        let half_lives = age.unwrap_or_default().as_secs_f64() / USUAL_HALF_LIFE.as_secs_f64();
+        let kept = weight * 0.5_f64.powf(half_lives);
+        let weight = kept.max(weight.min(USUAL_STATEMENTS)) + 1.0;
+        self.usual = (usual + (factor - usual) / weight, weight);
         self.statement = Some(WorkStatement {
             factor,
             deviation,
--- a/crates/serving/tests/uneven_servers.rs
+++ b/crates/serving/tests/uneven_servers.rs
@@ -342,3 +342,26 @@
     let is_average = last.values().all(|percent| (75..=133).contains(percent));
     assert_that!(is_average, eq(true), "{last:?}");
 }
+
+/// Guards against a usual statement that a slow moment replaces.
+#[test]
+fn the_usual_statement_outlasts_a_slow_moment() {
+    let load = BackendLoad::default();
+    assert_that!(load.work_time(), eq(WorkTime::default()));
+    let mut now_ms = 0;
+    let percents = [100; 100].into_iter().chain([250; 30]).chain([100]);
+    for (index, percent) in percents.enumerate() {
+        assert_that!(load.states_work_time(), eq(index >= 1), "{index}");
+        now_ms += 10;
+        let sample = LoadSample {
+            running: 0,
+            waiting: 0,
+            slots: 64,
+            work_percent: Some(percent),
+        };
+        load.record_sample(sample, at(now_ms));
+    }
+    load.set_learned_factor(1.0);
+    let factor = load.work_time().factor(at(now_ms));
+    assert_that!(factor >= 0.7, eq(true), "{factor}");
+}
