Spare requests the cost of work times where no server states them

Cause: each choice locked the work time of each server several times and took logarithms, each stream collected the times between its events, and answers of services without models locked the timings, also where no server states the figure.

Fix: a flag is read before the lock; without learned factors servers are ranked by their hashes as integers; the times between events are kept, and the timings locked, only for servers that state the figure.

Test: uneven_servers reads the work time of a load before and after its first figure; backend_choice and backend_choice_fleet pass unchanged.

Conclusion: same choices as before; the cost itself was not measured.

--- a/crates/host/src/backend_exchange.rs
+++ b/crates/host/src/backend_exchange.rs
@@ -65,7 +65,7 @@
         && response.status().is_success()
     {
         state.parts().record_progress(&context.facts, state.now());
-        if context.facts.model.is_none() {
+        if context.facts.model.is_none() && target.load.states_work_time() {
             let work = (None, 1, sent_at.elapsed());
             state.timings().record_work(target, work);
         }
--- a/crates/host/src/event_relay.rs
+++ b/crates/host/src/event_relay.rs
@@ -216,7 +216,7 @@
         sender: mpsc::Sender<Result<Bytes, StreamAborted>>,
     ) {
         let opened_at = Instant::now();
-        let mut gaps = EventGaps::start();
+        let mut gaps = stream.target.load.states_work_time().then(EventGaps::start);
         let mut is_resumed = false;
         let mut is_under_way = false;
         let mut events = std::mem::take(&mut stream.first_events);
@@ -235,7 +235,9 @@
             let failure = match self.next_step(&mut stream).await {
                 StreamStep::Events(next) => {
                     self.log.record_event_gap(waiting_since.elapsed());
-                    gaps.record(next.events);
+                    if let Some(gaps) = &mut gaps {
+                        gaps.record(next.events);
+                    }
                     events = next;
                     continue;
                 }
@@ -253,7 +255,7 @@
                         let service = &self.context.service;
                         let mut timings = self.state.timings();
                         timings.record_output(service, tokens, time);
-                        if let Some((count, median)) = gaps.median() {
+                        if let Some((count, median)) = gaps.and_then(EventGaps::median) {
                             let model = self.context.facts.model.as_ref();
                             let work = (model, count, median * count as u32);
                             timings.record_work(&stream.target, work);
--- a/crates/serving/src/routing/backend_chooser.rs
+++ b/crates/serving/src/routing/backend_chooser.rs
@@ -231,24 +231,32 @@
 /// Over many keys, each server is first in proportion to its learned speed. If the speed of one changes, only keys between it and
 /// the others change their order.
 fn ranks_by_hash(key: u64, candidates: &[BackendCandidate]) -> Vec<usize> {
-    let scores = candidates.iter().map(|candidate| {
-        let hash = rank(key, &candidate.entry.id);
-        let learned = candidate.load.work_time().learned();
-        (uneven_score(hash, learned.unwrap_or(1.0)), hash)
-    });
-    let mut scores: Vec<(f64, u64)> = scores.collect();
-    let is_even = candidates
+    let hashes = candidates
+        .iter()
+        .map(|candidate| rank(key, &candidate.entry.id));
+    let hashes: Vec<u64> = hashes.collect();
+    let learned = candidates
         .iter()
-        .all(|candidate| candidate.load.work_time().learned().is_none());
-    if is_even {
-        // The hashes alone, without the rounding of the scores.
-        scores.iter_mut().for_each(|(score, _)| *score = 0.0);
+        .map(|candidate| candidate.load.work_time().learned());
+    let learned: Vec<Option<f64>> = learned.collect();
+    if learned.iter().all(Option::is_none) {
+        return descending_ranks(&hashes);
     }
-    let ranks_by_hash = scores.iter().map(|own| {
+    let scores = hashes
+        .iter()
+        .zip(learned)
+        .map(|(hash, learned)| (uneven_score(*hash, learned.unwrap_or(1.0)), *hash));
+    let scores: Vec<(f64, u64)> = scores.collect();
+    descending_ranks(&scores)
+}
+
+/// Rank of each score in descending order; 0 is that of the highest.
+fn descending_ranks<T: PartialOrd>(scores: &[T]) -> Vec<usize> {
+    let ranks = scores.iter().map(|own| {
         let before = scores.iter().filter(|other| *other > own);
         before.count()
     });
-    ranks_by_hash.collect()
+    ranks.collect()
 }
 
 /// Score of a server in weighted rendezvous hashing, with its speed as weight; the highest one is first.
--- a/crates/serving/src/routing/backend_load.rs
+++ b/crates/serving/src/routing/backend_load.rs
@@ -68,6 +68,8 @@
     succeeded: AtomicU32,
     failed: AtomicU32,
     sample: Mutex<Option<(LoadSample, MonotonicTime)>>,
+    /// True once a figure or a learned factor was recorded; read before `work_time` is locked.
+    has_work_time: AtomicBool,
     work_time: Mutex<WorkTime>,
     parts: Mutex<SentParts>,
     /// This host's requests for models, and the output tokens that they allow, by model and adapter.
@@ -125,12 +127,14 @@
         *self.sample.lock().unwrap_or_else(PoisonError::into_inner) = Some((sample, now));
         if let Some(percent) = sample.work_percent {
             self.lock_work_time().record_statement(percent, now);
+            self.has_work_time.store(true, Ordering::Relaxed);
         }
     }
 
     /// Sets the time factor of the run that the coordinator learned.
     pub fn set_learned_factor(&self, factor: f64) {
         self.lock_work_time().set_learned(factor);
+        self.has_work_time.store(true, Ordering::Relaxed);
     }
 
     /// True if the server states how long work takes on it.
@@ -140,6 +144,9 @@
 
     /// How long work takes on the server, as this host knows it.
     pub fn work_time(&self) -> WorkTime {
+        if !self.has_work_time.load(Ordering::Relaxed) {
+            return WorkTime::default();
+        }
         *self.lock_work_time()
     }
 
