Measure gaps between events only up to events

Cause: a batch without events, as a comment, moved the time that the next gap starts from, so that the gap came out too short. A median of zero counted as work without time.

Fix: such a batch is passed over, and a median of zero gives no sample.

Test: none of its own; the type is not visible to test files.

Conclusion: a case with comments between the events of a stand-in is still to be written.

--- a/crates/host/src/event_gaps.rs
+++ b/crates/host/src/event_gaps.rs
@@ -28,21 +28,25 @@
         }
     }
 
-    /// Records that `count` events have arrived together.
+    /// Records that `count` events have arrived together. Without any, as with a comment, the gap goes on.
     pub(crate) fn record(&mut self, count: u64) {
+        if count == 0 {
+            return;
+        }
         let now = Instant::now();
         let gap = now.duration_since(std::mem::replace(&mut self.last_at, now));
-        if count > 0 && self.gaps.len() < MAX_GAPS {
+        if self.gaps.len() < MAX_GAPS {
             self.gaps.push(gap.div_f64(count as f64));
         }
     }
 
-    /// Number of gaps, and their median; `None` if there are too few.
+    /// Number of gaps, and their median; `None` if there are too few, or most events arrived at once.
     pub(crate) fn median(mut self) -> Option<(u64, Duration)> {
         if self.gaps.len() < MIN_GAPS {
             return None;
         }
         self.gaps.sort_unstable();
-        Some((self.gaps.len() as u64, self.gaps[self.gaps.len() / 2]))
+        let median = self.gaps[self.gaps.len() / 2];
+        (!median.is_zero()).then_some((self.gaps.len() as u64, median))
     }
 }
