Tests: names of the platform stay in its folder

Cause: new tests and the soak spelled header names and keys of the platform themselves. The stand-ins give them names (EXPECTED_SERVER_HEADER, SIGNATURE_HEADER), and tests use those and the platform's own constants.

--- a/crates/host/tests/mixed_servers/mod.rs
+++ b/crates/host/tests/mixed_servers/mod.rs
@@ -13,9 +13,11 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
+use zinniahinge_platform::ATTEMPT_ID;
 use zinniahinge_platform_standins::AnswerFraming;
 use zinniahinge_platform_standins::CallerRequest;
 use zinniahinge_platform_standins::PlatformStore;
+use zinniahinge_platform_standins::SIGNATURE_HEADER;
 
 use crate::common::Outcome;
 
@@ -154,7 +156,7 @@
                 let mut values = head.lines().filter_map(|line| line.strip_prefix(name));
                 values.next().unwrap_or_default().trim().to_owned()
             };
-            let id = header("x-attempt-id:");
+            let id = header(&format!("{ATTEMPT_ID}:"));
             let Some(case) = id.split('-').next().and_then(|index| index.parse().ok()) else {
                 return self.answer_platform(&mut stream, &head).await;
             };
@@ -292,8 +294,8 @@
     };
     let status = plan.status;
     format!(
-        "HTTP/1.1 {status} Status\r\n{framing}Content-Type: {media_type}\r\nX-Attempt-Id: {id}\r\n\
-         X-Response-Seal: seal-{id}\r\n\r\n{sent}"
+        "HTTP/1.1 {status} Status\r\n{framing}Content-Type: {media_type}\r\n{ATTEMPT_ID}: {id}\r\n\
+         {SIGNATURE_HEADER}: seal-{id}\r\n\r\n{sent}"
     )
     .into_bytes()
 }
--- a/crates/host/tests/store_era.rs
+++ b/crates/host/tests/store_era.rs
@@ -9,6 +9,7 @@
 
 use googletest::prelude::*;
 use nix::sys::signal::Signal;
+use zinniahinge_platform::CONFIG_KEY;
 use zinniahinge_platform_standins::BackendServer;
 use zinniahinge_platform_standins::Caller;
 use zinniahinge_platform_standins::CallerRequest;
@@ -113,7 +114,7 @@
         write_others(&bed, case.lost);
         tokio::time::sleep(Duration::from_millis(600)).await;
         let config = config_with(2, "/added/").to_text();
-        let mut rewritten = vec![("op/config", config.as_str())];
+        let mut rewritten = vec![(CONFIG_KEY, config.as_str())];
         rewritten.resize(case.rewritten, ("op/other", "y"));
         for _ in 0..case.returns {
             bed.store.set_fault(StoreFault::Silent);
@@ -311,7 +312,7 @@
     is_open.store(false, Ordering::Relaxed);
     tokio::time::sleep(Duration::from_millis(300)).await;
     let config = config_with(2, "/added/").to_text();
-    let mut rewritten = vec![("op/config", config.as_str())];
+    let mut rewritten = vec![(CONFIG_KEY, config.as_str())];
     rewritten.resize(20, ("op/other", "y"));
     bed.store.return_from(&copy, &rewritten);
     for index in 0..8 {
--- a/crates/soak/src/flooded_servers.rs
+++ b/crates/soak/src/flooded_servers.rs
@@ -38,7 +38,7 @@
     let broken = spans.filter_map(|span| {
         let judged = span.from + NOTICE_TIME..span.until;
         let arrivals = records.requests.iter().filter(|seen| {
-            let is_own = seen.header("x-expect-instance") == Some(&seen.server);
+            let is_own = seen.expected_server() == Some(&seen.server);
             is_own && seen.server == span.server && judged.contains(&seen.at)
         });
         let mut arrivals: Vec<Instant> = arrivals.map(|seen| seen.at).collect();
--- a/crates/soak/tests/flooded_servers.rs
+++ b/crates/soak/tests/flooded_servers.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use googletest::prelude::*;
+use zinniahinge_platform_standins::EXPECTED_SERVER_HEADER;
 use zinniahinge_platform_standins::SeenRequest;
 use zinniahinge_soak::ColdSpan;
 use zinniahinge_soak::Disturbance;
@@ -13,7 +14,7 @@
 use zinniahinge_soak::broken_promises;
 
 fn request(at: Instant, expected: &str) -> SeenRequest {
-    let headers = [("x-expect-instance", expected), ("x-tenant", "acme")];
+    let headers = [(EXPECTED_SERVER_HEADER, expected), ("x-tenant", "acme")];
     let headers = headers.map(|(name, value)| (name.to_owned(), value.to_owned()));
     SeenRequest {
         id: format!("{at:?}"),
