--- a/crates/soak/src/ignored_requests.rs
+++ b/crates/soak/src/ignored_requests.rs
@@ -19,7 +19,7 @@
 const ALLOWED_IN_PAUSE: usize = 2;
 
 /// Requests that hosts sent to servers which had asked them not to, in words. A disturbance of the host or of the server's
-/// link excuses it: the host may have forgotten, or never got the answer.
+/// link excuses it: the host may have forgotten, or never got the answer. What a server asks holds until it starts again.
 pub(crate) fn ignored_requests(records: &SoakRecords) -> Vec<String> {
     let index = CallIndex::new(&records.calls);
     let mut arrivals: BTreeMap<(&str, &str), Vec<(&SeenRequest, &CallerRecord)>> = BTreeMap::new();
@@ -38,8 +38,12 @@
                 (one.host == host || one.host == server) && one.from <= until && one.until >= from
             })
         };
-        check_leaving(&arrivals, &is_calm, &mut broken);
-        check_pauses(&arrivals, &is_calm, &mut broken);
+        let is_same_run = |from: Instant, until: Instant| {
+            let mut restarts = records.restarts.iter();
+            !restarts.any(|(restarted, at)| *restarted == server && (from..=until).contains(at))
+        };
+        check_leaving(&arrivals, &is_calm, &is_same_run, &mut broken);
+        check_pauses(&arrivals, &is_calm, &is_same_run, &mut broken);
     }
     broken
 }
@@ -47,6 +51,7 @@
 fn check_leaving(
     arrivals: &[(&SeenRequest, &CallerRecord)],
     is_calm: &impl Fn(Instant, Instant) -> bool,
+    is_same_run: &impl Fn(Instant, Instant) -> bool,
     broken: &mut Vec<String>,
 ) {
     // Only an answer that reached its caller was surely passed on.
@@ -71,7 +76,9 @@
         return;
     }
     let late = arrivals.iter().filter(|(seen, call)| {
-        call.sent_at > told.at + DRAIN_DEADLINE && is_calm(told.at, seen.at)
+        call.sent_at > told.at + DRAIN_DEADLINE
+            && is_calm(told.at, seen.at)
+            && is_same_run(told.at, seen.at)
     });
     for (seen, call) in late {
         broken.push(format!(
@@ -87,6 +94,7 @@
 fn check_pauses(
     arrivals: &[(&SeenRequest, &CallerRecord)],
     is_calm: &impl Fn(Instant, Instant) -> bool,
+    is_same_run: &impl Fn(Instant, Instant) -> bool,
     broken: &mut Vec<String>,
 ) {
     for (asked, call) in arrivals {
@@ -98,6 +106,7 @@
         let during = arrivals
             .iter()
             .filter(|(seen, _)| seen.at > from && seen.at < until)
+            .filter(|(seen, _)| is_same_run(asked.at, seen.at))
             .count();
         if during > ALLOWED_IN_PAUSE {
             broken.push(format!(
--- a/crates/soak/src/promise_check.rs
+++ b/crates/soak/src/promise_check.rs
@@ -62,6 +62,8 @@
     pub key_turns: Vec<(Instant, bool)>,
     /// When servers were cold.
     pub cold: Vec<ColdSpan>,
+    /// Servers that started again under their id, with when.
+    pub restarts: Vec<(String, Instant)>,
     /// What was done to hosts.
     pub disturbances: Vec<Disturbance>,
     /// Servers in the second data centre.
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -172,11 +172,16 @@
     for orders in &mut orders {
         orders.sort_by_key(|order| order.at);
     }
+    let restarts = servers().flat_map(|server| {
+        let crashes = server.crashes().into_iter();
+        crashes.map(|at| (server.id().to_owned(), at))
+    });
     SoakRecords {
         calls,
         requests: requests.collect(),
         orders,
         cold: servers().flat_map(cold_spans).collect(),
+        restarts: restarts.collect(),
         work: servers().map(|server| server.work()).collect(),
         peaks_mb: servers().map(|server| server.peak_mb()).collect(),
         turned_key: TURNED_KEY,
--- a/crates/soak/tests/promise_check.rs
+++ b/crates/soak/tests/promise_check.rs
@@ -367,6 +367,8 @@
     pause_ms: Option<u64>,
     /// A disturbance of h1, milliseconds.
     disturbed_ms: Option<(u64, u64)>,
+    /// When the server started again under its id, milliseconds.
+    restarted_ms: Option<u64>,
     broken: Option<&'static str>,
 }
 
@@ -379,6 +381,7 @@
         leaves: false,
         pause_ms: None,
         disturbed_ms: None,
+        restarted_ms: None,
         broken: None,
     };
     let cases = [
@@ -423,6 +426,28 @@
             disturbed_ms: Some((200, 600)),
             ..calm
         },
+        ServerCase {
+            name: "pauses, and another run gets requests",
+            later_ms: &[700, 900, 1100],
+            pause_ms: Some(1500),
+            restarted_ms: Some(600),
+            ..calm
+        },
+        ServerCase {
+            name: "pauses, gets three requests within, and starts again",
+            later_ms: &[700, 900, 1100],
+            pause_ms: Some(1500),
+            restarted_ms: Some(1200),
+            broken: Some("in a pause"),
+            ..calm
+        },
+        ServerCase {
+            name: "leaves, and another run gets a later request",
+            later_ms: &[100, 2100],
+            leaves: true,
+            restarted_ms: Some(500),
+            ..calm
+        },
     ];
     let start = Instant::now();
     let at = |time_ms: u64| start + Duration::from_millis(time_ms);
@@ -439,10 +464,15 @@
             from: at(from_ms),
             until: at(until_ms),
         });
+        let server = requests[0].server.clone();
+        let restarts = case
+            .restarted_ms
+            .map(|restarted_ms| (server, at(restarted_ms)));
         let records = SoakRecords {
             calls,
             requests,
             disturbances: disturbances.into_iter().collect(),
+            restarts: restarts.into_iter().collect(),
             ..SoakRecords::default()
         };
         let broken = broken_promises(&records);
